Build, checks, base types, settings and the platform's interface

Cause: an empty repository; every slice needs the same clock, ids, results, checked TOML reader and platform interface before slices can go side by side.

--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,46 @@
+// Time as the rest of the code sees it: a clock that is passed in, so tests run on virtual time.
+
+#ifndef COWSLIPHILL_BASE_CLOCK_H_
+#define COWSLIPHILL_BASE_CLOCK_H_
+
+#include <chrono>
+
+namespace cowsliphill {
+
+using Duration = std::chrono::nanoseconds;
+using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+// Source of time. Monotonic time orders and measures; wall time only labels what people read.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual MonotonicTime Now() const = 0;  // Never goes back; meaningless outside this process.
+  virtual WallTime WallNow() const = 0;   // May jump either way.
+};
+
+class SystemClock : public Clock {
+ public:
+  MonotonicTime Now() const override { return std::chrono::steady_clock::now(); }
+  WallTime WallNow() const override {
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+  }
+};
+
+// Clock for tests and measurements on virtual time: stands still until advanced.
+class ManualClock : public Clock {
+ public:
+  MonotonicTime Now() const override { return MonotonicTime(elapsed_); }
+  WallTime WallNow() const override {
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed_));
+  }
+  void Advance(Duration step) { elapsed_ += step; }
+
+ private:
+  Duration elapsed_ = std::chrono::hours(1);
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_BASE_CLOCK_H_
--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,60 @@
+// Names of things as distinct types, so that a place can't be passed where a service is meant.
+
+#ifndef COWSLIPHILL_BASE_IDS_H_
+#define COWSLIPHILL_BASE_IDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace cowsliphill {
+
+template <typename Tag>
+class StringId {
+ public:
+  StringId() = default;
+  explicit StringId(std::string text) : text_(std::move(text)) {}
+
+  const std::string& Text() const { return text_; }
+  bool Empty() const { return text_.empty(); }
+
+  friend bool operator==(const StringId& a, const StringId& b) = default;
+  friend auto operator<=>(const StringId& a, const StringId& b) = default;
+
+ private:
+  std::string text_;
+};
+
+using ServiceId = StringId<struct ServiceTag>;
+using BackendServerId = StringId<struct BackendServerTag>;
+using PlaceId = StringId<struct PlaceTag>;    // A failure domain.
+using RegionId = StringId<struct RegionTag>;  // A group of places.
+using TenantId = StringId<struct TenantTag>;
+using TeamId = StringId<struct TeamTag>;
+using EntryVmId = StringId<struct EntryVmTag>;  // Unique per process start, never reused.
+using RequestId = StringId<struct RequestTag>;
+
+// IP number and port; no names are resolved anywhere.
+struct Endpoint {
+  std::string ip;     // IPv4 or IPv6 number.
+  uint16_t port = 0;  // TCP port.
+
+  std::string ToString() const {
+    const bool v6 = ip.find(':') != std::string::npos;
+    return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
+  }
+  friend bool operator==(const Endpoint& a, const Endpoint& b) = default;
+  friend auto operator<=>(const Endpoint& a, const Endpoint& b) = default;
+};
+
+}  // namespace cowsliphill
+
+template <typename Tag>
+struct std::hash<cowsliphill::StringId<Tag>> {
+  size_t operator()(const cowsliphill::StringId<Tag>& id) const noexcept {
+    return std::hash<std::string>()(id.Text());
+  }
+};
+
+#endif  // COWSLIPHILL_BASE_IDS_H_
--- /dev/null
+++ b/src/base/toml_reader.cc
@@ -0,0 +1,240 @@
+#include "src/base/toml_reader.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+#include <sstream>
+#include <utility>
+
+#include "src/base/ids.h"
+#include "toml++/toml.h"
+
+namespace cowsliphill {
+
+namespace {
+
+constexpr size_t kShownValueLength = 60;
+
+std::string Shown(const toml::node& node) {
+  std::ostringstream out;
+  node.visit([&out](const auto& value) { out << value; });
+  std::string text = out.str();
+  if (text.size() > kShownValueLength) text = text.substr(0, kShownValueLength) + "...";
+  return text;
+}
+
+std::string Joined(const std::vector<std::string>& words) {
+  std::string text;
+  for (const std::string& word : words) text += (text.empty() ? "" : ", ") + word;
+  return text;
+}
+
+std::string Range(const std::string& least, const std::string& most) {
+  return "from " + least + " to " + most;
+}
+
+}  // namespace
+
+struct TomlDocument::Tree {
+  toml::table root;
+};
+
+std::string Issue::ToString() const {
+  std::string text = file;
+  if (line > 0) text += ":" + std::to_string(line);
+  if (!key.empty()) text += ": " + key;
+  return text + ": found " + found + "; allowed: " + allowed;
+}
+
+TomlDocument::TomlDocument() = default;
+TomlDocument::~TomlDocument() = default;
+TomlDocument::TomlDocument(TomlDocument&&) noexcept = default;
+TomlDocument& TomlDocument::operator=(TomlDocument&&) noexcept = default;
+
+TomlDocument TomlDocument::Parse(const std::string& text, const std::string& file) {
+  TomlDocument document;
+  document.file_ = file;
+  try {
+    document.tree_ = std::make_unique<Tree>(Tree{toml::parse(text, file)});
+  } catch (const toml::parse_error& e) {
+    document.Add({file, e.source().begin.line, "", std::string(e.description()), "valid TOML"});
+  }
+  return document;
+}
+
+TomlReader TomlDocument::Root() { return {this, tree_ ? &tree_->root : nullptr, ""}; }
+
+TomlReader::TomlReader(TomlDocument* document, const void* table, std::string path)
+    : document_(document), table_(table), path_(std::move(path)) {}
+
+std::string TomlReader::PathOf(const std::string& key) const {
+  if (path_.empty()) return key;
+  return key.empty() ? path_ : path_ + "." + key;
+}
+
+const void* TomlReader::Find(const std::string& key) {
+  asked_.insert(key);
+  if (table_ == nullptr) return nullptr;
+  return static_cast<const toml::table*>(table_)->get(key);
+}
+
+bool TomlReader::Has(const std::string& key) const {
+  return table_ != nullptr && static_cast<const toml::table*>(table_)->contains(key);
+}
+
+void TomlReader::Reject(const std::string& key, const std::string& found,
+                        const std::string& allowed) {
+  size_t line = 0;
+  if (table_ != nullptr) {
+    const auto* table = static_cast<const toml::table*>(table_);
+    const toml::node* node = table->get(key);
+    line = (node != nullptr ? node->source() : table->source()).begin.line;
+  }
+  document_->Add({document_->File(), line, PathOf(key), found, allowed});
+}
+
+TomlReader TomlReader::Table(const std::string& key) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node != nullptr && !node->is_table()) Reject(key, Shown(*node), "a table");
+  return {document_, node == nullptr ? nullptr : node->as_table(), PathOf(key)};
+}
+
+std::vector<TomlReader> TomlReader::Tables(const std::string& key) {
+  std::vector<TomlReader> readers;
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return readers;
+  const toml::array* items = node->as_array();
+  if (items == nullptr) {
+    Reject(key, Shown(*node), "an array of tables, [[" + PathOf(key) + "]]");
+    return readers;
+  }
+  for (size_t i = 0; i < items->size(); ++i) {
+    const toml::table* table = items->get(i)->as_table();
+    if (table == nullptr) {
+      Reject(key, Shown(*items->get(i)), "tables only");
+      continue;
+    }
+    readers.push_back(TomlReader(document_, table, PathOf(key) + "[" + std::to_string(i) + "]"));
+  }
+  return readers;
+}
+
+std::string TomlReader::RequiredText(const std::string& key) {
+  if (!Has(key)) {
+    asked_.insert(key);
+    Reject(key, "nothing", "a text; this key is required");
+    return "";
+  }
+  std::string text = Text(key, "");
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (text.empty() && node->is_string()) Reject(key, "an empty text", "a text");
+  return text;
+}
+
+std::string TomlReader::Text(const std::string& key, const std::string& fallback) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return fallback;
+  if (node->is_string()) return node->as_string()->get();
+  Reject(key, Shown(*node), "a text");
+  return fallback;
+}
+
+std::vector<std::string> TomlReader::Texts(const std::string& key,
+                                           std::vector<std::string> fallback) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return fallback;
+  const toml::array* items = node->as_array();
+  if (items == nullptr) {
+    Reject(key, Shown(*node), "an array of texts");
+    return fallback;
+  }
+  std::vector<std::string> texts;
+  for (const toml::node& item : *items) {
+    if (item.is_string()) {
+      texts.push_back(item.as_string()->get());
+    } else {
+      Reject(key, Shown(item), "texts only");
+    }
+  }
+  return texts;
+}
+
+int64_t TomlReader::Integer(const std::string& key, int64_t fallback, int64_t least, int64_t most) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return fallback;
+  const auto allowed = "an integer " + Range(std::to_string(least), std::to_string(most));
+  if (!node->is_integer()) {
+    Reject(key, Shown(*node), allowed);
+    return fallback;
+  }
+  const int64_t value = node->as_integer()->get();
+  if (value >= least && value <= most) return value;
+  Reject(key, Shown(*node), allowed);
+  return fallback;
+}
+
+double TomlReader::Number(const std::string& key, double fallback, double least, double most) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return fallback;
+  const std::optional<double> value = node->value<double>();
+  if (value && *value >= least && *value <= most) return *value;
+  std::ostringstream low;
+  std::ostringstream high;
+  low << least;
+  high << most;
+  Reject(key, Shown(*node), "a number " + Range(low.str(), high.str()));
+  return fallback;
+}
+
+bool TomlReader::Boolean(const std::string& key, bool fallback) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return fallback;
+  if (node->is_boolean()) return node->as_boolean()->get();
+  Reject(key, Shown(*node), "true or false");
+  return fallback;
+}
+
+std::chrono::milliseconds TomlReader::Milliseconds(const std::string& key,
+                                                   std::chrono::milliseconds fallback,
+                                                   std::chrono::milliseconds least,
+                                                   std::chrono::milliseconds most) {
+  return std::chrono::milliseconds(Integer(key, fallback.count(), least.count(), most.count()));
+}
+
+size_t TomlReader::OneOf(const std::string& key, size_t fallback,
+                         const std::vector<std::string>& allowed) {
+  const auto* node = static_cast<const toml::node*>(Find(key));
+  if (node == nullptr) return fallback;
+  const std::string text = node->is_string() ? node->as_string()->get() : "";
+  for (size_t i = 0; i < allowed.size(); ++i) {
+    if (allowed[i] == text) return i;
+  }
+  Reject(key, Shown(*node), "one of " + Joined(allowed));
+  return fallback;
+}
+
+void TomlReader::RejectUnknownKeys() {
+  if (table_ == nullptr) return;
+  const std::vector<std::string> allowed(asked_.begin(), asked_.end());
+  for (const auto& [key, node] : *static_cast<const toml::table*>(table_)) {
+    const std::string name(key.str());
+    if (asked_.count(name) == 0) Reject(name, "an unknown key", Joined(allowed));
+  }
+}
+
+std::optional<Endpoint> ParseEndpoint(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) return std::nullopt;
+  std::string ip = text.substr(0, colon);
+  const bool bracketed = ip.front() == '[' && ip.back() == ']';
+  if (bracketed) ip = ip.substr(1, ip.size() - 2);
+  in6_addr parsed;
+  if (inet_pton(bracketed ? AF_INET6 : AF_INET, ip.c_str(), &parsed) != 1) return std::nullopt;
+  uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, ec] = std::from_chars(text.data() + colon + 1, end, port);
+  if (ec != std::errc() || rest != end || port == 0) return std::nullopt;
+  return Endpoint{ip, port};
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/src/manifest/manifest.h
@@ -0,0 +1,79 @@
+// The manifest: what operators deliver and the system takes as its configuration.
+// Plain data; parsing and checking are in manifest_format.h, acceptance in acceptance.h.
+
+#ifndef COWSLIPHILL_MANIFEST_MANIFEST_H_
+#define COWSLIPHILL_MANIFEST_MANIFEST_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "src/base/ids.h"
+#include "src/base/request_class.h"
+
+namespace cowsliphill {
+
+struct Place {
+  PlaceId id;       // Failure domain.
+  RegionId region;  // Places of one region are near each other.
+};
+
+struct Team {
+  TeamId id;
+  std::vector<ServiceId> services;  // Services that this team may change.
+};
+
+// How a vendor's backend servers report their load on answers and probes.
+enum class ReportFormat {
+  kNone,            // They report nothing.
+  kEndpointLoad,    // Header endpoint-load-metrics (ORCA), text or JSON form.
+  kBackendHeaders,  // Headers x-backend-in-flight, x-backend-slots, x-backend-state.
+};
+
+struct Service {
+  ServiceId id;
+  TeamId owner;                                         // Team that may change it.
+  RequestClass default_class = RequestClass::kRoutine;  // Class of a request that names none.
+  std::vector<TenantId> emergency_tenants;              // Tenants allowed to send emergencies.
+  std::vector<std::string> idempotent_methods = {"GET", "HEAD", "OPTIONS"};  // May be retried.
+  bool require_key = false;                             // Non-idempotent requests must name a key.
+  std::chrono::milliseconds default_deadline{2000};     // For requests that name none.
+  std::chrono::milliseconds max_deadline{60000};        // Longer ones are cut to this.
+  std::chrono::milliseconds first_byte_timeout{10000};  // Bulk answers are bound by silence only.
+  double probe_budget = 1.0;         // Probes per second and backend server, over all entry VMs.
+  std::string probe_path = "/load";  // What a probe asks for.
+  double tail_weight = 0.7;          // 0: spend least on measuring; 1: shortest tail. Default 0.7.
+  double retry_budget = 0.1;         // Retries and hedges per request sent, 0 to 1.
+  uint32_t queue_limit = 64;         // Requests waiting per entry VM and class.
+  ReportFormat report_format = ReportFormat::kBackendHeaders;
+};
+
+enum class BackendState { kActive, kLeaving };
+
+struct BackendServer {
+  BackendServerId id;
+  ServiceId service;
+  PlaceId place;
+  Endpoint endpoint;
+  BackendState state = BackendState::kActive;  // kLeaving: no new work, open work runs to its end.
+  uint32_t slots = 3;                          // Requests that it executes at the same time.
+};
+
+struct EntryRules {
+  uint32_t max_requests = 4096;                     // Open requests per entry VM.
+  std::chrono::milliseconds lookup_lifetime{5000};  // How long callers may keep a lookup answer.
+};
+
+struct Manifest {
+  uint64_t revision = 0;  // 0: none accepted yet. Only ever grows.
+  std::vector<Place> places;
+  std::vector<Team> teams;
+  std::vector<Service> services;
+  std::vector<BackendServer> backend_servers;
+  EntryRules entry;
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_MANIFEST_MANIFEST_H_
--- /dev/null
+++ b/src/platform/memory_platform.h
@@ -0,0 +1,62 @@
+// A platform inside the process, for one entry VM alone and for tests. Nothing outlives it.
+
+#ifndef COWSLIPHILL_PLATFORM_MEMORY_PLATFORM_H_
+#define COWSLIPHILL_PLATFORM_MEMORY_PLATFORM_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/platform/platform.h"
+
+namespace cowsliphill {
+
+// Table, objects and VM list held in maps, with the conditional semantics of platform.h.
+// Synchronous core; the stand-in's server and MemoryPlatform both wrap it. Not thread safe.
+class PlatformStore {
+ public:
+  std::optional<Row> Get(const std::string& key) const;
+  std::vector<Row> Scan(const std::string& prefix, const std::string& after, size_t most) const;
+  std::variant<Committed, Conflict> Commit(const std::vector<ConditionalWrite>& writes);
+  std::optional<std::string> GetObject(const std::string& name) const;
+  PutObject PutIfAbsent(const std::string& name, std::string bytes);
+  std::vector<std::string> ListObjects(const std::string& prefix, const std::string& after,
+                                       size_t most) const;
+  void SetVms(std::vector<ListedVm> vms) { vms_ = std::move(vms); }
+  const std::vector<ListedVm>& Vms() const { return vms_; }
+
+ private:
+  uint64_t VersionOf(const std::string& key) const;
+
+  std::map<std::string, Row> rows_;             // Live rows by key.
+  std::map<std::string, std::string> objects_;  // Bytes by name.
+  std::vector<ListedVm> vms_;                   // The VM list.
+  uint64_t last_version_ = 0;                   // Versions never repeat, even after a delete.
+};
+
+class MemoryPlatform {
+ public:
+  explicit MemoryPlatform(Executor executor) : executor_(std::move(executor)) {}
+
+  void Get(std::string key, std::function<void(GetResult)> done);
+  void Scan(std::string prefix, std::string after, size_t most,
+            std::function<void(ScanResult)> done);
+  void Commit(std::vector<ConditionalWrite> writes, std::function<void(CommitResult)> done);
+  void GetObject(std::string name, std::function<void(ObjectResult)> done);
+  void PutIfAbsent(std::string name, std::string bytes, std::function<void(PutObjectResult)> done);
+  void ListObjects(std::string prefix, std::string after, size_t most,
+                   std::function<void(ListResult)> done);
+  void ListVms(std::function<void(VmListResult)> done);
+
+  PlatformStore& Store() { return store_; }
+
+ private:
+  Executor executor_;
+  PlatformStore store_;
+};
+
+static_assert(PlatformClient<MemoryPlatform>);
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_PLATFORM_MEMORY_PLATFORM_H_
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,179 @@
+#include "src/settings/settings.h"
+
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLeastTimeout{1};
+constexpr milliseconds kMostTimeout{86400000};
+constexpr size_t kLeastTokenLength = 16;
+constexpr int64_t kMostCount = 1000000;
+
+bool IsLoopback(const Endpoint& endpoint) {
+  return endpoint.ip.rfind("127.", 0) == 0 || endpoint.ip == "::1";
+}
+
+Endpoint ReadEndpoint(TomlReader& reader, const std::string& key, const Endpoint& fallback) {
+  if (!reader.Has(key)) {
+    reader.Text(key, "");
+    return fallback;
+  }
+  const std::string text = reader.Text(key, "");
+  const std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  if (endpoint) return *endpoint;
+  reader.Reject(key, "\"" + text + "\"", "IP-NUMBER:PORT, for example 10.0.0.5:8080");
+  return fallback;
+}
+
+uint32_t ReadCount(TomlReader& reader, const std::string& key, uint32_t fallback) {
+  return static_cast<uint32_t>(reader.Integer(key, fallback, 1, kMostCount));
+}
+
+milliseconds ReadTimeout(TomlReader& reader, const std::string& key, milliseconds fallback) {
+  return reader.Milliseconds(key, fallback, kLeastTimeout, kMostTimeout);
+}
+
+EdgeSettings ReadEdge(TomlReader reader) {
+  EdgeSettings edge;
+  edge.listen = ReadEndpoint(reader, "listen", edge.listen);
+  edge.advertise = ReadEndpoint(reader, "advertise", edge.listen);
+  edge.max_connections = ReadCount(reader, "max_connections", edge.max_connections);
+  edge.max_header_bytes =
+      static_cast<uint32_t>(reader.Integer("max_header_bytes", edge.max_header_bytes, 512, 65536));
+  edge.buffer_bytes =
+      static_cast<uint32_t>(reader.Integer("buffer_bytes", edge.buffer_bytes, 4096, 1 << 20));
+  edge.idle_timeout = ReadTimeout(reader, "idle_timeout_ms", edge.idle_timeout);
+  reader.RejectUnknownKeys();
+  return edge;
+}
+
+PeerSettings ReadPeer(TomlReader reader) {
+  PeerSettings peer;
+  peer.listen = ReadEndpoint(reader, "listen", peer.listen);
+  peer.advertise = ReadEndpoint(reader, "advertise", peer.listen);
+  peer.key = reader.Text("key", "");
+  for (const std::string& text : reader.Texts("seeds", {})) {
+    const std::optional<Endpoint> seed = ParseEndpoint(text);
+    if (seed) {
+      peer.seeds.push_back(*seed);
+    } else {
+      reader.Reject("seeds", "\"" + text + "\"", "IP-NUMBER:PORT");
+    }
+  }
+  if (!IsLoopback(peer.listen) && peer.key.size() < kLeastTokenLength) {
+    reader.Reject("key", std::to_string(peer.key.size()) + " characters",
+                  "at least 16 characters when listening beyond loopback");
+  }
+  reader.RejectUnknownKeys();
+  return peer;
+}
+
+AdminSettings ReadAdmin(TomlReader reader) {
+  AdminSettings admin;
+  admin.listen = ReadEndpoint(reader, "listen", admin.listen);
+  std::set<std::string> seen;
+  for (TomlReader& item : reader.Tables("tokens")) {
+    AdminToken token;
+    token.token = item.RequiredText("token");
+    token.team = TeamId(item.RequiredText("team"));
+    for (std::string& name : item.Texts("services", {})) {
+      token.services.emplace_back(std::move(name));
+    }
+    if (!token.token.empty() && token.token.size() < kLeastTokenLength) {
+      item.Reject("token", std::to_string(token.token.size()) + " characters",
+                  "at least 16 characters");
+    }
+    if (!seen.insert(token.token).second) {
+      item.Reject("token", "a repeated token", "one of its own");
+    }
+    item.RejectUnknownKeys();
+    admin.tokens.push_back(std::move(token));
+  }
+  if (!IsLoopback(admin.listen) && admin.tokens.empty()) {
+    reader.Reject("listen", admin.listen.ToString(),
+                  "a loopback address, or any address once [[admin.tokens]] has an entry");
+  }
+  reader.RejectUnknownKeys();
+  return admin;
+}
+
+PlatformSettings ReadPlatform(TomlReader reader) {
+  PlatformSettings platform;
+  platform.kind = static_cast<PlatformKind>(reader.OneOf("kind", 0, {"memory", "http"}));
+  platform.endpoint = ReadEndpoint(reader, "endpoint", platform.endpoint);
+  if (platform.kind == PlatformKind::kHttp && platform.endpoint.port == 0) {
+    reader.Reject("endpoint", "nothing", "IP-NUMBER:PORT; required with kind = \"http\"");
+  }
+  platform.timeout = ReadTimeout(reader, "timeout_ms", platform.timeout);
+  platform.connections =
+      static_cast<uint32_t>(reader.Integer("connections", platform.connections, 1, 64));
+  platform.queue_limit = ReadCount(reader, "queue_limit", platform.queue_limit);
+  platform.poll_interval = ReadTimeout(reader, "poll_interval_ms", platform.poll_interval);
+  reader.RejectUnknownKeys();
+  return platform;
+}
+
+BackendSettings ReadBackend(TomlReader reader) {
+  BackendSettings backend;
+  backend.connect_timeout = ReadTimeout(reader, "connect_timeout_ms", backend.connect_timeout);
+  backend.proven_alive = ReadTimeout(reader, "proven_alive_ms", backend.proven_alive);
+  backend.idle_timeout = ReadTimeout(reader, "idle_timeout_ms", backend.idle_timeout);
+  backend.silence_timeout = ReadTimeout(reader, "silence_timeout_ms", backend.silence_timeout);
+  backend.connections_per_class =
+      ReadCount(reader, "connections_per_class", backend.connections_per_class);
+  reader.RejectUnknownKeys();
+  return backend;
+}
+
+LogSettings ReadLog(TomlReader reader) {
+  LogSettings log;
+  log.level =
+      static_cast<LogLevel>(reader.OneOf("level", 1, {"debug", "info", "warning", "error"}));
+  log.queue_entries = ReadCount(reader, "queue_entries", log.queue_entries);
+  reader.RejectUnknownKeys();
+  return log;
+}
+
+}  // namespace
+
+SettingsResult ParseSettings(const std::string& text, const std::string& file) {
+  TomlDocument document = TomlDocument::Parse(text, file);
+  if (!document.Issues().empty()) return document.Issues();
+  TomlReader root = document.Root();
+  Settings settings;
+  settings.place = PlaceId(root.RequiredText("place"));
+  settings.region = RegionId(root.Text("region", settings.place.Text()));
+  settings.manifest_file = root.Text("manifest_file", "");
+  settings.stop_timeout = ReadTimeout(root, "stop_timeout_ms", settings.stop_timeout);
+  settings.edge = ReadEdge(root.Table("edge"));
+  settings.peer = ReadPeer(root.Table("peer"));
+  settings.admin = ReadAdmin(root.Table("admin"));
+  settings.platform = ReadPlatform(root.Table("platform"));
+  settings.backend = ReadBackend(root.Table("backend"));
+  settings.log = ReadLog(root.Table("log"));
+  if (!settings.manifest_file.empty() && settings.platform.kind != PlatformKind::kMemory) {
+    root.Reject("manifest_file", "\"" + settings.manifest_file + "\"",
+                "only with platform kind \"memory\"; else use `cowsliphill manifest submit`");
+  }
+  root.RejectUnknownKeys();
+  if (!document.Issues().empty()) return document.Issues();
+  return settings;
+}
+
+SettingsResult LoadSettings(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) {
+    return std::vector<Issue>{{file, 0, "", "an unreadable file", "a settings file in TOML"}};
+  }
+  const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  return ParseSettings(text, file);
+}
+
+}  // namespace cowsliphill
