--- /dev/null
+++ b/src/forward/attempt.cc
@@ -0,0 +1,102 @@
+#include "src/forward/attempt.h"
+
+#include <utility>
+
+namespace cowsliphill {
+
+Attempt::Attempt(BackendPool& pool, const Clock& clock, SendTo target, RequestClass request_class)
+    : pool_(pool),
+      clock_(clock),
+      target_(std::move(target)),
+      request_class_(request_class),
+      started_(clock.Now()),
+      first_byte_(started_) {}
+
+Attempt::~Attempt() { Close(); }
+
+void Attempt::Start(std::string head_and_body, bool idempotent, bool head_request, Events events) {
+  events_ = std::move(events);
+  pool_.Acquire(target_.endpoint, request_class_, !idempotent,
+                [self = shared_from_this(), bytes = std::move(head_and_body),
+                 head_request](std::variant<PooledConnection, ConnectError> result) mutable {
+                  if (std::holds_alternative<ConnectError>(result)) {
+                    return self->Fail(AttemptEnd::kConnectFailed, "no connection");
+                  }
+                  self->OnConnected(std::get<PooledConnection>(std::move(result)), std::move(bytes),
+                                    head_request);
+                });
+}
+
+void Attempt::OnConnected(PooledConnection connection, std::string bytes, bool head_request) {
+  if (closed_) {
+    pool_.Release(target_.endpoint, request_class_, std::move(connection));
+    return;
+  }
+  connection_ = std::move(connection);
+  if (head_request) connection_.stream->ExpectNoBody();
+  sent_ = true;
+  connection_.stream->Write(std::move(bytes), [self = shared_from_this()](bool ok) {
+    // A failed write may have delivered bytes; the read that is open tells how it ends.
+    const auto on_sent = self->events_.on_sent;
+    if (ok && on_sent) on_sent();
+  });
+  ReadNext();
+}
+
+void Attempt::Send(std::string bytes, std::function<void(bool ok)> done) {
+  if (closed_) return;
+  connection_.stream->Write(std::move(bytes), std::move(done));
+}
+
+void Attempt::ReadNext() {
+  if (closed_) return;
+  connection_.stream->Read([weak = weak_from_this()](const HttpEvent& event) {
+    if (const auto self = weak.lock()) self->OnEvent(event);
+  });
+}
+
+void Attempt::OnEvent(const HttpEvent& event) {
+  const auto keep = shared_from_this();
+  connection_.proven = clock_.Now();
+  if (const auto* head = std::get_if<HttpHead>(&event)) {
+    if (head->status < 200) return ReadNext();  // Interim answers are not passed on.
+    has_answer_ = true;
+    keep_alive_ = head->keep_alive;
+    first_byte_ = clock_.Now();
+  }
+  if (std::holds_alternative<HttpEnd>(event)) {
+    if (!has_answer_) return ReadNext();  // End of an interim answer.
+    whole_ = true;
+  }
+  const auto* error = std::get_if<HttpError>(&event);
+  if (error != nullptr && !has_answer_) return Fail(AttemptEnd::kCut, error->detail);
+  const auto on_answer = events_.on_answer;  // Outlives a Close within the call.
+  on_answer(event);
+}
+
+void Attempt::Fail(AttemptEnd end, std::string detail) {
+  if (closed_) return;
+  const auto on_failed = std::move(events_.on_failed);
+  Close();
+  on_failed(end, std::move(detail));
+}
+
+bool Attempt::IsReusable() const {
+  const HttpStream& stream = *connection_.stream;
+  return whole_ && keep_alive_ && request_whole_ && stream.BetweenMessages() && !stream.IsWriting();
+}
+
+void Attempt::Close() {
+  if (closed_) return;
+  closed_ = true;
+  events_ = Events();
+  if (!connection_.stream) return;
+  if (IsReusable()) {
+    pool_.Release(target_.endpoint, request_class_, std::move(connection_));
+  } else {
+    pool_.Discard(target_.endpoint, request_class_, connection_);
+  }
+  connection_ = PooledConnection();
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/forward/dispatcher.cc
@@ -0,0 +1,63 @@
+#include "src/forward/dispatcher.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+namespace cowsliphill {
+
+Dispatcher::Dispatcher(asio::io_context& io, const Clock& clock, Chooser& chooser)
+    : io_(io), clock_(clock), chooser_(chooser), timer_(io) {}
+
+void Dispatcher::Choose(const ChoiceRequest& request, ChoiceCallback done) {
+  Deliver(request.ticket, chooser_.Choose(request, clock_.Now()), std::move(done));
+}
+
+void Dispatcher::Retry(Ticket ticket, ChoiceCallback done) {
+  Deliver(ticket, chooser_.Retry(ticket, clock_.Now()), std::move(done));
+}
+
+void Dispatcher::Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done) {
+  if (!std::holds_alternative<Wait>(choice)) return done(choice);
+  waiting_[ticket] = std::move(done);
+  PollSoon();
+}
+
+void Dispatcher::OnEnded(Ticket ticket, const BackendServerId& server,
+                         const AttemptResult& result) {
+  chooser_.OnEnded(ticket, server, result, clock_.Now());
+  PollSoon();
+}
+
+void Dispatcher::Finish(Ticket ticket) {
+  waiting_.erase(ticket);
+  chooser_.Finish(ticket, clock_.Now());
+  PollSoon();
+}
+
+void Dispatcher::PollSoon() {
+  if (poll_pending_) return;
+  poll_pending_ = true;
+  asio::post(io_, [this] { Poll(); });
+}
+
+void Dispatcher::Poll() {
+  poll_pending_ = false;
+  for (const Ready& ready : chooser_.TakeReady(clock_.Now())) {
+    const Choice choice = std::visit([](const auto& turn) -> Choice { return turn; }, ready);
+    const Ticket ticket = std::visit([](const auto& turn) { return turn.ticket; }, ready);
+    const auto it = waiting_.find(ticket);
+    if (it == waiting_.end()) continue;
+    const ChoiceCallback done = std::move(it->second);
+    waiting_.erase(it);
+    done(choice);
+  }
+  const std::optional<MonotonicTime> wake = chooser_.NextWake();
+  if (!wake) return;
+  timer_.expires_after(std::max<Duration>(*wake - clock_.Now(), Duration{}));
+  timer_.async_wait([this](std::error_code ec) {
+    if (!ec) PollSoon();
+  });
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/forward/dispatcher.h
@@ -0,0 +1,46 @@
+// Ties the pure chooser to the loop: hands out the turns of waiting requests and keeps its timer.
+
+#ifndef COWSLIPHILL_FORWARD_DISPATCHER_H_
+#define COWSLIPHILL_FORWARD_DISPATCHER_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <unordered_map>
+
+#include "src/base/clock.h"
+#include "src/choose/chooser.h"
+
+namespace cowsliphill {
+
+class Dispatcher {
+ public:
+  using ChoiceCallback = std::function<void(const Choice&)>;  // SendTo or Refuse, never Wait.
+
+  Dispatcher(asio::io_context& io, const Clock& clock, Chooser& chooser);
+
+  // Chooses for a new request. `done` runs once, now or when its turn has come.
+  void Choose(const ChoiceRequest& request, ChoiceCallback done);
+  // Another try, after OnEnded.
+  void Retry(Ticket ticket, ChoiceCallback done);
+  void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result);
+  // The request is over; a wait of it is forgotten.
+  void Finish(Ticket ticket);
+  // Call after changing the chooser by other ways (manifest, reports, leaving).
+  void Poll();
+
+ private:
+  void Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done);
+  void PollSoon();
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  Chooser& chooser_;
+  asio::steady_timer timer_;                            // Until the chooser's next wake.
+  std::unordered_map<Ticket, ChoiceCallback> waiting_;  // Requests told to wait.
+  bool poll_pending_ = false;                           // A Poll is posted.
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_FORWARD_DISPATCHER_H_
--- /dev/null
+++ b/src/forward/edge_server.cc
@@ -0,0 +1,188 @@
+#include "src/forward/edge_server.h"
+
+#include <asio/ip/address.hpp>
+#include <utility>
+#include <vector>
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kLookupPath = "/cowsliphill/entries";
+constexpr milliseconds kLinger{1000};           // For callers to read the last answer.
+constexpr milliseconds kAcceptRetryDelay{100};  // After a failed accept.
+
+// The query of a lookup's target, or nullopt when it is another path.
+std::optional<std::string> LookupQuery(const HttpHead& head) {
+  const size_t mark = head.target.find('?');
+  if (std::string_view(head.target).substr(0, mark) != kLookupPath) return std::nullopt;
+  return mark == std::string::npos ? "" : head.target.substr(mark + 1);
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(ForwardContext& context, HttpStream::Socket socket,
+                                   std::function<void(CallerConnection&)> on_closed)
+    : context_(context), on_closed_(std::move(on_closed)), idle_timer_(context.io) {
+  std::error_code ec;
+  const auto remote = socket.remote_endpoint(ec);
+  if (!ec) caller_ip_ = remote.address().to_string();
+  socket.set_option(asio::ip::tcp::no_delay(true), ec);
+  socket.non_blocking(true, ec);
+  const EdgeSettings& edge = context.settings.edge;
+  stream_ = std::make_shared<HttpStream>(std::move(socket), HttpSide::kRequests,
+                                         edge.max_header_bytes, edge.buffer_bytes);
+}
+
+void CallerConnection::Start() { ReadRequest(); }
+
+void CallerConnection::ReadRequest() {
+  idle_timer_.expires_after(context_.settings.edge.idle_timeout);
+  idle_timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
+    if (ec) return;
+    if (const auto self = weak.lock()) self->Finish(ConnectionFate::kClose);
+  });
+  stream_->Read([self = shared_from_this()](const HttpEvent& event) { self->OnHead(event); });
+}
+
+void CallerConnection::OnHead(const HttpEvent& event) {
+  idle_timer_.cancel();
+  if (const auto* error = std::get_if<HttpError>(&event)) {
+    if (error->kind == HttpErrorKind::kClosed) return Finish(ConnectionFate::kAbort);
+    return RefuseMalformed(*error);
+  }
+  const HttpHead& head = std::get<HttpHead>(event);
+  if (LookupQuery(head)) return AnswerLookup(head);
+  exchange_ = std::make_shared<Exchange>(context_, stream_, head,
+                                         [weak = weak_from_this()](ConnectionFate fate) {
+                                           if (const auto self = weak.lock())
+                                             self->OnExchangeDone(fate);
+                                         });
+  exchange_->Start();
+}
+
+void CallerConnection::AnswerLookup(const HttpHead& head) {
+  const std::string body = context_.lookup(caller_ip_, *LookupQuery(head));
+  const bool keep_alive = head.keep_alive && !context_.leaving;
+  DiscardBody([self = shared_from_this(), body, keep_alive] {
+    self->stream_->Write(FormatJsonAnswer(body, keep_alive), [self, keep_alive](bool ok) {
+      if (ok && keep_alive) return self->ReadRequest();
+      self->Finish(ok ? ConnectionFate::kClose : ConnectionFate::kAbort);
+    });
+  });
+}
+
+void CallerConnection::DiscardBody(std::function<void()> done) {
+  stream_->Read([self = shared_from_this(), done = std::move(done)](const HttpEvent& event) {
+    if (std::holds_alternative<HttpEnd>(event)) return done();
+    if (std::holds_alternative<HttpError>(event)) return self->Finish(ConnectionFate::kAbort);
+    self->DiscardBody(done);
+  });
+}
+
+void CallerConnection::RefuseMalformed(const HttpError& error) {
+  context_.observer.on_bad_input("framing", error.detail);
+  if (error.kind == HttpErrorKind::kCut) return Finish(ConnectionFate::kAbort);
+  const bool large = error.kind == HttpErrorKind::kHeadersTooLarge;
+  const Verdict verdict{
+      large ? 431 : 400, Outcome::kNotRun, {}, "http_request_error", error.detail};
+  stream_->Write(FormatOwnAnswer(verdict, RequestId(), false),
+                 [self = shared_from_this()](bool) { self->Finish(ConnectionFate::kClose); });
+}
+
+void CallerConnection::OnExchangeDone(ConnectionFate fate) {
+  exchange_.reset();
+  if (fate == ConnectionFate::kKeep) return ReadRequest();
+  Finish(fate);
+}
+
+void CallerConnection::Finish(ConnectionFate fate) {
+  idle_timer_.cancel();
+  if (fate == ConnectionFate::kAbort) {
+    stream_->Close();
+  } else {
+    stream_->CloseInOrder(kLinger);
+  }
+  const auto on_closed = std::exchange(on_closed_, nullptr);
+  if (on_closed) on_closed(*this);
+}
+
+void CallerConnection::Abort() {
+  const auto keep = shared_from_this();
+  if (exchange_) exchange_->Abandon();
+  Finish(ConnectionFate::kAbort);
+}
+
+void CallerConnection::CloseWhenIdle() {
+  if (!exchange_ && stream_->BetweenMessages()) Finish(ConnectionFate::kClose);
+}
+
+EdgeServer::EdgeServer(ForwardContext& context)
+    : context_(context), acceptor_(context.io), retry_timer_(context.io) {}
+
+EdgeServer::~EdgeServer() { AbortAll(); }
+
+std::string EdgeServer::Listen(const Endpoint& listen) {
+  std::error_code ec;
+  const auto address = asio::ip::make_address(listen.ip, ec);
+  if (ec) return "edge.listen: " + listen.ip + ": " + ec.message();
+  const asio::ip::tcp::endpoint endpoint(address, listen.port);
+  acceptor_.open(endpoint.protocol(), ec);
+  if (!ec) acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec) acceptor_.bind(endpoint, ec);
+  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) return "edge.listen: " + listen.ToString() + ": " + ec.message();
+  Accept();
+  return "";
+}
+
+Endpoint EdgeServer::LocalEndpoint() const {
+  std::error_code ec;
+  const auto local = acceptor_.local_endpoint(ec);
+  return ec ? Endpoint{} : Endpoint{local.address().to_string(), local.port()};
+}
+
+void EdgeServer::Accept() {
+  acceptor_.async_accept([this](std::error_code ec, HttpStream::Socket socket) {
+    if (!acceptor_.is_open()) return;
+    if (!ec) {
+      OnAccepted(std::move(socket));
+      return Accept();
+    }
+    retry_timer_.expires_after(kAcceptRetryDelay);
+    retry_timer_.async_wait([this](std::error_code timer_ec) {
+      if (!timer_ec && acceptor_.is_open()) Accept();
+    });
+  });
+}
+
+void EdgeServer::OnAccepted(HttpStream::Socket socket) {
+  if (connections_.size() >= context_.settings.edge.max_connections) {
+    ++refused_;
+    context_.observer.on_bad_input("connections", "more than edge.max_connections");
+    return;
+  }
+  const auto connection = std::make_shared<CallerConnection>(
+      context_, std::move(socket),
+      [this](CallerConnection& closed) { connections_.erase(closed.shared_from_this()); });
+  connections_.insert(connection);
+  connection->Start();
+}
+
+void EdgeServer::StopAccepting() {
+  std::error_code ignored;
+  acceptor_.close(ignored);
+  const std::vector<std::shared_ptr<CallerConnection>> open(connections_.begin(),
+                                                            connections_.end());
+  for (const auto& connection : open) connection->CloseWhenIdle();
+}
+
+void EdgeServer::AbortAll() {
+  const std::vector<std::shared_ptr<CallerConnection>> open(connections_.begin(),
+                                                            connections_.end());
+  for (const auto& connection : open) connection->Abort();
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/forward/exchange.h
@@ -0,0 +1,115 @@
+// One request of a caller, from its head to the end of its answer.
+//
+// Sections of exchange.cc:
+//   1. Start: headers, limits, the first part of the body
+//   2. Choice and attempts
+//   3. The request's body beyond the first part
+//   4. The answer: head, body, taking up a broken download
+//   5. Ends: refusals, deadlines, callers that leave
+//
+// Limits: a request whose body exceeds EdgeSettings::buffer_bytes is sent at most once, because
+// what was sent is not kept.
+
+#ifndef COWSLIPHILL_FORWARD_EXCHANGE_H_
+#define COWSLIPHILL_FORWARD_EXCHANGE_H_
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/forward/attempt.h"
+#include "src/forward/forward_context.h"
+#include "src/forward/http_stream.h"
+
+namespace cowsliphill {
+
+// How the caller's connection goes on after an exchange.
+enum class ConnectionFate {
+  kKeep,   // Ready for the next request.
+  kClose,  // Close in order: what was written reaches the caller.
+  kAbort,  // Close at once: the caller must see that its answer is not whole.
+};
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  using Done = std::function<void(ConnectionFate)>;
+
+  Exchange(ForwardContext& context, std::shared_ptr<HttpStream> caller, HttpHead head, Done done);
+  ~Exchange();
+
+  void Start();
+  // The entry VM stops at once: ends without an answer.
+  void Abandon();
+
+ private:
+  enum class TimerUse { kDeadline, kBackendSilence, kCallerSilence };
+
+  // 1. Start
+  void ReadFirstPart();
+  void OnRequestBody(const HttpEvent& event);
+  void OnFirstPartRead();
+
+  // 2. Choice and attempts
+  void OnChoice(const Choice& choice);
+  void StartAttempt(const SendTo& target);
+  std::string FirstBytesFor(const SendTo& target) const;
+  void OnAttemptFailed(AttemptEnd end, const std::string& detail);
+  void ReportEnd(AttemptEnd end, const std::optional<Report>& report);
+  bool MayTryAgain(AttemptEnd end) const;
+  void TryAgain();
+
+  // 3. The rest of the request's body
+  void PumpRequestBody();
+  void OnMoreRequestBody(const HttpEvent& event);
+
+  // 4. The answer
+  void OnAnswer(const HttpEvent& event);
+  void OnAnswerHead(const HttpHead& answer);
+  void ForwardHead(const HttpHead& answer);
+  void ForwardBody(std::string_view bytes);
+  void OnAnswerEnd();
+  void OnAnswerBroken(AttemptEnd end, const std::string& detail);
+  void OnResumedHead(const HttpHead& answer);
+
+  // 5. Ends
+  void Arm(TimerUse use, Duration duration);
+  void OnTimer(TimerUse use);
+  void OnCallerGone();
+  void AnswerVerdict(Verdict verdict);
+  void End(ConnectionFate fate);
+  Verdict RefusalVerdict(const Refuse& refusal) const;
+  Verdict FailureVerdict() const;
+  bool MayHaveRun() const { return may_have_run_; }
+  ConnectionFate FateAfterAnswer() const;
+
+  ForwardContext& context_;
+  std::shared_ptr<HttpStream> caller_;
+  HttpHead head_;                             // Of the request.
+  Done done_;                                 // Called once, at the end.
+  std::shared_ptr<const Manifest> manifest_;  // It is decided and ends under this one.
+  RequestMeta meta_;
+  Ticket ticket_ = 0;
+  asio::steady_timer timer_;  // One limit at a time, see TimerUse.
+  MonotonicTime started_;
+  MonotonicTime deadline_;
+  std::string body_;                   // First part of the body, up to buffer_bytes.
+  bool body_whole_ = false;            // body_ is the whole body.
+  bool body_open_ = false;             // The rest of the body is being passed on.
+  std::shared_ptr<Attempt> attempt_;   // The one in progress.
+  bool end_reported_ = true;           // The chooser knows how attempt_ ended.
+  bool may_have_run_ = false;          // An attempt sent bytes and no word denies a start.
+  std::string failure_;                // How the last attempt failed.
+  bool answering_ = false;             // The answer's head went to the caller.
+  bool answer_chunked_ = false;        // How the answer's body is framed.
+  int answer_status_ = 0;              // As told to the caller.
+  std::optional<ResumePoint> resume_;  // Where the answer could be taken up again.
+  bool resuming_ = false;              // attempt_ takes up a broken answer.
+  bool ended_ = false;
+  RequestEnd end_;  // What the observer is told.
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_FORWARD_EXCHANGE_H_
--- /dev/null
+++ b/src/forward/forward_context.h
@@ -0,0 +1,68 @@
+// What every request of this entry VM works with. Built once in src/cli; all members outlive the
+// edge server.
+
+#ifndef COWSLIPHILL_FORWARD_FORWARD_CONTEXT_H_
+#define COWSLIPHILL_FORWARD_FORWARD_CONTEXT_H_
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/request_class.h"
+#include "src/forward/backend_pool.h"
+#include "src/forward/dispatcher.h"
+#include "src/forward/request_headers.h"
+#include "src/manifest/manifest.h"
+#include "src/settings/settings.h"
+
+namespace cowsliphill {
+
+// How one request ended, for metrics, logs and records.
+struct RequestEnd {
+  RequestId id;
+  ServiceId service;
+  TenantId tenant;
+  RequestClass request_class = RequestClass::kRoutine;
+  BackendServerId server;  // Last one tried; empty if none.
+  int status = 0;          // Told to the caller; 0 when nothing could be told.
+  Outcome outcome = Outcome::kNotRun;
+  bool whole = false;        // The caller got the whole answer.
+  bool caller_gone = false;  // The caller closed first.
+  bool late = false;         // The answer began after the deadline.
+  uint32_t attempts = 0;
+  Duration took{};        // From the request's head to the answer's end.
+  Duration first_byte{};  // From the request's head to the answer's head; 0 without one.
+  Duration waited{};      // Of that: until a backend server was chosen.
+  std::chrono::milliseconds deadline{};  // As granted.
+  WallTime started;
+  std::string detail;  // Cause, for people.
+};
+
+// Who is told about requests. All run on the loop's thread and return at once.
+struct RequestObserver {
+  std::function<void(const RequestId&, const RequestMeta&)> on_started;
+  std::function<void(const RequestEnd&)> on_ended;
+  std::function<void(const std::string& kind, const std::string& detail)> on_bad_input;
+};
+
+struct ForwardContext {
+  asio::io_context& io;
+  const Clock& clock;
+  const Settings& settings;
+  Dispatcher& dispatcher;
+  BackendPool& pool;
+  std::function<std::shared_ptr<const Manifest>()> manifest;  // In force now.
+  std::function<std::string(const std::string& caller_ip, const std::string& query)> lookup;
+  std::function<void(const BackendServerId&, const Report&)> on_report;  // Seen on an answer.
+  RequestObserver observer;
+  RequestIdSource ids;
+  Ticket next_ticket = 1;
+  bool leaving = false;      // Answers ask callers to close their connections.
+  size_t open_requests = 0;  // In flight in this entry VM.
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_FORWARD_FORWARD_CONTEXT_H_
--- /dev/null
+++ b/src/forward/http_reader.cc
@@ -0,0 +1,176 @@
+#include "src/forward/http_reader.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+constexpr uint64_t kNoLength = std::numeric_limits<uint64_t>::max();  // As http_parser has it.
+
+char Lower(char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); }
+
+}  // namespace
+
+bool HeaderNameIs(std::string_view name, std::string_view wanted) {
+  return name.size() == wanted.size() &&
+         std::equal(name.begin(), name.end(), wanted.begin(),
+                    [](char a, char b) { return Lower(a) == Lower(b); });
+}
+
+std::optional<std::string> HttpHead::Find(std::string_view name) const {
+  for (const HttpHeader& header : headers) {
+    if (HeaderNameIs(header.name, name)) return header.value;
+  }
+  return std::nullopt;
+}
+
+size_t HttpHead::Count(std::string_view name) const {
+  return static_cast<size_t>(
+      std::count_if(headers.begin(), headers.end(),
+                    [name](const HttpHeader& header) { return HeaderNameIs(header.name, name); }));
+}
+
+struct HttpReader::State {
+  http_parser parser;
+  HttpSide side = HttpSide::kRequests;
+  size_t max_header_bytes = 0;
+  size_t header_bytes = 0;     // Of the head being read.
+  bool in_message = false;     // Between a message's first byte and its end.
+  bool reading_value = false;  // The last header piece was a value.
+  bool no_body = false;        // Answer to HEAD.
+  HttpHead head;               // Being read.
+  HttpEvent event;             // Produced by the last callback.
+
+  static State& Of(http_parser* parser) { return *static_cast<State*>(parser->data); }
+  static int Pause(http_parser* parser) {
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+  static int OnBegin(http_parser* parser) {
+    State& state = Of(parser);
+    state.head = HttpHead();
+    state.header_bytes = 0;
+    state.in_message = true;
+    state.reading_value = false;
+    return 0;
+  }
+  static int OnUrl(http_parser* parser, const char* at, size_t n) {
+    Of(parser).head.target.append(at, n);
+    return 0;
+  }
+  static int OnField(http_parser* parser, const char* at, size_t n) {
+    State& state = Of(parser);
+    if (state.head.headers.empty() || state.reading_value) state.head.headers.emplace_back();
+    state.reading_value = false;
+    state.head.headers.back().name.append(at, n);
+    return 0;
+  }
+  static int OnValue(http_parser* parser, const char* at, size_t n) {
+    State& state = Of(parser);
+    state.reading_value = true;
+    state.head.headers.back().value.append(at, n);
+    return 0;
+  }
+  static int OnHeaders(http_parser* parser) {
+    State& state = Of(parser);
+    state.FinishHead();
+    state.event = std::move(state.head);
+    Pause(parser);
+    return state.no_body ? 1 : 0;  // 1 tells http_parser that no body follows.
+  }
+  static int OnBody(http_parser* parser, const char* at, size_t n) {
+    Of(parser).event = HttpBody{std::string_view(at, n)};
+    return Pause(parser);
+  }
+  static int OnComplete(http_parser* parser) {
+    State& state = Of(parser);
+    state.in_message = false;
+    state.event = HttpEnd{};
+    return Pause(parser);
+  }
+
+  void FinishHead() {
+    head.chunked = (parser.flags & F_CHUNKED) != 0;
+    if (!head.chunked && parser.content_length != kNoLength) {
+      head.content_length = parser.content_length;
+    }
+    head.keep_alive = http_should_keep_alive(&parser) != 0;
+    if (side == HttpSide::kRequests) {
+      head.method = http_method_str(static_cast<http_method>(parser.method));
+      return;
+    }
+    head.status = static_cast<int>(parser.status_code);
+    const bool bodiless = no_body || head.status == 204 || head.status == 304 || head.status < 200;
+    head.ends_by_close = !bodiless && !head.chunked && !head.content_length;
+  }
+
+  static const http_parser_settings& Callbacks() {
+    static const http_parser_settings callbacks = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_message_begin = OnBegin;
+      settings.on_url = OnUrl;
+      settings.on_header_field = OnField;
+      settings.on_header_value = OnValue;
+      settings.on_headers_complete = OnHeaders;
+      settings.on_body = OnBody;
+      settings.on_message_complete = OnComplete;
+      return settings;
+    }();
+    return callbacks;
+  }
+};
+
+HttpReader::HttpReader(HttpSide side, size_t max_header_bytes) : state_(std::make_unique<State>()) {
+  state_->side = side;
+  state_->max_header_bytes = max_header_bytes;
+  http_parser_init(&state_->parser, side == HttpSide::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
+  state_->parser.data = state_.get();
+}
+
+HttpReader::~HttpReader() = default;
+HttpReader::HttpReader(HttpReader&&) noexcept = default;
+HttpReader& HttpReader::operator=(HttpReader&&) noexcept = default;
+
+HttpReader::Step HttpReader::Read(std::string_view data) {
+  State& state = *state_;
+  state.event = HttpNeedBytes{};
+  http_parser_pause(&state.parser, 0);
+  const size_t n =
+      http_parser_execute(&state.parser, &State::Callbacks(), data.data(), data.size());
+  const http_errno error = HTTP_PARSER_ERRNO(&state.parser);
+  if (state.parser.upgrade != 0 && state.side == HttpSide::kRequests) {
+    return {n, HttpError{HttpErrorKind::kMalformed, "protocol upgrades are not supported"}};
+  }
+  if (error == HPE_HEADER_OVERFLOW) {
+    return {n, HttpError{HttpErrorKind::kHeadersTooLarge, http_errno_description(error)}};
+  }
+  if (error != HPE_OK && error != HPE_PAUSED) {
+    return {n, HttpError{HttpErrorKind::kMalformed, http_errno_description(error)}};
+  }
+  const bool head_open = state.in_message && std::holds_alternative<HttpNeedBytes>(state.event);
+  if (head_open || std::holds_alternative<HttpHead>(state.event)) {
+    state.header_bytes += n;
+    if (state.header_bytes > state.max_header_bytes) {
+      return {n, HttpError{HttpErrorKind::kHeadersTooLarge, "headers exceed the limit"}};
+    }
+  }
+  return {n, std::move(state.event)};
+}
+
+HttpEvent HttpReader::ReadClose() {
+  if (!state_->in_message) return HttpError{HttpErrorKind::kClosed, "connection closed"};
+  return HttpError{HttpErrorKind::kCut, "connection closed within a message"};
+}
+
+void HttpReader::ExpectNoBody() { state_->no_body = true; }
+
+bool HttpReader::BetweenMessages() const { return !state_->in_message; }
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/forward/http_stream.cc
@@ -0,0 +1,128 @@
+#include "src/forward/http_stream.h"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <cassert>
+#include <utility>
+
+namespace cowsliphill {
+
+HttpStream::HttpStream(Socket socket, HttpSide side, size_t max_header_bytes, size_t buffer_bytes)
+    : socket_(std::move(socket)),
+      reader_(side, max_header_bytes),
+      side_(side),
+      buffer_bytes_(buffer_bytes) {}
+
+void HttpStream::Read(EventCallback done) {
+  assert(!on_event_ && "HttpStream::Read: wait for the open Read's event first");
+  on_close_ = nullptr;
+  on_event_ = std::move(done);
+  while (begin_ < end_) {
+    const HttpReader::Step step =
+        reader_.Read(std::string_view(buffer_.data() + begin_, end_ - begin_));
+    begin_ += step.consumed;
+    if (std::holds_alternative<HttpNeedBytes>(step.event)) continue;
+    // Posted, so that a callback that reads on can't grow the stack.
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), event = step.event] { self->Deliver(event); });
+    return;
+  }
+  ReadSome();
+}
+
+void HttpStream::ReadSome() {
+  if (!open_) return;
+  const auto self = shared_from_this();
+  if (reader_.BetweenMessages() && !buffer_.empty()) {
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+  }
+  socket_.async_wait(Socket::wait_read, [self](std::error_code ec) {
+    if (!self->open_ || !self->on_event_) return;
+    if (self->buffer_.empty()) self->buffer_.resize(self->buffer_bytes_);
+    size_t n = 0;
+    if (!ec) n = self->socket_.read_some(asio::buffer(self->buffer_), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again) return self->ReadSome();
+    if (ec) return self->Deliver(self->reader_.ReadClose());
+    self->begin_ = 0;
+    self->end_ = n;
+    while (self->begin_ < self->end_) {
+      const HttpReader::Step step = self->reader_.Read(
+          std::string_view(self->buffer_.data() + self->begin_, self->end_ - self->begin_));
+      self->begin_ += step.consumed;
+      if (!std::holds_alternative<HttpNeedBytes>(step.event)) return self->Deliver(step.event);
+    }
+    self->ReadSome();
+  });
+}
+
+void HttpStream::Deliver(const HttpEvent& event) {
+  if (!open_ || !on_event_) return;
+  const EventCallback done = std::exchange(on_event_, nullptr);
+  done(event);
+}
+
+void HttpStream::Write(std::string bytes, std::function<void(bool ok)> done) {
+  if (!open_) return;
+  assert(!writing_ && "HttpStream::Write: wait for the open Write to end first");
+  writing_ = true;
+  outgoing_ = std::move(bytes);
+  asio::async_write(
+      socket_, asio::buffer(outgoing_),
+      [self = shared_from_this(), done = std::move(done)](std::error_code ec, size_t) {
+        self->writing_ = false;
+        if (self->open_) done(!ec);
+      });
+}
+
+void HttpStream::WatchClose(std::function<void()> closed) {
+  on_close_ = std::move(closed);
+  if (watching_ || !open_) return;
+  watching_ = true;
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](std::error_code ec) {
+    self->watching_ = false;
+    if (!self->open_ || !self->on_close_) return;
+    std::error_code ignored;
+    const bool has_bytes = !ec && self->socket_.available(ignored) > 0;
+    if (has_bytes && self->side_ == HttpSide::kRequests) return;  // A pipelined request.
+    const auto on_close = std::exchange(self->on_close_, nullptr);
+    on_close();
+  });
+}
+
+void HttpStream::CloseInOrder(std::chrono::milliseconds most) {
+  if (!open_) return;
+  on_event_ = nullptr;
+  on_close_ = nullptr;
+  std::error_code ignored;
+  socket_.shutdown(Socket::shutdown_send, ignored);
+  linger_.emplace(socket_.get_executor());
+  linger_->expires_after(most);
+  linger_->async_wait([self = shared_from_this()](std::error_code ec) {
+    if (!ec) self->Close();
+  });
+  DiscardSome();
+}
+
+void HttpStream::DiscardSome() {
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](std::error_code ec) {
+    if (!self->open_) return;
+    self->buffer_.resize(self->buffer_bytes_);
+    if (!ec) self->socket_.read_some(asio::buffer(self->buffer_), ec);
+    if (ec && ec != asio::error::would_block) return self->Close();
+    self->DiscardSome();
+  });
+}
+
+void HttpStream::Close() {
+  if (!open_) return;
+  open_ = false;
+  on_event_ = nullptr;
+  on_close_ = nullptr;
+  if (linger_) linger_->cancel();
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/forward/request_headers.cc
@@ -0,0 +1,389 @@
+#include "src/forward/request_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <cinttypes>
+#include <cstdio>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr size_t kMostIdLength = 64;      // Characters of a caller's request id.
+constexpr size_t kMostKeyLength = 200;    // Characters of an idempotency key.
+constexpr size_t kMostTenantLength = 64;  // Characters of a tenant.
+constexpr int kMostUrgency = 7;           // RFC 9218.
+constexpr int kDefaultUrgency = 3;        // RFC 9218.
+constexpr int kLastEmergencyUrgency = 1;  // u=0 and u=1 are emergencies.
+constexpr int kLastRoutineUrgency = 4;    // u=2 to u=4 are routine, the rest bulk.
+constexpr uint32_t kMostDepth = 25;       // Calls above one call.
+constexpr size_t kMostTimeoutDigits = 8;  // As in the gRPC protocol.
+
+// Of one hop only (RFC 9110 7.6.1), or rewritten by us.
+constexpr std::array<std::string_view, 9> kHopHeaders = {
+    "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
+    "transfer-encoding", "upgrade",    "content-length",   "expect"};
+constexpr std::array<std::string_view, 8> kRewrittenRequestHeaders = {
+    "host",     "x-request-id",       "grpc-timeout",      "cowsliphill-service",
+    "priority", "cowsliphill-tenant", "cowsliphill-depth", "idempotency-key"};
+constexpr std::array<std::string_view, 3> kRewrittenAnswerHeaders = {
+    "x-request-id", "cowsliphill-outcome", "proxy-status"};
+
+template <size_t N>
+bool IsAnyOf(std::string_view name, const std::array<std::string_view, N>& names) {
+  return std::any_of(names.begin(), names.end(),
+                     [name](std::string_view candidate) { return HeaderNameIs(name, candidate); });
+}
+
+bool IsIdCharacter(char c) {
+  return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.' ||
+         c == ':';
+}
+
+bool IsCleanId(const std::string& text, size_t most) {
+  return !text.empty() && text.size() <= most &&
+         std::all_of(text.begin(), text.end(), IsIdCharacter);
+}
+
+RequestId NewRequestId(RequestIdSource& ids) {
+  std::array<char, 40> buf;
+  const int n =
+      std::snprintf(buf.data(), buf.size(), "%016" PRIx64 "-%" PRIx64, ids.prefix, ids.next++);
+  return RequestId(std::string(buf.data(), static_cast<size_t>(n)));
+}
+
+// "250m": digits and a unit, as in the gRPC protocol.
+std::optional<milliseconds> ParseTimeout(const std::string& text) {
+  if (text.size() < 2 || text.size() > kMostTimeoutDigits + 1) return std::nullopt;
+  uint64_t n = 0;
+  const char* unit = text.data() + text.size() - 1;
+  const auto [rest, ec] = std::from_chars(text.data(), unit, n);
+  if (ec != std::errc() || rest != unit) return std::nullopt;
+  using std::chrono::duration_cast;
+  switch (*unit) {
+    case 'H':
+      return duration_cast<milliseconds>(std::chrono::hours(n));
+    case 'M':
+      return duration_cast<milliseconds>(std::chrono::minutes(n));
+    case 'S':
+      return duration_cast<milliseconds>(std::chrono::seconds(n));
+    case 'm':
+      return milliseconds(n);
+    case 'u':
+      return duration_cast<milliseconds>(std::chrono::microseconds(n));
+    case 'n':
+      return duration_cast<milliseconds>(std::chrono::nanoseconds(n));
+    default:
+      return std::nullopt;
+  }
+}
+
+// The urgency of an RFC 9218 Priority header ("u=1, i"); malformed parameters are ignored, as that
+// standard asks.
+int UrgencyOf(const std::string& priority) {
+  const size_t at = priority.find("u=");
+  if (at == std::string::npos || at + 2 >= priority.size()) return kDefaultUrgency;
+  const int urgency = priority[at + 2] - '0';
+  return urgency >= 0 && urgency <= kMostUrgency ? urgency : kDefaultUrgency;
+}
+
+RequestClass ClassOf(int urgency) {
+  if (urgency <= kLastEmergencyUrgency) return RequestClass::kEmergency;
+  return urgency <= kLastRoutineUrgency ? RequestClass::kRoutine : RequestClass::kBulk;
+}
+
+std::string_view PriorityOf(RequestClass request_class) {
+  switch (request_class) {
+    case RequestClass::kEmergency:
+      return "u=0";
+    case RequestClass::kRoutine:
+      return "u=3";
+    case RequestClass::kBulk:
+      return "u=6";
+  }
+  return "u=3";
+}
+
+const Service* FindService(const Manifest& manifest, const std::string& name) {
+  const auto it =
+      std::find_if(manifest.services.begin(), manifest.services.end(),
+                   [&name](const Service& service) { return service.id.Text() == name; });
+  return it == manifest.services.end() ? nullptr : &*it;
+}
+
+bool MaySendEmergencies(const Service& service, const TenantId& tenant) {
+  const auto& allowed = service.emergency_tenants;
+  return std::find(allowed.begin(), allowed.end(), tenant) != allowed.end();
+}
+
+std::optional<BadRequest> CheckSingle(const HttpHead& head, std::string_view name) {
+  if (head.Count(name) <= 1) return std::nullopt;
+  return BadRequest{400, std::string(name) + ": found more than once; allowed: once"};
+}
+
+std::optional<BadRequest> ReadClass(const HttpHead& head, RequestMeta& meta) {
+  const std::optional<std::string> priority = head.Find("priority");
+  meta.request_class = meta.service->default_class;
+  if (!priority) return std::nullopt;
+  meta.request_class = ClassOf(UrgencyOf(*priority));
+  const bool emergency = meta.request_class == RequestClass::kEmergency;
+  const bool allowed = meta.service->default_class == RequestClass::kEmergency ||
+                       MaySendEmergencies(*meta.service, meta.tenant);
+  if (!emergency || allowed) return std::nullopt;
+  return BadRequest{403, "priority: found " + *priority + " from tenant \"" + meta.tenant.Text() +
+                             "\"; allowed: emergencies only from the service's emergency_tenants"};
+}
+
+std::optional<BadRequest> ReadTimeout(const HttpHead& head, RequestMeta& meta) {
+  const std::optional<std::string> text = head.Find("grpc-timeout");
+  meta.timeout = meta.service->default_deadline;
+  if (!text) return std::nullopt;
+  const std::optional<milliseconds> timeout = ParseTimeout(*text);
+  if (!timeout || timeout->count() == 0) {
+    return BadRequest{400, "grpc-timeout: found \"" + *text +
+                               "\"; allowed: up to 8 digits and one of H M S m u n, at least 1m"};
+  }
+  meta.timeout = std::min(*timeout, meta.service->max_deadline);
+  return std::nullopt;
+}
+
+std::optional<BadRequest> ReadKey(const HttpHead& head, RequestMeta& meta) {
+  const auto& methods = meta.service->idempotent_methods;
+  meta.idempotent = std::find(methods.begin(), methods.end(), head.method) != methods.end();
+  meta.key = head.Find("idempotency-key").value_or("");
+  if (meta.key.size() > kMostKeyLength) {
+    return BadRequest{400, "idempotency-key: found " + std::to_string(meta.key.size()) +
+                               " characters; allowed: 1 to 200"};
+  }
+  if (!meta.idempotent && meta.key.empty() && meta.service->require_key) {
+    return BadRequest{400,
+                      "idempotency-key: found none; allowed: 1 to 200 characters; this service "
+                      "demands a key for " +
+                          head.method};
+  }
+  return std::nullopt;
+}
+
+std::optional<BadRequest> ReadDepth(const HttpHead& head, RequestMeta& meta) {
+  const std::optional<std::string> text = head.Find("cowsliphill-depth");
+  if (!text) return std::nullopt;
+  const char* end = text->data() + text->size();
+  const auto [rest, ec] = std::from_chars(text->data(), end, meta.depth);
+  if (ec == std::errc() && rest == end && meta.depth <= kMostDepth) return std::nullopt;
+  return BadRequest{400, "cowsliphill-depth: found \"" + *text + "\"; allowed: 0 to 25"};
+}
+
+void AppendHeader(std::string& out, std::string_view name, std::string_view value) {
+  out.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 410:
+      return "Gone";
+    case 413:
+      return "Content Too Large";
+    case 422:
+      return "Unprocessable Content";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Unspecified";
+  }
+}
+
+std::string JsonEscaped(const std::string& text) {
+  std::string out;
+  for (const char c : text) {
+    if (c == '"' || c == '\\') out += '\\';
+    out += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+  }
+  return out;
+}
+
+std::string StatusLine(int status) {
+  std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
+  return line.append(ReasonOf(status)).append("\r\n");
+}
+
+void AppendBody(std::string& out, const std::string& type, const std::string& body,
+                bool keep_alive) {
+  AppendHeader(out, "Content-Type", type);
+  AppendHeader(out, "Content-Length", std::to_string(body.size()));
+  if (!keep_alive) AppendHeader(out, "Connection", "close");
+  out.append("\r\n").append(body);
+}
+
+// Request line and headers up to, not including, the empty line.
+std::string StartBackendRequest(const HttpHead& head, const RequestMeta& meta,
+                                milliseconds time_left, const Endpoint& server, bool with_range) {
+  std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
+  AppendHeader(out, "Host", server.ToString());
+  for (const HttpHeader& header : head.headers) {
+    if (IsAnyOf(header.name, kHopHeaders) || IsAnyOf(header.name, kRewrittenRequestHeaders)) {
+      continue;
+    }
+    const bool range = HeaderNameIs(header.name, "range") || HeaderNameIs(header.name, "if-range");
+    if (range && !with_range) continue;
+    AppendHeader(out, header.name, header.value);
+  }
+  AppendHeader(out, "X-Request-Id", meta.id.Text());
+  AppendHeader(out, "Grpc-Timeout", std::to_string(std::max<int64_t>(time_left.count(), 1)) + "m");
+  AppendHeader(out, "Priority", PriorityOf(meta.request_class));
+  AppendHeader(out, "Cowsliphill-Depth", std::to_string(meta.depth + 1));
+  if (!meta.tenant.Empty()) AppendHeader(out, "Cowsliphill-Tenant", meta.tenant.Text());
+  if (!meta.key.empty()) AppendHeader(out, "Idempotency-Key", meta.key);
+  return out;
+}
+
+}  // namespace
+
+std::string HostWithoutPort(const std::string& host) {
+  const size_t colon = host.rfind(':');
+  return colon == std::string::npos ? host : host.substr(0, colon);
+}
+
+RequestId ReadRequestId(const HttpHead& head, RequestIdSource& ids) {
+  const std::string id = head.Find("x-request-id").value_or("");
+  return IsCleanId(id, kMostIdLength) ? RequestId(id) : NewRequestId(ids);
+}
+
+Result<RequestMeta, BadRequest> ReadRequestMeta(const HttpHead& head, const Manifest& manifest,
+                                                RequestIdSource& ids) {
+  for (const std::string_view name : kRewrittenRequestHeaders) {
+    if (const auto bad = CheckSingle(head, name)) return *bad;
+  }
+  RequestMeta meta;
+  meta.id = ReadRequestId(head, ids);
+  std::string name = head.Find("cowsliphill-service").value_or("");
+  if (name.empty()) name = HostWithoutPort(head.Find("host").value_or(""));
+  meta.service = FindService(manifest, name);
+  if (meta.service == nullptr) {
+    return BadRequest{404, "cowsliphill-service: found \"" + name +
+                               "\"; allowed: a service of the manifest in force"};
+  }
+  const std::string tenant = head.Find("cowsliphill-tenant").value_or("");
+  if (!tenant.empty() && !IsCleanId(tenant, kMostTenantLength)) {
+    return BadRequest{400,
+                      "cowsliphill-tenant: found other characters or more than 64; allowed: "
+                      "letters, digits and -_.:"};
+  }
+  meta.tenant = TenantId(tenant);
+  for (const auto read : {ReadClass, ReadTimeout, ReadKey, ReadDepth}) {
+    if (const auto bad = read(head, meta)) return *bad;
+  }
+  return meta;
+}
+
+std::string FormatOwnAnswer(const Verdict& verdict, const RequestId& id, bool keep_alive) {
+  std::string out = StatusLine(verdict.status);
+  AppendHeader(out, "X-Request-Id", id.Text());
+  AppendHeader(out, "Cowsliphill-Outcome", NameOf(verdict.outcome));
+  AppendHeader(out, "Proxy-Status", "cowsliphill; error=" + verdict.error);
+  if (verdict.retry_after) {
+    const int64_t seconds =
+        std::max<int64_t>(1, std::chrono::ceil<std::chrono::seconds>(*verdict.retry_after).count());
+    AppendHeader(out, "Retry-After", std::to_string(seconds));
+  }
+  std::string body = "{\"title\":\"";
+  body.append(ReasonOf(verdict.status));
+  body += "\",\"status\":" + std::to_string(verdict.status) + ",\"detail\":\"" +
+          JsonEscaped(verdict.detail) + "\",\"outcome\":\"";
+  body.append(NameOf(verdict.outcome))
+      .append("\",\"request\":\"")
+      .append(id.Text())
+      .append("\"}\n");
+  AppendBody(out, "application/problem+json", body, keep_alive);
+  return out;
+}
+
+std::string FormatJsonAnswer(const std::string& body, bool keep_alive) {
+  std::string out = StatusLine(200);
+  AppendBody(out, "application/json", body, keep_alive);
+  return out;
+}
+
+std::string FormatBackendRequest(const HttpHead& head, const RequestMeta& meta,
+                                 milliseconds time_left, const Endpoint& server) {
+  std::string out = StartBackendRequest(head, meta, time_left, server, true);
+  if (head.chunked) AppendHeader(out, "Transfer-Encoding", "chunked");
+  if (head.content_length) {
+    AppendHeader(out, "Content-Length", std::to_string(*head.content_length));
+  }
+  return out.append("\r\n");
+}
+
+std::string FormatResumeRequest(const HttpHead& head, const RequestMeta& meta,
+                                milliseconds time_left, const Endpoint& server,
+                                const ResumePoint& resume) {
+  std::string out = StartBackendRequest(head, meta, time_left, server, false);
+  AppendHeader(out, "Range", "bytes=" + std::to_string(resume.offset) + "-");
+  AppendHeader(out, "If-Range", resume.etag);
+  return out.append("\r\n");
+}
+
+bool ContinuesAt(const HttpHead& answer, const ResumePoint& resume) {
+  const std::string wanted = "bytes " + std::to_string(resume.offset) + "-" +
+                             std::to_string(resume.length - 1) + "/" +
+                             std::to_string(resume.length);
+  return answer.status == 206 && answer.Find("content-range") == wanted &&
+         answer.Find("etag") == resume.etag &&
+         answer.content_length == resume.length - resume.offset;
+}
+
+std::optional<ResumePoint> ResumePointOf(const HttpHead& request, const HttpHead& answer) {
+  if (request.method != "GET" || answer.status != 200 || !answer.content_length) {
+    return std::nullopt;
+  }
+  const std::string etag = answer.Find("etag").value_or("");
+  const bool strong = etag.size() > 2 && etag.front() == '"' && etag.back() == '"';
+  if (!strong || answer.Find("accept-ranges") != "bytes") return std::nullopt;
+  return ResumePoint{etag, 0, *answer.content_length};
+}
+
+std::string FormatCallerAnswer(const HttpHead& answer, const RequestId& id, bool keep_alive) {
+  std::string out = StatusLine(answer.status);
+  for (const HttpHeader& header : answer.headers) {
+    if (IsAnyOf(header.name, kHopHeaders) || IsAnyOf(header.name, kRewrittenAnswerHeaders)) {
+      continue;
+    }
+    AppendHeader(out, header.name, header.value);
+  }
+  AppendHeader(out, "X-Request-Id", id.Text());
+  AppendHeader(out, "Cowsliphill-Outcome", NameOf(Outcome::kRan));
+  if (answer.chunked) AppendHeader(out, "Transfer-Encoding", "chunked");
+  if (answer.content_length) {
+    AppendHeader(out, "Content-Length", std::to_string(*answer.content_length));
+  }
+  if (!keep_alive) AppendHeader(out, "Connection", "close");
+  return out.append("\r\n");
+}
+
+bool SaysNotStarted(const HttpHead& answer) {
+  return answer.status == 503 && answer.Find("x-backend-not-started") == "true";
+}
+
+}  // namespace cowsliphill
