Manifest format in TOML, read and checked as a whole

A manifest is refused with every issue at once, each with file, line and key: ranges, references, ids and endpoints that stand twice, probe budgets that sum above entry.max_probes_per_second, and a service that would stand without an active backend server unless it says allow_empty = true.

manifest.h gains Service::allow_empty, EntryRules::max_probe_rate and comparisons; its lists are now in the order of their ids, so that a difference is one walk over both.

Ten tests, among them that FormatManifest reads back as the same manifest.

--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -1,5 +1,6 @@
 // The manifest: what operators deliver and the system takes as its configuration.
-// Plain data; parsing and checking are in manifest_format.h, acceptance in acceptance.h.
+// Plain data; parsing and checking are in manifest_format.h, differences in
+// manifest_change.h, acceptance in manifest_keeper.h, the revision in force in manifest_follower.h.
 
 #ifndef COWSLIPHILL_MANIFEST_MANIFEST_H_
 #define COWSLIPHILL_MANIFEST_MANIFEST_H_
@@ -17,11 +18,15 @@
 struct Place {
   PlaceId id;       // Failure domain.
   RegionId region;  // Places of one region are near each other.
+
+  friend bool operator==(const Place& a, const Place& b) = default;
 };
 
 struct Team {
   TeamId id;
-  std::vector<ServiceId> services;  // Services that this team may change.
+  std::vector<ServiceId> services;  // Services that it may change besides those that it owns.
+
+  friend bool operator==(const Team& a, const Team& b) = default;
 };
 
 // How a vendor's backend servers report their load on answers and probes.
@@ -47,6 +52,9 @@
   double retry_budget = 0.1;         // Retries and hedges per request sent, 0 to 1.
   uint32_t queue_limit = 64;         // Requests waiting per entry VM and class.
   ReportFormat report_format = ReportFormat::kBackendHeaders;
+  bool allow_empty = false;  // It may stand without an active backend server.
+
+  friend bool operator==(const Service& a, const Service& b) = default;
 };
 
 enum class BackendState { kActive, kLeaving };
@@ -58,13 +66,20 @@
   Endpoint endpoint;
   BackendState state = BackendState::kActive;  // kLeaving: no new work, open work runs to its end.
   uint32_t slots = 3;                          // Requests that it executes at the same time.
+
+  friend bool operator==(const BackendServer& a, const BackendServer& b) = default;
 };
 
 struct EntryRules {
   uint32_t max_requests = 4096;                     // Open requests per entry VM.
   std::chrono::milliseconds lookup_lifetime{5000};  // How long callers may keep a lookup answer.
+  double max_probe_rate = 5000;                     // Probes per second, all services and entry
+                                                    // VMs together.
+
+  friend bool operator==(const EntryRules& a, const EntryRules& b) = default;
 };
 
+// Each list is in the order of its ids and names no id twice.
 struct Manifest {
   uint64_t revision = 0;  // 0: none accepted yet. Only ever grows.
   std::vector<Place> places;
--- /dev/null
+++ b/src/manifest/manifest_format.cc
@@ -0,0 +1,417 @@
+#include "src/manifest/manifest_format.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLeastTimeout{1};
+constexpr milliseconds kMostTimeout{86400000};
+constexpr milliseconds kLeastLookupLifetime{100};
+constexpr milliseconds kMostLookupLifetime{3600000};
+constexpr size_t kMostIdLength = 64;
+constexpr size_t kMostPathLength = 256;
+constexpr int64_t kMostSlots = 100000;
+constexpr int64_t kMostRequests = 1000000;
+constexpr double kMostServiceProbeRate = 1000;  // Probes per second and backend server.
+constexpr double kMostProbeRate = 1000000;      // Probes per second in all.
+
+const std::vector<std::string> kClassNames = {"emergency", "routine", "bulk"};
+const std::vector<std::string> kReportFormatNames = {"none", "endpoint-load", "backend-headers"};
+const std::vector<std::string> kStateNames = {"active", "leaving"};
+
+bool IsIdCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+         c == '_' || c == '.';
+}
+
+bool IsId(const std::string& text) {
+  return !text.empty() && text.size() <= kMostIdLength &&
+         std::all_of(text.begin(), text.end(), IsIdCharacter);
+}
+
+bool IsMethod(const std::string& text) {
+  return !text.empty() && text.size() <= kMostIdLength &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+bool IsPath(const std::string& text) {
+  return !text.empty() && text.size() <= kMostPathLength && text.front() == '/' &&
+         std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c < 0x7f && c != '"' && c != '\\'; });
+}
+
+std::string Quoted(const std::string& text) { return "\"" + text + "\""; }
+
+// A table of the document beside what was read from it, for issues found later.
+template <typename Item>
+struct Located {
+  Item item;
+  TomlReader reader;
+};
+
+template <typename Item>
+using LocatedList = std::vector<Located<Item>>;
+
+std::string ReadId(TomlReader& reader, const std::string& key) {
+  std::string id = reader.RequiredText(key);
+  if (!id.empty() && !IsId(id)) {
+    reader.Reject(key, Quoted(id), "1 to 64 letters, digits, '-', '_' and '.'");
+  }
+  return id;
+}
+
+template <typename Id>
+std::vector<Id> ReadIds(TomlReader& reader, const std::string& key) {
+  std::vector<Id> ids;
+  for (std::string& text : reader.Texts(key, {})) {
+    if (!IsId(text)) {
+      reader.Reject(key, Quoted(text), "1 to 64 letters, digits, '-', '_' and '.'");
+    }
+    ids.emplace_back(std::move(text));
+  }
+  std::sort(ids.begin(), ids.end());
+  const auto twice = std::adjacent_find(ids.begin(), ids.end());
+  if (twice != ids.end()) reader.Reject(key, Quoted(twice->Text()) + " twice", "each once");
+  return ids;
+}
+
+Place ReadPlace(TomlReader& reader) {
+  Place place;
+  place.id = PlaceId(ReadId(reader, "id"));
+  place.region = RegionId(reader.Has("region") ? ReadId(reader, "region") : place.id.Text());
+  return place;
+}
+
+Team ReadTeam(TomlReader& reader) {
+  Team team;
+  team.id = TeamId(ReadId(reader, "id"));
+  team.services = ReadIds<ServiceId>(reader, "services");
+  return team;
+}
+
+void ReadMethods(TomlReader& reader, Service& service) {
+  service.idempotent_methods = reader.Texts("idempotent_methods", service.idempotent_methods);
+  for (const std::string& method : service.idempotent_methods) {
+    if (!IsMethod(method)) {
+      reader.Reject("idempotent_methods", Quoted(method), "methods in capital letters");
+    }
+  }
+}
+
+void ReadDeadlines(TomlReader& reader, Service& service) {
+  service.default_deadline = reader.Milliseconds("default_deadline_ms", service.default_deadline,
+                                                 kLeastTimeout, kMostTimeout);
+  service.max_deadline =
+      reader.Milliseconds("max_deadline_ms", service.max_deadline, kLeastTimeout, kMostTimeout);
+  service.first_byte_timeout = reader.Milliseconds(
+      "first_byte_timeout_ms", service.first_byte_timeout, kLeastTimeout, kMostTimeout);
+  if (service.default_deadline > service.max_deadline) {
+    reader.Reject("default_deadline_ms", std::to_string(service.default_deadline.count()),
+                  "at most max_deadline_ms, " + std::to_string(service.max_deadline.count()));
+  }
+}
+
+void ReadMeasuring(TomlReader& reader, Service& service) {
+  service.probe_budget =
+      reader.Number("probe_budget_per_second", service.probe_budget, 0, kMostServiceProbeRate);
+  service.probe_path = reader.Text("probe_path", service.probe_path);
+  if (!IsPath(service.probe_path)) {
+    reader.Reject("probe_path", Quoted(service.probe_path),
+                  "a path that starts with '/', printable and without quotes or spaces");
+  }
+  service.report_format = static_cast<ReportFormat>(reader.OneOf(
+      "report_format", static_cast<size_t>(service.report_format), kReportFormatNames));
+}
+
+Service ReadService(TomlReader& reader) {
+  Service service;
+  service.id = ServiceId(ReadId(reader, "id"));
+  if (reader.Has("owner")) service.owner = TeamId(ReadId(reader, "owner"));
+  service.default_class = static_cast<RequestClass>(
+      reader.OneOf("default_class", static_cast<size_t>(service.default_class), kClassNames));
+  service.emergency_tenants = ReadIds<TenantId>(reader, "emergency_tenants");
+  ReadMethods(reader, service);
+  service.require_key = reader.Boolean("require_key", service.require_key);
+  ReadDeadlines(reader, service);
+  ReadMeasuring(reader, service);
+  service.tail_weight = reader.Number("tail_weight", service.tail_weight, 0, 1);
+  service.retry_budget = reader.Number("retry_budget", service.retry_budget, 0, 1);
+  service.queue_limit =
+      static_cast<uint32_t>(reader.Integer("queue_limit", service.queue_limit, 0, kMostRequests));
+  service.allow_empty = reader.Boolean("allow_empty", service.allow_empty);
+  return service;
+}
+
+BackendServer ReadBackendServer(TomlReader& reader) {
+  BackendServer server;
+  server.id = BackendServerId(ReadId(reader, "id"));
+  server.service = ServiceId(ReadId(reader, "service"));
+  server.place = PlaceId(ReadId(reader, "place"));
+  const std::string address = reader.RequiredText("endpoint");
+  const std::optional<Endpoint> endpoint = ParseEndpoint(address);
+  if (endpoint) {
+    server.endpoint = *endpoint;
+  } else if (!address.empty()) {
+    reader.Reject("endpoint", Quoted(address), "IP-NUMBER:PORT, for example 192.0.2.5:8080");
+  }
+  server.state = static_cast<BackendState>(reader.OneOf("state", 0, kStateNames));
+  server.slots = static_cast<uint32_t>(reader.Integer("slots", server.slots, 1, kMostSlots));
+  return server;
+}
+
+EntryRules ReadEntryRules(TomlReader reader) {
+  EntryRules rules;
+  rules.max_requests =
+      static_cast<uint32_t>(reader.Integer("max_requests", rules.max_requests, 1, kMostRequests));
+  rules.lookup_lifetime = reader.Milliseconds("lookup_lifetime_ms", rules.lookup_lifetime,
+                                              kLeastLookupLifetime, kMostLookupLifetime);
+  rules.max_probe_rate =
+      reader.Number("max_probes_per_second", rules.max_probe_rate, 0, kMostProbeRate);
+  reader.RejectUnknownKeys();
+  return rules;
+}
+
+// Reads each table under `key`, rejects an id that stands twice, and orders them by id.
+template <typename Item>
+LocatedList<Item> ReadList(TomlReader& root, const std::string& key,
+                           Item (*read)(TomlReader& reader)) {
+  LocatedList<Item> list;
+  std::set<std::string> seen;
+  for (TomlReader& reader : root.Tables(key)) {
+    Item item = read(reader);
+    reader.RejectUnknownKeys();
+    const std::string& id = item.id.Text();
+    if (!seen.insert(id).second) reader.Reject("id", Quoted(id) + " twice", "an id of its own");
+    list.push_back({std::move(item), reader});
+  }
+  std::stable_sort(list.begin(), list.end(), [](const Located<Item>& a, const Located<Item>& b) {
+    return a.item.id < b.item.id;
+  });
+  return list;
+}
+
+template <typename Item>
+auto IdsOf(const LocatedList<Item>& list) {
+  std::set<decltype(Item::id)> ids;
+  for (const Located<Item>& it : list) ids.insert(it.item.id);
+  return ids;
+}
+
+template <typename Id>
+void CheckReference(TomlReader& reader, const std::string& key, const Id& id,
+                    const std::set<Id>& known) {
+  if (known.count(id) == 0) {
+    reader.Reject(key, Quoted(id.Text()), "the id of a [[" + key + "]] of this manifest");
+  }
+}
+
+// The tables of one document between reading and the checks over all of them.
+struct Draft {
+  LocatedList<Place> places;
+  LocatedList<Team> teams;
+  LocatedList<Service> services;
+  LocatedList<BackendServer> servers;
+  EntryRules entry;
+};
+
+void CheckTeams(Draft& draft) {
+  const std::set<ServiceId> services = IdsOf(draft.services);
+  for (Located<Team>& it : draft.teams) {
+    for (const ServiceId& service : it.item.services) {
+      if (services.count(service) > 0) continue;
+      it.reader.Reject("services", Quoted(service.Text()), "ids of [[service]] tables");
+    }
+  }
+}
+
+void CheckServers(Draft& draft) {
+  const std::set<ServiceId> services = IdsOf(draft.services);
+  const std::set<PlaceId> places = IdsOf(draft.places);
+  std::set<std::pair<ServiceId, Endpoint>> endpoints;
+  for (Located<BackendServer>& it : draft.servers) {
+    CheckReference(it.reader, "service", it.item.service, services);
+    CheckReference(it.reader, "place", it.item.place, places);
+    if (!endpoints.emplace(it.item.service, it.item.endpoint).second) {
+      it.reader.Reject("endpoint", Quoted(it.item.endpoint.ToString()) + " twice in this service",
+                       "one backend server for each endpoint of a service");
+    }
+  }
+}
+
+void CheckServices(Draft& draft) {
+  const std::set<TeamId> teams = IdsOf(draft.teams);
+  std::map<ServiceId, size_t> active;
+  for (const Located<BackendServer>& it : draft.servers) {
+    if (it.item.state == BackendState::kActive) ++active[it.item.service];
+  }
+  for (Located<Service>& it : draft.services) {
+    const Service& service = it.item;
+    if (!service.owner.Empty() && teams.count(service.owner) == 0) {
+      it.reader.Reject("owner", Quoted(service.owner.Text()), "the id of a [[team]]");
+    }
+    if (active[service.id] == 0 && !service.allow_empty) {
+      it.reader.Reject("id", Quoted(service.id.Text()) + " without an active backend server",
+                       "at least one active [[backend_server]], or allow_empty = true");
+    }
+    if (service.queue_limit > draft.entry.max_requests) {
+      it.reader.Reject("queue_limit", std::to_string(service.queue_limit),
+                       "at most entry.max_requests, " + std::to_string(draft.entry.max_requests));
+    }
+  }
+}
+
+std::string NumberText(double value) {
+  std::array<char, 32> buf;
+  const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+  return {buf.data(), end};
+}
+
+void CheckProbeBudgets(Draft& draft, TomlReader& root) {
+  std::map<ServiceId, double> budgets;
+  for (const Located<Service>& it : draft.services) budgets[it.item.id] = it.item.probe_budget;
+  double total = 0;
+  for (const Located<BackendServer>& it : draft.servers) total += budgets[it.item.service];
+  if (total <= draft.entry.max_probe_rate) return;
+  root.Reject("entry", "probe budgets that sum to " + NumberText(total) + " per second",
+              "at most entry.max_probes_per_second, " + NumberText(draft.entry.max_probe_rate));
+}
+
+template <typename Item>
+std::vector<Item> ItemsOf(LocatedList<Item>& list) {
+  std::vector<Item> items;
+  items.reserve(list.size());
+  for (Located<Item>& it : list) items.push_back(std::move(it.item));
+  return items;
+}
+
+// Writes one table: a heading and aligned-free "key = value" lines.
+class TableWriter {
+ public:
+  explicit TableWriter(std::string& out) : out_(out) {}
+
+  void Heading(std::string_view heading) {
+    out_.append(out_.empty() ? "" : "\n").append(heading) += '\n';
+  }
+  void Text(std::string_view key, const std::string& text) { Line(key, Quoted(text)); }
+  void Number(std::string_view key, double value) { Line(key, NumberText(value)); }
+  void Integer(std::string_view key, int64_t value) { Line(key, std::to_string(value)); }
+  void Time(std::string_view key, milliseconds time) { Integer(key, time.count()); }
+  void Boolean(std::string_view key, bool value) { Line(key, value ? "true" : "false"); }
+  void Texts(std::string_view key, const std::vector<std::string>& texts) {
+    std::string joined;
+    for (const std::string& text : texts) joined += (joined.empty() ? "" : ", ") + Quoted(text);
+    Line(key, "[" + joined + "]");
+  }
+  template <typename Id>
+  void Ids(std::string_view key, const std::vector<Id>& ids) {
+    std::vector<std::string> texts;
+    for (const Id& id : ids) texts.push_back(id.Text());
+    Texts(key, texts);
+  }
+
+ private:
+  void Line(std::string_view key, std::string_view value) {
+    out_.append(key).append(" = ").append(value) += '\n';
+  }
+
+  std::string& out_;
+};
+
+void Write(TableWriter& writer, const EntryRules& rules) {
+  writer.Heading("[entry]");
+  writer.Integer("max_requests", rules.max_requests);
+  writer.Time("lookup_lifetime_ms", rules.lookup_lifetime);
+  writer.Number("max_probes_per_second", rules.max_probe_rate);
+}
+
+void Write(TableWriter& writer, const Place& place) {
+  writer.Heading("[[place]]");
+  writer.Text("id", place.id.Text());
+  writer.Text("region", place.region.Text());
+}
+
+void Write(TableWriter& writer, const Team& team) {
+  writer.Heading("[[team]]");
+  writer.Text("id", team.id.Text());
+  writer.Ids("services", team.services);
+}
+
+void Write(TableWriter& writer, const Service& service) {
+  writer.Heading("[[service]]");
+  writer.Text("id", service.id.Text());
+  if (!service.owner.Empty()) writer.Text("owner", service.owner.Text());
+  writer.Text("default_class", kClassNames[static_cast<size_t>(service.default_class)]);
+  writer.Ids("emergency_tenants", service.emergency_tenants);
+  writer.Texts("idempotent_methods", service.idempotent_methods);
+  writer.Boolean("require_key", service.require_key);
+  writer.Time("default_deadline_ms", service.default_deadline);
+  writer.Time("max_deadline_ms", service.max_deadline);
+  writer.Time("first_byte_timeout_ms", service.first_byte_timeout);
+  writer.Number("probe_budget_per_second", service.probe_budget);
+  writer.Text("probe_path", service.probe_path);
+  writer.Text("report_format", kReportFormatNames[static_cast<size_t>(service.report_format)]);
+  writer.Number("tail_weight", service.tail_weight);
+  writer.Number("retry_budget", service.retry_budget);
+  writer.Integer("queue_limit", service.queue_limit);
+  writer.Boolean("allow_empty", service.allow_empty);
+}
+
+void Write(TableWriter& writer, const BackendServer& server) {
+  writer.Heading("[[backend_server]]");
+  writer.Text("id", server.id.Text());
+  writer.Text("service", server.service.Text());
+  writer.Text("place", server.place.Text());
+  writer.Text("endpoint", server.endpoint.ToString());
+  writer.Text("state", kStateNames[static_cast<size_t>(server.state)]);
+  writer.Integer("slots", server.slots);
+}
+
+}  // namespace
+
+ManifestResult ParseManifest(const std::string& text, const std::string& file) {
+  TomlDocument document = TomlDocument::Parse(text, file);
+  if (!document.Issues().empty()) return document.Issues();
+  TomlReader root = document.Root();
+  Draft draft;
+  draft.places = ReadList<Place>(root, "place", ReadPlace);
+  draft.teams = ReadList<Team>(root, "team", ReadTeam);
+  draft.services = ReadList<Service>(root, "service", ReadService);
+  draft.servers = ReadList<BackendServer>(root, "backend_server", ReadBackendServer);
+  draft.entry = ReadEntryRules(root.Table("entry"));
+  root.RejectUnknownKeys();
+  CheckTeams(draft);
+  CheckServers(draft);
+  CheckServices(draft);
+  CheckProbeBudgets(draft, root);
+  if (!document.Issues().empty()) return document.Issues();
+  Manifest manifest;
+  manifest.places = ItemsOf(draft.places);
+  manifest.teams = ItemsOf(draft.teams);
+  manifest.services = ItemsOf(draft.services);
+  manifest.backend_servers = ItemsOf(draft.servers);
+  manifest.entry = draft.entry;
+  return manifest;
+}
+
+std::string FormatManifest(const Manifest& manifest) {
+  std::string out;
+  TableWriter writer(out);
+  Write(writer, manifest.entry);
+  for (const Place& place : manifest.places) Write(writer, place);
+  for (const Team& team : manifest.teams) Write(writer, team);
+  for (const Service& service : manifest.services) Write(writer, service);
+  for (const BackendServer& server : manifest.backend_servers) Write(writer, server);
+  return out;
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/manifest/manifest_format_test.cc
@@ -0,0 +1,134 @@
+#include "src/manifest/manifest_format.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cowsliphill {
+namespace {
+
+constexpr char kManifest[] = R"([[place]]
+id = "riga-centrs"
+region = "latvia"
+[[team]]
+id = "statistics"
+services = ["tables"]
+[[service]]
+id = "tables"
+owner = "statistics"
+probe_budget_per_second = 0.5
+emergency_tenants = ["council"]
+[[backend_server]]
+id = "t2"
+service = "tables"
+place = "riga-centrs"
+endpoint = "192.0.2.2:80"
+state = "leaving"
+[[backend_server]]
+id = "t1"
+service = "tables"
+place = "riga-centrs"
+endpoint = "[2001:db8::1]:80"
+)";
+
+std::string Replaced(std::string text, const std::string& from, const std::string& to) {
+  const size_t at = text.find(from);
+  CPPUNIT_ASSERT_MESSAGE("the test's manifest lacks " + from, at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+class ManifestFormatTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ManifestFormatTest);
+  CPPUNIT_TEST(Manifest_Formatted_ReadsBackTheSame);
+  CPPUNIT_TEST(Manifest_Read_IsInOrderOfIds);
+  CPPUNIT_TEST(Manifest_WithUnknownPlace_NamesTheLine);
+  CPPUNIT_TEST(Manifest_WithUnknownOwner_IsRefused);
+  CPPUNIT_TEST(Manifest_WithIdTwice_IsRefused);
+  CPPUNIT_TEST(Manifest_WithEndpointTwiceInAService_IsRefused);
+  CPPUNIT_TEST(Manifest_WithoutActiveServer_NeedsAllowEmpty);
+  CPPUNIT_TEST(Manifest_WithProbeBudgetsAboveTheLimit_IsRefused);
+  CPPUNIT_TEST(Manifest_WithDeadlineAboveMost_IsRefused);
+  CPPUNIT_TEST(Manifest_WithUnknownKey_IsRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Manifest_Formatted_ReadsBackTheSame() {
+    const Manifest first = Parsed(kManifest);
+    const Manifest second = Parsed(FormatManifest(first));
+    CPPUNIT_ASSERT(first.places == second.places);
+    CPPUNIT_ASSERT(first.teams == second.teams);
+    CPPUNIT_ASSERT(first.services == second.services);
+    CPPUNIT_ASSERT(first.backend_servers == second.backend_servers);
+    CPPUNIT_ASSERT(first.entry == second.entry);
+  }
+
+  void Manifest_Read_IsInOrderOfIds() {
+    const Manifest manifest = Parsed(kManifest);
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), manifest.backend_servers.front().id.Text());
+    CPPUNIT_ASSERT(manifest.backend_servers.back().state == BackendState::kLeaving);
+  }
+
+  void Manifest_WithUnknownPlace_NamesTheLine() {
+    const Issue issue =
+        OnlyIssue(Replaced(kManifest, "place = \"riga-centrs\"", "place = \"jelgava\""));
+    CPPUNIT_ASSERT_EQUAL(size_t{15}, issue.line);
+    CPPUNIT_ASSERT_EQUAL(std::string("backend_server[0].place"), issue.key);
+  }
+
+  void Manifest_WithUnknownOwner_IsRefused() {
+    const Issue issue = OnlyIssue(Replaced(kManifest, "owner = \"statistics\"", "owner = \"x\""));
+    CPPUNIT_ASSERT_EQUAL(std::string("service[0].owner"), issue.key);
+  }
+
+  void Manifest_WithIdTwice_IsRefused() {
+    CPPUNIT_ASSERT_EQUAL(std::string("\"t1\" twice"),
+                         OnlyIssue(Replaced(kManifest, "\"t2\"", "\"t1\"")).found);
+  }
+
+  void Manifest_WithEndpointTwiceInAService_IsRefused() {
+    const Issue issue = OnlyIssue(Replaced(kManifest, "[2001:db8::1]:80", "192.0.2.2:80"));
+    CPPUNIT_ASSERT(issue.found.find("twice in this service") != std::string::npos);
+  }
+
+  void Manifest_WithoutActiveServer_NeedsAllowEmpty() {
+    const std::string empty = Replaced(kManifest, "endpoint = \"[2001:db8::1]:80\"",
+                                       "endpoint = \"[2001:db8::1]:80\"\nstate = \"leaving\"");
+    CPPUNIT_ASSERT(OnlyIssue(empty).allowed.find("allow_empty = true") != std::string::npos);
+    Parsed(Replaced(empty, "owner =", "allow_empty = true\nowner ="));
+  }
+
+  void Manifest_WithProbeBudgetsAboveTheLimit_IsRefused() {
+    const std::string limit = "\n[entry]\nmax_probes_per_second = ";
+    CPPUNIT_ASSERT_EQUAL(std::string("probe budgets that sum to 1 per second"),
+                         OnlyIssue(kManifest + limit + "0.9\n").found);
+    Parsed(kManifest + limit + "1\n");
+  }
+
+  void Manifest_WithDeadlineAboveMost_IsRefused() {
+    const Issue issue =
+        OnlyIssue(Replaced(kManifest, "owner =", "default_deadline_ms = 70000\nowner ="));
+    CPPUNIT_ASSERT_EQUAL(std::string("service[0].default_deadline_ms"), issue.key);
+  }
+
+  void Manifest_WithUnknownKey_IsRefused() {
+    const Issue issue = OnlyIssue(Replaced(kManifest, "region =", "zone ="));
+    CPPUNIT_ASSERT_EQUAL(std::string("place[0].zone"), issue.key);
+  }
+
+ private:
+  static Manifest Parsed(const std::string& text) {
+    const ManifestResult result = ParseManifest(text, "m.toml");
+    CPPUNIT_ASSERT_MESSAGE(Ok(result) ? "" : ErrorOf(result).front().ToString(), Ok(result));
+    return ValueOf(result);
+  }
+
+  static Issue OnlyIssue(const std::string& text) {
+    const ManifestResult result = ParseManifest(text, "m.toml");
+    CPPUNIT_ASSERT(!Ok(result));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, ErrorOf(result).size());
+    return ErrorOf(result).front();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ManifestFormatTest);
+
+}  // namespace
+}  // namespace cowsliphill
