--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -3,6 +3,7 @@
 #ifndef COWSLIPHILL_BASE_IDS_H_
 #define COWSLIPHILL_BASE_IDS_H_
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -20,7 +21,7 @@
   bool Empty() const { return text_.empty(); }
 
   friend bool operator==(const StringId& a, const StringId& b) = default;
-  friend auto operator<=>(const StringId& a, const StringId& b) = default;
+  friend auto operator<=>(const StringId& a, const StringId& b) { return a.text_ <=> b.text_; }
 
  private:
   std::string text_;
@@ -45,7 +46,10 @@
     return (v6 ? "[" + ip + "]" : ip) + ":" + std::to_string(port);
   }
   friend bool operator==(const Endpoint& a, const Endpoint& b) = default;
-  friend auto operator<=>(const Endpoint& a, const Endpoint& b) = default;
+  friend std::strong_ordering operator<=>(const Endpoint& a, const Endpoint& b) {
+    const std::strong_ordering by_ip = a.ip <=> b.ip;
+    return by_ip == std::strong_ordering::equal ? a.port <=> b.port : by_ip;
+  }
 };
 
 }  // namespace cowsliphill
--- a/src/base/toml_reader.cc
+++ b/src/base/toml_reader.cc
@@ -222,7 +222,7 @@
   }
 }
 
-std::optional<Endpoint> ParseEndpoint(const std::string& text) {
+std::optional<Endpoint> ParseEndpoint(const std::string& text, PortZero port_zero) {
   const size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) return std::nullopt;
   std::string ip = text.substr(0, colon);
@@ -233,7 +233,8 @@
   uint16_t port = 0;
   const char* end = text.data() + text.size();
   const auto [rest, ec] = std::from_chars(text.data() + colon + 1, end, port);
-  if (ec != std::errc() || rest != end || port == 0) return std::nullopt;
+  if (ec != std::errc() || rest != end) return std::nullopt;
+  if (port == 0 && port_zero == PortZero::kRefused) return std::nullopt;
   return Endpoint{ip, port};
 }
 
--- a/src/base/toml_reader.h
+++ b/src/base/toml_reader.h
@@ -94,9 +94,12 @@
   std::vector<Issue> issues_;
 };
 
-// Reads "IP:PORT" or "[IPv6]:PORT"; only IP numbers, no names.
+// Reads "IP:PORT" or "[IPv6]:PORT"; only IP numbers, no names. Port 0 means any free port and is
+// for listening only.
 struct Endpoint;
-std::optional<Endpoint> ParseEndpoint(const std::string& text);
+enum class PortZero { kRefused, kAllowed };
+std::optional<Endpoint> ParseEndpoint(const std::string& text,
+                                      PortZero port_zero = PortZero::kRefused);
 
 }  // namespace cowsliphill
 
--- /dev/null
+++ b/src/cli/commands.cc
@@ -0,0 +1,226 @@
+#include "src/cli/commands.h"
+
+#include <httplib.h>
+
+#include <cxxopts.hpp>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <random>
+
+#include "src/cli/entry_vm.h"
+#include "src/manifest/manifest_format.h"
+#include "src/settings/settings.h"
+
+namespace cowsliphill {
+
+namespace {
+
+constexpr std::chrono::seconds kAdminTimeout{20};  // Longest wait for an entry VM's answer.
+
+struct Command {
+  std::string name;       // One or two words.
+  std::string arguments;  // For the usage line.
+  std::string help;
+  std::function<int(const cxxopts::ParseResult&)> run;
+  std::function<void(cxxopts::Options&)> add_options;
+};
+
+int PrintIssues(const std::vector<Issue>& issues) {
+  for (const Issue& issue : issues) std::cerr << issue.ToString() << "\n";
+  return kExitUsage;
+}
+
+int Usage(const std::string& text) {
+  std::cerr << "cowsliphill: " << text << "\nTry: cowsliphill --help\n";
+  return kExitUsage;
+}
+
+std::optional<std::string> ReadFile(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) return std::nullopt;
+  return std::string((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+}
+
+// The file argument of a command, or "" after telling what is missing.
+std::string FileArgument(const cxxopts::ParseResult& options) {
+  if (options.count("file") > 0) return options["file"].as<std::string>();
+  Usage("FILE: found nothing; allowed: the path of a file");
+  return "";
+}
+
+void AddFile(cxxopts::Options& options) {
+  options.add_options()("file", "The file", cxxopts::value<std::string>());
+  options.parse_positional({"file"});
+}
+
+void AddEntry(cxxopts::Options& options) {
+  options.add_options()("entry", "Administration address of an entry VM, IP:PORT",
+                        cxxopts::value<std::string>())(
+      "token", "Bearer token, if the entry VM has tokens set", cxxopts::value<std::string>());
+}
+
+int RunServe(const cxxopts::ParseResult& options) {
+  if (options.count("settings") == 0) return Usage("serve: --settings FILE is needed");
+  const SettingsResult settings = LoadSettings(options["settings"].as<std::string>());
+  if (!Ok(settings)) return PrintIssues(ErrorOf(settings));
+  const SystemClock clock;
+  std::random_device device;
+  const uint64_t seed = (static_cast<uint64_t>(device()) << 32) | device();
+  return EntryVm(ValueOf(settings), clock, seed).Run();
+}
+
+int RunSettingsCheck(const cxxopts::ParseResult& options) {
+  const std::string file = FileArgument(options);
+  if (file.empty()) return kExitUsage;
+  const SettingsResult settings = LoadSettings(file);
+  if (!Ok(settings)) return PrintIssues(ErrorOf(settings));
+  std::cout << file << ": settings are valid\n";
+  return kExitSuccess;
+}
+
+int RunManifestCheck(const cxxopts::ParseResult& options) {
+  const std::string file = FileArgument(options);
+  if (file.empty()) return kExitUsage;
+  const std::optional<std::string> text = ReadFile(file);
+  if (!text) return PrintIssues({{file, 0, "", "an unreadable file", "a manifest in TOML"}});
+  const ManifestResult manifest = ParseManifest(*text, file);
+  if (!Ok(manifest)) return PrintIssues(ErrorOf(manifest));
+  std::cout << file << ": manifest is valid: " << ValueOf(manifest).services.size() << " services, "
+            << ValueOf(manifest).backend_servers.size() << " backend servers\n";
+  return kExitSuccess;
+}
+
+// Calls the administration API and prints its answer.
+int CallAdmin(const cxxopts::ParseResult& options, const std::string& method,
+              const std::string& path, const std::string& body) {
+  if (options.count("entry") == 0) return Usage("--entry IP:PORT is needed");
+  const std::string text = options["entry"].as<std::string>();
+  const std::optional<Endpoint> entry = ParseEndpoint(text);
+  if (!entry) return Usage("--entry: found \"" + text + "\"; allowed: IP-NUMBER:PORT");
+  httplib::Client client(entry->ip, entry->port);
+  client.set_read_timeout(kAdminTimeout);
+  httplib::Headers headers;
+  if (options.count("token") > 0) {
+    headers.emplace("Authorization", "Bearer " + options["token"].as<std::string>());
+  }
+  const httplib::Result result = method == "POST"
+                                     ? client.Post(path, headers, body, "application/toml")
+                                     : client.Get(path, headers);
+  if (!result) {
+    std::cerr << "cowsliphill: " << text << ": " << httplib::to_string(result.error()) << "\n";
+    return kExitFailure;
+  }
+  (result->status < 400 ? std::cout : std::cerr) << result->body;
+  if (result->status < 400) return kExitSuccess;
+  return result->status == 400 || result->status == 422 ? kExitUsage : kExitFailure;
+}
+
+int RunStatus(const cxxopts::ParseResult& options) {
+  return CallAdmin(options, "GET", "/v1/status", "");
+}
+
+int RunExplain(const cxxopts::ParseResult& options) {
+  if (options.count("service") == 0) return Usage("explain: --service NAME is needed");
+  const std::string service = options["service"].as<std::string>();
+  return CallAdmin(options, "GET",
+                   "/v1/explain?service=" + httplib::detail::encode_query_param(service), "");
+}
+
+int RunDrain(const cxxopts::ParseResult& options) {
+  if (options.count("backend-server") == 0) {
+    return Usage("drain: --backend-server NAME is needed");
+  }
+  const std::string server = options["backend-server"].as<std::string>();
+  return CallAdmin(options, "GET",
+                   "/v1/drain?backend_server=" + httplib::detail::encode_query_param(server), "");
+}
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> commands = {
+      {"serve", "--settings FILE", "Run one entry VM", RunServe,
+       [](cxxopts::Options& options) {
+         options.add_options()("settings", "Settings in TOML", cxxopts::value<std::string>());
+       }},
+      {"settings check", "FILE", "Check a settings file", RunSettingsCheck, AddFile},
+      {"manifest check", "FILE", "Check a manifest", RunManifestCheck, AddFile},
+      {"status", "--entry IP:PORT", "What an entry VM knows, and why", RunStatus, AddEntry},
+      {"explain", "--entry IP:PORT --service NAME", "Why the last decisions went where they did",
+       RunExplain,
+       [](cxxopts::Options& options) {
+         AddEntry(options);
+         options.add_options()("service", "Service", cxxopts::value<std::string>());
+       }},
+      {"drain", "--entry IP:PORT --backend-server NAME",
+       "Whether a backend server is free of this entry VM's requests", RunDrain,
+       [](cxxopts::Options& options) {
+         AddEntry(options);
+         options.add_options()("backend-server", "Backend server", cxxopts::value<std::string>());
+       }},
+  };
+  return commands;
+}
+
+int PrintHelp() {
+  std::cout << "cowsliphill decides which backend server takes a caller's next request.\n\n"
+               "Usage: cowsliphill COMMAND [OPTIONS]\n\n";
+  for (const Command& command : Commands()) {
+    std::cout << "  " << command.name << " " << command.arguments << "\n      " << command.help
+              << "\n";
+  }
+  std::cout << "\n  --help, --version\n\n"
+               "Exit codes: 0 success, 1 failure, 2 usage or input errors.\n";
+  return kExitSuccess;
+}
+
+// The command that the words name, and how many words that took.
+std::pair<const Command*, size_t> FindCommand(const std::vector<std::string>& words) {
+  for (const Command& command : Commands()) {
+    const size_t space = command.name.find(' ');
+    if (space == std::string::npos) {
+      if (words[0] == command.name) return {&command, 1};
+    } else if (words.size() > 1 && words[0] + " " + words[1] == command.name) {
+      return {&command, 2};
+    }
+  }
+  return {nullptr, 0};
+}
+
+int RunWithOptions(const Command& command, const std::vector<std::string>& words) {
+  cxxopts::Options options("cowsliphill " + command.name, command.help);
+  options.custom_help(command.arguments);
+  options.add_options()("help", "Print this help");
+  command.add_options(options);
+  std::vector<const char*> argv = {"cowsliphill"};
+  for (const std::string& word : words) argv.push_back(word.c_str());
+  try {
+    const cxxopts::ParseResult result = options.parse(static_cast<int>(argv.size()), argv.data());
+    if (result.count("help") > 0) {
+      std::cout << options.help();
+      return kExitSuccess;
+    }
+    if (!result.unmatched().empty()) return Usage("unexpected \"" + result.unmatched()[0] + "\"");
+    return command.run(result);
+  } catch (const cxxopts::exceptions::exception& e) {
+    return Usage(command.name + ": " + e.what());
+  }
+}
+
+}  // namespace
+
+int RunCommand(const std::vector<std::string>& arguments) {
+  const std::vector<std::string> words(arguments.begin() + 1, arguments.end());
+  if (words.empty()) return Usage("no command given");
+  if (words[0] == "--help" || words[0] == "help") return PrintHelp();
+  if (words[0] == "--version") {
+    std::cout << "cowsliphill " << COWSLIPHILL_VERSION << "\n";
+    return kExitSuccess;
+  }
+  const auto [command, used] = FindCommand(words);
+  if (command == nullptr) return Usage("unknown command \"" + words[0] + "\"");
+  return RunWithOptions(*command, {words.begin() + static_cast<std::ptrdiff_t>(used), words.end()});
+}
+
+}  // namespace cowsliphill
--- a/src/forward/backend_pool.cc
+++ b/src/forward/backend_pool.cc
@@ -134,6 +134,13 @@
   }
 }
 
+void BackendPool::CloseAll() {
+  for (auto& [key, group] : groups_) {
+    for (const PooledConnection& connection : group.idle) connection.stream->Close();
+  }
+  CloseIdle();
+}
+
 size_t BackendPool::OpenConnections() const {
   size_t n = 0;
   for (const auto& [key, group] : groups_) n += group.open;
--- a/src/forward/backend_pool.h
+++ b/src/forward/backend_pool.h
@@ -48,6 +48,8 @@
   void Discard(const Endpoint& server, RequestClass request_class, PooledConnection& connection);
   // Closes connections idle for longer than the settings allow.
   void CloseIdle();
+  // Closes every idle connection.
+  void CloseAll();
 
   size_t OpenConnections() const;
 
--- a/src/forward/edge_server.cc
+++ b/src/forward/edge_server.cc
@@ -16,9 +16,11 @@
 
 // The query of a lookup's target, or nullopt when it is another path.
 std::optional<std::string> LookupQuery(const HttpHead& head) {
-  const size_t mark = head.target.find('?');
-  if (std::string_view(head.target).substr(0, mark) != kLookupPath) return std::nullopt;
-  return mark == std::string::npos ? "" : head.target.substr(mark + 1);
+  const std::string_view target = head.target;
+  const size_t mark = target.find('?');
+  if (target.substr(0, mark) != kLookupPath) return std::nullopt;
+  if (mark == std::string::npos) return "";
+  return head.target.substr(mark + 1);
 }
 
 }  // namespace
@@ -57,8 +59,8 @@
   if (LookupQuery(head)) return AnswerLookup(head);
   exchange_ = std::make_shared<Exchange>(context_, stream_, head,
                                          [weak = weak_from_this()](ConnectionFate fate) {
-                                           if (const auto self = weak.lock())
-                                             self->OnExchangeDone(fate);
+                                           const auto self = weak.lock();
+                                           if (self) self->OnExchangeDone(fate);
                                          });
   exchange_->Start();
 }
--- a/src/forward/edge_server.h
+++ b/src/forward/edge_server.h
@@ -47,7 +47,7 @@
 
 class EdgeServer {
  public:
-  EdgeServer(ForwardContext& context);
+  explicit EdgeServer(ForwardContext& context);
   ~EdgeServer();
 
   // Binds to the settings' address. Port 0 takes any free one. Returns what went wrong, or "".
--- a/src/manifest/manifest_format.cc
+++ b/src/manifest/manifest_format.cc
@@ -315,6 +315,7 @@
   template <typename Id>
   void Ids(std::string_view key, const std::vector<Id>& ids) {
     std::vector<std::string> texts;
+    texts.reserve(ids.size());
     for (const Id& id : ids) texts.push_back(id.Text());
     Texts(key, texts);
   }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -26,7 +26,8 @@
     return fallback;
   }
   const std::string text = reader.Text(key, "");
-  const std::optional<Endpoint> endpoint = ParseEndpoint(text);
+  const PortZero port_zero = key == "listen" ? PortZero::kAllowed : PortZero::kRefused;
+  const std::optional<Endpoint> endpoint = ParseEndpoint(text, port_zero);
   if (endpoint) return *endpoint;
   reader.Reject(key, "\"" + text + "\"", "IP-NUMBER:PORT, for example 10.0.0.5:8080");
   return fallback;
