--- a/src/choose/chooser.cc
+++ b/src/choose/chooser.cc
@@ -1,98 +1,672 @@
 #include "src/choose/chooser.h"
 
-#include <utility>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <cstdio>
 
 namespace cowsliphill {
 
-Chooser::Chooser(PlaceId place, uint64_t seed) : place_(std::move(place)), random_(seed) {}
+namespace {
+
+// Attempts for one request, the first included.
+constexpr size_t kMostAttempts = 3;
+// Shares of the newest sample in the moving averages of a service.
+constexpr double kOthersWeight = 0.05;
+constexpr double kShedWeight = 0.05;
+// Share of shed answers above which retries make it worse.
+constexpr double kShedTooMuch = 0.1;
+// Remaining time, in mean latencies, below which an answer in time can't be expected.
+constexpr double kHopeless = 0.5;
+// A waiting request is refused when this many mean latencies are left.
+constexpr double kWorthSending = 1.0;
+// Bulk requests may use this share of the window, for they hold their slots long.
+constexpr double kBulkShare = 0.5;
+// A waiting request is looked at again after this, should no event come.
+constexpr std::chrono::milliseconds kQueueTick{5};
+constexpr std::chrono::milliseconds kLeastRetryAfter{50};
+constexpr std::chrono::milliseconds kMostRetryAfter{10000};
+
+Duration Times(Duration time, double factor) {
+  return Duration(static_cast<int64_t>(static_cast<double>(time.count()) * factor));
+}
+
+uint64_t ReservationOrder(const BackendServer& config) {
+  const std::string& id = config.id.Text();
+  return XXH3_64bits_withSeed(id.data(), id.size(), 1);
+}
+
+std::string_view NameOf(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kUnknownService:
+      return "unknown service";
+    case RefusalCause::kNoBackendServer:
+      return "no backend server";
+    case RefusalCause::kOverload:
+      return "overload";
+    case RefusalCause::kDeadline:
+      return "deadline";
+    case RefusalCause::kRetryBudget:
+      return "retry budget";
+  }
+  return "overload";
+}
+
+std::string_view NameOf(DecisionKind kind) {
+  switch (kind) {
+    case DecisionKind::kSend:
+      return "send";
+    case DecisionKind::kTrial:
+      return "trial";
+    case DecisionKind::kRetry:
+      return "retry";
+    case DecisionKind::kHedge:
+      return "hedge";
+    case DecisionKind::kWait:
+      return "wait";
+    case DecisionKind::kRefuse:
+      return "refuse";
+  }
+  return "send";
+}
+
+}  // namespace
+
+struct Chooser::ServiceState {
+  explicit ServiceState(double slots) : window(slots) {}
+
+  Service config;
+  bool listed = true;  // The manifest in force has it.
+  std::vector<Handle> members;
+  ServerLists lists;
+  ConcurrencyWindow window;
+  AdmissionQueue queue;
+  RetryBudget budget;
+  std::array<ClassLatency, kRequestClassCount> latency;
+  std::array<uint32_t, kRequestClassCount> open{};  // Our open attempts.
+  double typical_others = 0.0;  // Requests of other entry VMs at a server, on average.
+  double shed_share = 0.0;      // Of the newest answers.
+  DecisionRing recent;
+
+  ClassLatency& Latency(RequestClass request_class) {
+    return latency[static_cast<size_t>(request_class)];
+  }
+  uint32_t& Open(RequestClass request_class) { return open[static_cast<size_t>(request_class)]; }
+  uint32_t OpenOf(RequestClass request_class) const {
+    return open[static_cast<size_t>(request_class)];
+  }
+  // Emergencies pass over the window and are not counted against it.
+  uint32_t OpenInWindow() const {
+    return OpenOf(RequestClass::kRoutine) + OpenOf(RequestClass::kBulk);
+  }
+};
+
+Chooser::Chooser(PlaceId place, uint64_t seed)
+    : place_(std::move(place)), random_(seed), picker_(servers_) {}
+
+Chooser::~Chooser() = default;
+
+// --- Manifest
 
 void Chooser::Apply(const Manifest& manifest, MonotonicTime now) {
-  services_.clear();
-  for (const Service& service : manifest.services) services_[service.id];
+  last_now_ = now;
+  ApplyServices(manifest);
+  for (ServerState& server : servers_) server.listed = false;
   for (const BackendServer& config : manifest.backend_servers) {
-    services_[config.service].push_back(config.id);
-    Server& server = servers_[config.id];
-    server.config = config;
-    server.leaving = config.state == BackendState::kLeaving;
+    ApplyServer(config, !any_manifest_, now);
+  }
+  any_manifest_ = true;
+  for (Handle handle = 0; handle < servers_.size(); ++handle) ReleaseIfUnused(handle);
+  for (const auto& service : services_) {
+    double slots = 0;
+    for (const Handle handle : service->members) slots += servers_[handle].config.slots;
+    service->window.SetMost(slots);
+    Rebuild(*service);
   }
 }
 
-Choice Chooser::Choose(const ChoiceRequest& request, MonotonicTime now) {
-  Request& entry = requests_[request.ticket];
-  entry.request = request;
-  return Pick(entry);
+void Chooser::ApplyServices(const Manifest& manifest) {
+  for (const auto& service : services_) {
+    service->listed = false;
+    service->members.clear();
+  }
+  std::unordered_map<ServiceId, double> slots;
+  for (const BackendServer& server : manifest.backend_servers) {
+    slots[server.service] += server.slots;
+  }
+  for (const Service& config : manifest.services) {
+    const auto next = static_cast<uint32_t>(services_.size());
+    const auto [it, added] = service_index_.try_emplace(config.id, next);
+    if (added) services_.push_back(std::make_unique<ServiceState>(slots[config.id]));
+    services_[it->second]->config = config;
+    services_[it->second]->listed = true;
+  }
 }
 
-Choice Chooser::Pick(Request& request) {
-  const Ticket ticket = request.request.ticket;
-  const auto service = services_.find(request.request.service);
-  if (service == services_.end()) return Refuse{ticket, RefusalCause::kUnknownService};
-  const Server* best = nullptr;
-  const size_t n = service->second.size();
-  const size_t first = n == 0 ? 0 : random_() % n;
-  for (size_t i = 0; i < n; ++i) {
-    const Server& server = servers_[service->second[(first + i) % n]];
-    if (server.leaving) continue;
-    if (best == nullptr || server.in_flight < best->in_flight) best = &server;
+void Chooser::ApplyServer(const BackendServer& config, bool first_manifest, MonotonicTime now) {
+  const auto service = service_index_.find(config.service);
+  if (service == service_index_.end()) return;
+  auto it = server_index_.find(config.id);
+  const bool moved =
+      it != server_index_.end() && (servers_[it->second].config.endpoint != config.endpoint ||
+                                    servers_[it->second].service != service->second);
+  if (moved) {
+    // Another process under the same name; requests open at the old one end under its handle.
+    ReleaseIfUnused(it->second);
+    it = server_index_.end();
+  }
+  const bool added = it == server_index_.end();
+  if (added) it = server_index_.emplace(config.id, NewHandle()).first;
+  ServerState& server = servers_[it->second];
+  if (added && !first_manifest) server.ramp_start = now;
+  server.config = config;
+  server.service = service->second;
+  server.order = ReservationOrder(config);
+  server.listed = true;
+  if (config.state == BackendState::kLeaving) {
+    server.leaving.Set(LeavingSource::kManifest, now);
+  } else if (server.leaving.ByManifest()) {
+    server.leaving.ClearByManifest();
+    server.ramp_start = now;
   }
-  if (best == nullptr) return Refuse{ticket, RefusalCause::kNoBackendServer};
-  ++servers_[best->config.id].in_flight;
-  return SendTo{ticket, best->config.id, best->config.endpoint, ++request.attempts};
+  services_[service->second]->members.push_back(it->second);
 }
 
-void Chooser::OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result,
-                      MonotonicTime now) {
-  const auto it = servers_.find(server);
-  if (it == servers_.end()) return;
-  --it->second.in_flight;
-  if (result.report) OnReport(server, *result.report, now);
+Handle Chooser::NewHandle() {
+  if (free_handles_.empty()) {
+    servers_.emplace_back();
+    return static_cast<Handle>(servers_.size() - 1);
+  }
+  const Handle handle = free_handles_.back();
+  free_handles_.pop_back();
+  const uint32_t generation = servers_[handle].generation + 1;
+  servers_[handle] = ServerState();
+  servers_[handle].generation = generation;
+  return handle;
+}
+
+// Forgets the name of a server that no manifest lists, so that a later one of that name starts
+// anew, and frees its handle once no request is at it.
+void Chooser::ReleaseIfUnused(Handle handle) {
+  ServerState& server = servers_[handle];
+  if (server.listed || server.config.id.Empty()) return;
+  const auto it = server_index_.find(server.config.id);
+  if (it != server_index_.end() && it->second == handle) server_index_.erase(it);
+  if (server.load.Own() > 0) return;
+  server.config = BackendServer();
+  free_handles_.push_back(handle);
+}
+
+void Chooser::Rebuild(ServiceState& service) {
+  std::sort(service.members.begin(), service.members.end(),
+            [this](Handle a, Handle b) { return servers_[a].order < servers_[b].order; });
+  service.lists = picker_.Split(service.members, !service.config.emergency_tenants.empty());
+}
+
+// --- Requests
+
+Choice Chooser::Choose(const ChoiceRequest& wanted, MonotonicTime now) {
+  last_now_ = now;
+  const auto it = service_index_.find(wanted.service);
+  if (it == service_index_.end() || !services_[it->second]->listed) {
+    return Refuse{wanted.ticket, RefusalCause::kUnknownService, kMostRetryAfter};
+  }
+  ServiceState& service = *services_[it->second];
+  Request& request = requests_[wanted.ticket];
+  assert(request.attempts.empty() && "Give each request a new ticket; this one is in use.");
+  request.service = it->second;
+  request.request_class = wanted.request_class;
+  request.deadline = wanted.deadline;
+  request.repeatable = wanted.repeatable;
+  request.depth = wanted.depth;
+  Choice choice = Admit(wanted.ticket, request, service, now);
+  if (std::holds_alternative<Refuse>(choice)) requests_.erase(wanted.ticket);
+  return choice;
+}
+
+Choice Chooser::Admit(Ticket ticket, Request& request, ServiceState& service, MonotonicTime now) {
+  if (auto refuse = RefuseHopeless(ticket, request, service, now)) return *refuse;
+  const bool first = service.queue.Ahead(request.request_class) == 0;
+  if (first && MaySend(service, request.request_class)) {
+    if (auto send = Send(ticket, request, service, DecisionKind::kSend, now)) {
+      service.budget.OnFirstAttempt(service.config.retry_budget, request.depth);
+      return *send;
+    }
+  }
+  return Enqueue(ticket, request, service, now);
+}
+
+std::optional<Refuse> Chooser::RefuseHopeless(Ticket ticket, const Request& request,
+                                              ServiceState& service, MonotonicTime now) {
+  if (now >= request.deadline) {
+    return Refused(ticket, request, service, RefusalCause::kDeadline, now);
+  }
+  const Duration mean = service.Latency(request.request_class).Mean();
+  if (now + Times(mean, kHopeless) > request.deadline) {
+    return Refused(ticket, request, service, RefusalCause::kDeadline, now);
+  }
+  const ServerLists& lists = service.lists;
+  if (lists.general.empty() && lists.reserved.empty() && lists.ejected.empty()) {
+    return Refused(ticket, request, service, RefusalCause::kNoBackendServer, now);
+  }
+  return std::nullopt;
+}
+
+bool Chooser::MaySend(const ServiceState& service, RequestClass request_class) const {
+  if (request_class == RequestClass::kEmergency) return true;
+  if (!service.window.Allows(service.OpenInWindow())) return false;
+  if (request_class != RequestClass::kBulk) return true;
+  const uint32_t bulk = service.OpenOf(RequestClass::kBulk);
+  return bulk == 0 || bulk + 1 <= kBulkShare * service.window.Size();
+}
+
+Choice Chooser::Enqueue(Ticket ticket, Request& request, ServiceState& service, MonotonicTime now) {
+  const Duration mean = service.Latency(request.request_class).Mean();
+  const auto ahead = static_cast<double>(service.queue.Ahead(request.request_class));
+  const Duration wait = Times(mean, (ahead + 1) / service.window.Size());
+  const MonotonicTime latest = request.deadline - Times(mean, kWorthSending);
+  if (now + wait >= latest) {
+    return Refused(ticket, request, service, RefusalCause::kOverload, now);
+  }
+  const bool was_empty = service.queue.Empty();
+  const AdmissionQueue::Entry entry{ticket, latest};
+  if (!service.queue.Push(request.request_class, entry, service.config.queue_limit)) {
+    return Refused(ticket, request, service, RefusalCause::kOverload, now);
+  }
+  if (was_empty) waiting_services_.push_back(request.service);
+  request.waiting = true;
+  DecisionEntry decision{.ticket = ticket, .kind = DecisionKind::kWait};
+  decision.open = service.OpenInWindow();
+  decision.window = static_cast<float>(service.window.Size());
+  decision.waiting = static_cast<uint32_t>(ahead) + 1;
+  service.recent.Add(decision);
+  return Wait{};
+}
+
+std::optional<SendTo> Chooser::Send(Ticket ticket, Request& request, ServiceState& service,
+                                    DecisionKind kind, MonotonicTime now) {
+  if (const auto trial = TrialServer(request, service, now)) {
+    return Record(ticket, request, service, DecisionKind::kTrial, *trial, PickResult(), now);
+  }
+  const PickResult pick = Pick(request, service, now);
+  if (!pick.server) return std::nullopt;
+  return Record(ticket, request, service, kind, *pick.server, pick, now);
+}
+
+// A server whose circuit is half-open and that gets this request as its trial. Only a first
+// attempt that may be repeated serves as one, and never an emergency.
+std::optional<Handle> Chooser::TrialServer(const Request& request, ServiceState& service,
+                                           MonotonicTime now) {
+  const std::vector<Handle>& ejected = service.lists.ejected;
+  if (ejected.empty()) return std::nullopt;
+  const bool none_else = service.lists.general.empty() && service.lists.reserved.empty();
+  const bool suited = request.repeatable && request.attempts.empty() &&
+                      request.request_class == RequestClass::kRoutine;
+  if (!suited && !none_else) return std::nullopt;
+  const Handle handle = ejected[random_() % ejected.size()];
+  ServerState& server = servers_[handle];
+  if (server.circuit.WantsTrial(now) && !server.shed.Active(now)) return handle;
+  return std::nullopt;
+}
+
+PickResult Chooser::Pick(const Request& request, const ServiceState& service, MonotonicTime now) {
+  std::array<Handle, kMostAttempts> tried{};
+  size_t n = 0;
+  for (const Attempt& attempt : request.attempts) {
+    if (n < tried.size()) tried[n++] = attempt.server;
+  }
+  PickRequest pick;
+  pick.request_class = request.request_class;
+  pick.tried = std::span<const Handle>(tried.data(), n);
+  pick.typical_others = service.typical_others;
+  pick.half_life = service.latency[static_cast<size_t>(request.request_class)].Mean();
+  pick.one_slot_kept = !service.config.emergency_tenants.empty() && service.lists.reserved.empty();
+  PickResult result = picker_.Pick(service.lists, pick, now, random_);
+  if (result.server || n == 0) return result;
+  pick.tried = {};
+  return picker_.Pick(service.lists, pick, now, random_);
+}
+
+SendTo Chooser::Record(Ticket ticket, Request& request, ServiceState& service, DecisionKind kind,
+                       Handle handle, const PickResult& pick, MonotonicTime now) {
+  ServerState& server = servers_[handle];
+  server.load.OnSent(now);
+  ++service.Open(request.request_class);
+  const bool trial = kind == DecisionKind::kTrial;
+  if (trial) server.circuit.OnTrialSent();
+  request.attempts.push_back(Attempt{handle, now, true, trial});
+  const ClassLatency& latency = service.Latency(request.request_class);
+  const bool hedgeable = request.repeatable && request.request_class != RequestClass::kBulk;
+  if (hedgeable && request.attempts.size() == 1 && latency.Known()) {
+    hedges_.emplace(now + latency.HedgeDelay(), ticket);
+  }
+  DecisionEntry decision{.ticket = ticket, .kind = kind};
+  decision.open = service.OpenInWindow();
+  decision.window = static_cast<float>(service.window.Size());
+  decision.chosen = handle;
+  decision.generation = server.generation;
+  decision.considered = pick.considered;
+  decision.considered_count = pick.count;
+  service.recent.Add(decision);
+  const auto number = static_cast<uint32_t>(request.attempts.size());
+  return SendTo{ticket, server.config.id, server.config.endpoint, number};
+}
+
+Refuse Chooser::Refused(Ticket ticket, const Request& request, ServiceState& service,
+                        RefusalCause cause, MonotonicTime now) {
+  DecisionEntry decision{.ticket = ticket, .kind = DecisionKind::kRefuse};
+  decision.cause = static_cast<uint8_t>(cause);
+  decision.open = service.OpenInWindow();
+  decision.window = static_cast<float>(service.window.Size());
+  decision.waiting = static_cast<uint32_t>(service.queue.Ahead(request.request_class));
+  service.recent.Add(decision);
+  // Time in which the queue of today is served, spread so that callers don't return together.
+  const Duration mean = service.Latency(request.request_class).Mean();
+  const Duration queue = Times(mean, (decision.waiting + 1) / service.window.Size());
+  const double spread = std::uniform_real_distribution<double>(1.0, 2.0)(random_);
+  const auto after = std::chrono::ceil<std::chrono::milliseconds>(
+      Times(std::max<Duration>(queue, kLeastRetryAfter), spread));
+  return Refuse{ticket, cause, std::min(after, kMostRetryAfter)};
 }
 
 Choice Chooser::Retry(Ticket ticket, MonotonicTime now) {
+  last_now_ = now;
+  const auto it = requests_.find(ticket);
+  if (it == requests_.end()) return Refuse{ticket, RefusalCause::kRetryBudget, kLeastRetryAfter};
+  Request& request = it->second;
+  ServiceState& service = *services_[request.service];
+  if (auto refuse = RefuseHopeless(ticket, request, service, now)) return *refuse;
+  if (service.shed_share > kShedTooMuch) {
+    return Refused(ticket, request, service, RefusalCause::kOverload, now);
+  }
+  if (request.attempts.size() >= kMostAttempts || !service.budget.Affordable()) {
+    return Refused(ticket, request, service, RefusalCause::kRetryBudget, now);
+  }
+  auto send = Send(ticket, request, service, DecisionKind::kRetry, now);
+  if (!send) return Refused(ticket, request, service, RefusalCause::kOverload, now);
+  service.budget.Take();
+  return *send;
+}
+
+std::vector<Ticket> Chooser::HedgeDue(MonotonicTime now) {
+  std::vector<Ticket> due;
+  while (!hedges_.empty() && hedges_.top().first <= now) {
+    const Ticket ticket = hedges_.top().second;
+    hedges_.pop();
+    const auto it = requests_.find(ticket);
+    if (it == requests_.end() || it->second.finished) continue;
+    if (it->second.attempts.size() == 1 && it->second.attempts.front().open) due.push_back(ticket);
+  }
+  return due;
+}
+
+std::optional<SendTo> Chooser::Hedge(Ticket ticket, MonotonicTime now) {
+  last_now_ = now;
+  const auto it = requests_.find(ticket);
+  if (it == requests_.end()) return std::nullopt;
+  Request& request = it->second;
+  ServiceState& service = *services_[request.service];
+  const bool allowed = request.repeatable && !request.finished && request.attempts.size() == 1 &&
+                       service.listed && service.shed_share <= kShedTooMuch;
+  if (!allowed || !service.budget.Affordable()) return std::nullopt;
+  if (RefuseHopeless(ticket, request, service, now)) return std::nullopt;
+  const PickResult pick = Pick(request, service, now);
+  if (!pick.server || *pick.server == request.attempts.front().server) return std::nullopt;
+  service.budget.Take();
+  return Record(ticket, request, service, DecisionKind::kHedge, *pick.server, pick, now);
+}
+
+void Chooser::Finish(Ticket ticket, MonotonicTime now) {
+  last_now_ = now;
+  const auto it = requests_.find(ticket);
+  if (it == requests_.end()) return;
+  Request& request = it->second;
+  request.finished = true;
+  if (request.waiting) services_[request.service]->queue.Erase(ticket);
+  request.waiting = false;
+  const bool any_open = std::any_of(request.attempts.begin(), request.attempts.end(),
+                                    [](const Attempt& attempt) { return attempt.open; });
+  if (!any_open) requests_.erase(it);
+}
+
+std::vector<Ready> Chooser::TakeReady(MonotonicTime now) {
+  last_now_ = now;
+  std::vector<Ready> ready;
+  for (const uint32_t position : waiting_services_) DrainQueue(*services_[position], now, ready);
+  std::erase_if(waiting_services_,
+                [this](uint32_t position) { return services_[position]->queue.Empty(); });
+  return ready;
+}
+
+void Chooser::DrainQueue(ServiceState& service, MonotonicTime now, std::vector<Ready>& ready) {
+  const bool gone = !service.listed;
+  const auto ended = gone ? service.queue.TakeAll() : service.queue.TakeLate(now);
+  for (const Ticket ticket : ended) {
+    const RefusalCause cause = gone ? RefusalCause::kUnknownService : RefusalCause::kOverload;
+    ready.emplace_back(Refused(ticket, requests_[ticket], service, cause, now));
+    requests_.erase(ticket);
+  }
+  while (const AdmissionQueue::Entry* front = service.queue.Front()) {
+    const Ticket ticket = front->ticket;
+    Request& request = requests_[ticket];
+    if (!MaySend(service, request.request_class)) return;
+    const auto send = Send(ticket, request, service, DecisionKind::kSend, now);
+    if (!send) return;
+    service.budget.OnFirstAttempt(service.config.retry_budget, request.depth);
+    request.waiting = false;
+    service.queue.PopFront();
+    ready.emplace_back(*send);
+  }
+}
+
+std::optional<MonotonicTime> Chooser::NextWake() const {
+  std::optional<MonotonicTime> wake;
+  if (!hedges_.empty()) wake = hedges_.top().first;
+  for (const uint32_t position : waiting_services_) {
+    const MonotonicTime due =
+        std::min<MonotonicTime>(services_[position]->queue.Earliest(), last_now_ + kQueueTick);
+    if (!wake || due < *wake) wake = due;
+  }
+  return wake;
+}
+
+// --- What is learnt
+
+void Chooser::OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result,
+                      MonotonicTime now) {
+  last_now_ = now;
   const auto it = requests_.find(ticket);
-  if (it == requests_.end() || it->second.attempts > 2) {
-    return Refuse{ticket, RefusalCause::kRetryBudget};
+  if (it == requests_.end()) return;
+  Request& request = it->second;
+  const auto attempt =
+      std::find_if(request.attempts.begin(), request.attempts.end(), [&](const Attempt& attempt) {
+        return attempt.open && servers_[attempt.server].config.id == server;
+      });
+  assert(attempt != request.attempts.end() &&
+         "Call OnEnded once for each SendTo, with the server that it named.");
+  if (attempt == request.attempts.end()) return;
+  attempt->open = false;
+  const Handle handle = attempt->server;
+  servers_[handle].load.OnEnded(attempt->sent);
+  --services_[request.service]->Open(request.request_class);
+  if (result.report) ApplyReport(handle, *result.report, LeavingSource::kAnswer, now);
+  Judge(*attempt, request, result, now);
+  ReleaseIfUnused(handle);
+  if (request.finished) Finish(ticket, now);
+}
+
+void Chooser::Judge(const Attempt& attempt, const Request& request, const AttemptResult& result,
+                    MonotonicTime now) {
+  ServiceState& service = *services_[request.service];
+  ServerState& server = servers_[attempt.server];
+  const bool shed = result.end == AttemptEnd::kShed;
+  service.shed_share += kShedWeight * ((shed ? 1.0 : 0.0) - service.shed_share);
+  const Duration latency = result.latency > Duration{} ? result.latency : now - attempt.sent;
+  const double ratio = service.Latency(request.request_class).RatioOf(latency);
+  switch (result.end) {
+    case AttemptEnd::kAnswered:
+      JudgeAnswer(attempt, request, latency, now);
+      return;
+    case AttemptEnd::kShed:
+      server.shed.OnShed(now);
+      service.window.OnOverload();
+      if (attempt.trial) server.circuit.OnTrialVoid();
+      return;
+    case AttemptEnd::kNotStarted:
+      if (server.leaving.Leaving()) return;
+      JudgeFailure(attempt.server, now);
+      return;
+    case AttemptEnd::kTimedOut:
+      server.ratio.OnGivenUp(ratio, now);
+      service.window.OnOverload();
+      JudgeFailure(attempt.server, now);
+      return;
+    case AttemptEnd::kCancelled:
+      server.ratio.OnGivenUp(ratio, now);
+      if (attempt.trial) server.circuit.OnTrialVoid();
+      return;
+    case AttemptEnd::kServerError:
+    case AttemptEnd::kConnectFailed:
+    case AttemptEnd::kCut:
+      JudgeFailure(attempt.server, now);
+      return;
   }
-  return Pick(it->second);
 }
 
-std::optional<SendTo> Chooser::Hedge(Ticket ticket, MonotonicTime now) { return std::nullopt; }
+void Chooser::JudgeAnswer(const Attempt& attempt, const Request& request, Duration latency,
+                          MonotonicTime now) {
+  ServiceState& service = *services_[request.service];
+  ServerState& server = servers_[attempt.server];
+  ClassLatency& typical = service.Latency(request.request_class);
+  const double ratio = typical.RatioOf(latency);
+  typical.OnAnswer(latency);
+  server.ratio.OnAnswer(ratio, now);
+  const bool was_closed = server.circuit.Closed();
+  if (!server.circuit.OnSuccess(ratio, server.ratio.Value(now), MayEject(service), now)) return;
+  if (!was_closed && server.circuit.Closed()) {
+    server.ramp_start = now;
+    server.ratio.Reset();
+  }
+  Rebuild(service);
+}
 
-void Chooser::Finish(Ticket ticket, MonotonicTime now) { requests_.erase(ticket); }
+void Chooser::JudgeFailure(Handle handle, MonotonicTime now) {
+  ServerState& server = servers_[handle];
+  ServiceState& service = *services_[server.service];
+  if (server.circuit.OnFailure(MayEject(service), now)) Rebuild(service);
+}
+
+bool Chooser::MayEject(const ServiceState& service) const {
+  const ServerLists& lists = service.lists;
+  const size_t n = lists.general.size() + lists.reserved.size() + lists.ejected.size();
+  return lists.ejected.size() < CandidatePicker::MostEjected(n);
+}
 
 void Chooser::OnReport(const BackendServerId& server, const Report& report, MonotonicTime now) {
-  const auto it = servers_.find(server);
-  if (it == servers_.end()) return;
-  it->second.report = report;
-  it->second.reported = now;
-  if (report.draining) it->second.leaving = true;
+  last_now_ = now;
+  const auto it = server_index_.find(server);
+  if (it != server_index_.end()) ApplyReport(it->second, report, LeavingSource::kProbe, now);
+}
+
+void Chooser::ApplyReport(Handle handle, const Report& report, LeavingSource source,
+                          MonotonicTime now) {
+  ServerState& server = servers_[handle];
+  ServiceState& service = *services_[server.service];
+  server.report = report;
+  server.reported = now;
+  if (report.in_flight) {
+    server.load.OnReport(*report.in_flight, now);
+    service.typical_others += kOthersWeight * (server.load.Others() - service.typical_others);
+    const double slots = std::max(1U, report.slots.value_or(server.config.slots));
+    service.window.OnReport(*report.in_flight / slots, service.OpenInWindow());
+  }
+  if (report.shedding) server.shed.OnShed(now);
+  if (report.draining) {
+    MarkLeaving(handle, source, now);
+  } else if (server.leaving.OnServingReport(now)) {
+    server.ramp_start = now;
+    Rebuild(service);
+  }
 }
 
 void Chooser::OnLeaving(const BackendServerId& server, LeavingSource source, MonotonicTime now) {
-  const auto it = servers_.find(server);
-  if (it != servers_.end()) it->second.leaving = true;
+  last_now_ = now;
+  const auto it = server_index_.find(server);
+  if (it != server_index_.end()) MarkLeaving(it->second, source, now);
 }
 
-std::vector<Ready> Chooser::TakeReady(MonotonicTime now) { return {}; }
+void Chooser::MarkLeaving(Handle handle, LeavingSource source, MonotonicTime now) {
+  ServerState& server = servers_[handle];
+  if (!server.leaving.Set(source, now)) return;
+  const bool by_server = source == LeavingSource::kAnswer || source == LeavingSource::kProbe;
+  if (by_server) newly_leaving_.push_back(server.config.id);
+  if (server.listed) Rebuild(*services_[server.service]);
+}
 
-std::optional<MonotonicTime> Chooser::NextWake() const { return std::nullopt; }
+std::vector<BackendServerId> Chooser::TakeNewlyLeaving() {
+  return std::exchange(newly_leaving_, {});
+}
+
+// --- What is shown
 
 std::vector<ServerView> Chooser::View(MonotonicTime now) const {
   std::vector<ServerView> views;
-  for (const auto& [id, server] : servers_) {
+  for (const ServerState& server : servers_) {
+    if (!server.listed) continue;
+    const ServiceState& service = *services_[server.service];
+    const ClassLatency& typical = service.latency[static_cast<size_t>(RequestClass::kRoutine)];
     ServerView view;
-    view.server = id;
+    view.server = server.config.id;
     view.service = server.config.service;
     view.last_report = server.report;
     view.report_age = server.report ? now - server.reported : Duration{};
-    view.in_flight = server.in_flight;
-    view.leaving = server.leaving;
-    view.circuit = "closed";
+    view.in_flight = server.load.Own();
+    view.leaving = server.leaving.Leaving();
+    view.circuit = std::string(NameOf(server.circuit.State()));
+    view.latency_estimate = Times(typical.Mean(), server.ratio.Value(now));
     views.push_back(std::move(view));
   }
   return views;
 }
 
-std::vector<Decision> Chooser::Recent(const ServiceId& service) const { return {}; }
+std::vector<Decision> Chooser::Recent(const ServiceId& service) const {
+  std::vector<Decision> decisions;
+  const auto it = service_index_.find(service);
+  if (it == service_index_.end()) return decisions;
+  services_[it->second]->recent.ForEach([&](const DecisionEntry& entry) {
+    Decision decision;
+    decision.ticket = entry.ticket;
+    if (entry.kind == DecisionKind::kWait) {
+      decision.chosen = "wait";
+    } else if (entry.kind == DecisionKind::kRefuse) {
+      decision.chosen = std::string(NameOf(static_cast<RefusalCause>(entry.cause)));
+    } else {
+      const ServerState& server = servers_[entry.chosen];
+      decision.chosen =
+          server.generation == entry.generation ? server.config.id.Text() : "removed server";
+    }
+    decision.reason = Explain(entry);
+    decisions.push_back(std::move(decision));
+  });
+  return decisions;
+}
+
+std::string Chooser::Explain(const DecisionEntry& entry) const {
+  char buf[96];
+  std::snprintf(buf, sizeof(buf), ": %u open of %.1f allowed, %u waiting", entry.open,
+                static_cast<double>(entry.window), entry.waiting);
+  std::string text = std::string(NameOf(entry.kind)) + buf;
+  for (size_t i = 0; i < entry.considered_count; ++i) {
+    const Considered& considered = entry.considered[i];
+    const ServerState& server = servers_[considered.server];
+    const bool same = server.generation == considered.generation;
+    std::snprintf(buf, sizeof(buf), " %.2f", static_cast<double>(considered.score));
+    text += (i == 0 ? "; expected latency in means: " : ", ");
+    text += (same ? server.config.id.Text() : "removed server") + buf;
+  }
+  return text;
+}
 
 }  // namespace cowsliphill
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -3,25 +3,37 @@
 //
 // Life of a request:
 //   Choose -> SendTo | Wait | Refuse.
-//   After SendTo: OnEnded with how the attempt ended; then Retry, if the forwarder wants another.
 //   After Wait: TakeReady returns its SendTo or Refuse when its turn or its end has come.
-//   Cancel at any time ends it.
+//   After SendTo: OnEnded exactly once for each SendTo, with how the attempt ended (kCancelled if
+//   it was given up); then Retry, if the forwarder wants another.
+//   HedgeDue names slow requests; Hedge may then give them a second, concurrent attempt.
+//   Finish at any time ends the request; attempts still out are ended by OnEnded afterwards.
+//
+// After each event call TakeReady, and again no later than NextWake says.
+//
+// Time per decision does not depend on the number of backend servers. docs/CHOOSING.md has the
+// policy and its figures.
 
 #ifndef COWSLIPHILL_CHOOSE_CHOOSER_H_
 #define COWSLIPHILL_CHOOSE_CHOOSER_H_
 
 #include <chrono>
 #include <cstdint>
-#include <map>
+#include <functional>
+#include <memory>
 #include <optional>
-#include <random>
+#include <queue>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "src/base/clock.h"
 #include "src/base/ids.h"
+#include "src/choose/candidates.h"
+#include "src/choose/decision_ring.h"
+#include "src/choose/leaving.h"
 #include "src/manifest/manifest.h"
 #include "src/measure/report.h"
 
@@ -80,8 +92,6 @@
   std::optional<Report> report;  // Carried on the answer.
 };
 
-enum class LeavingSource { kAnswer, kProbe, kVmList, kManifest, kPeer };
-
 // What this entry VM knows of one backend server, for status and explain.
 struct ServerView {
   BackendServerId server;
@@ -103,6 +113,9 @@
 class Chooser {
  public:
   Chooser(PlaceId place, uint64_t seed);
+  ~Chooser();
+  Chooser(const Chooser&) = delete;
+  Chooser& operator=(const Chooser&) = delete;
 
   // Takes a manifest; state of backend servers that remain is kept.
   void Apply(const Manifest& manifest, MonotonicTime now);
@@ -118,37 +131,89 @@
   // Forgets the request: it got its final answer or its caller went away.
   void Finish(Ticket ticket, MonotonicTime now);
 
+  // A report of a probe, or one that another entry VM passed on.
   void OnReport(const BackendServerId& server, const Report& report, MonotonicTime now);
   void OnLeaving(const BackendServerId& server, LeavingSource source, MonotonicTime now);
+  // Servers first seen leaving here, by their own word, since the last call: to be told to other
+  // entry VMs.
+  std::vector<BackendServerId> TakeNewlyLeaving();
 
   // Waiting requests whose turn has come or that are refused now.
   std::vector<Ready> TakeReady(MonotonicTime now);
-  // When TakeReady or Hedge may next have something without a further event.
+  // Requests that have waited for an answer so long that a hedge may help; each is named once.
+  std::vector<Ticket> HedgeDue(MonotonicTime now);
+  // When TakeReady or HedgeDue may next have something without a further event.
   std::optional<MonotonicTime> NextWake() const;
 
   std::vector<ServerView> View(MonotonicTime now) const;
   std::vector<Decision> Recent(const ServiceId& service) const;
 
  private:
-  struct Server {
-    BackendServer config;
-    uint32_t in_flight = 0;
-    bool leaving = false;
-    std::optional<Report> report;
-    MonotonicTime reported;
+  struct Attempt {
+    Handle server = 0;
+    MonotonicTime sent;
+    bool open = true;    // Not ended yet.
+    bool trial = false;  // Of a server whose circuit is half-open.
   };
   struct Request {
-    ChoiceRequest request;
-    uint32_t attempts = 0;
+    uint32_t service = 0;  // Position in services_.
+    RequestClass request_class = RequestClass::kRoutine;
+    MonotonicTime deadline;
+    bool repeatable = false;
+    bool waiting = false;   // In the service's queue.
+    bool finished = false;  // Kept only until its open attempts end.
+    uint32_t depth = 0;
+    std::vector<Attempt> attempts;  // In order of sending.
   };
-
-  Choice Pick(Request& request);
+  struct ServiceState;
+  using Due = std::pair<MonotonicTime, Ticket>;
+
+  void ApplyServices(const Manifest& manifest);
+  void ApplyServer(const BackendServer& config, bool first_manifest, MonotonicTime now);
+  Handle NewHandle();
+  void Rebuild(ServiceState& service);
+  void ReleaseIfUnused(Handle handle);
+
+  Choice Admit(Ticket ticket, Request& request, ServiceState& service, MonotonicTime now);
+  Choice Enqueue(Ticket ticket, Request& request, ServiceState& service, MonotonicTime now);
+  std::optional<Refuse> RefuseHopeless(Ticket ticket, const Request& request, ServiceState& service,
+                                       MonotonicTime now);
+  bool MaySend(const ServiceState& service, RequestClass request_class) const;
+  std::optional<SendTo> Send(Ticket ticket, Request& request, ServiceState& service,
+                             DecisionKind kind, MonotonicTime now);
+  std::optional<Handle> TrialServer(const Request& request, ServiceState& service,
+                                    MonotonicTime now);
+  PickResult Pick(const Request& request, const ServiceState& service, MonotonicTime now);
+  SendTo Record(Ticket ticket, Request& request, ServiceState& service, DecisionKind kind,
+                Handle handle, const PickResult& pick, MonotonicTime now);
+  Refuse Refused(Ticket ticket, const Request& request, ServiceState& service, RefusalCause cause,
+                 MonotonicTime now);
+  void DrainQueue(ServiceState& service, MonotonicTime now, std::vector<Ready>& ready);
+
+  void ApplyReport(Handle handle, const Report& report, LeavingSource source, MonotonicTime now);
+  void MarkLeaving(Handle handle, LeavingSource source, MonotonicTime now);
+  void Judge(const Attempt& attempt, const Request& request, const AttemptResult& result,
+             MonotonicTime now);
+  void JudgeAnswer(const Attempt& attempt, const Request& request, Duration latency,
+                   MonotonicTime now);
+  void JudgeFailure(Handle handle, MonotonicTime now);
+  bool MayEject(const ServiceState& service) const;
+  std::string Explain(const DecisionEntry& entry) const;
 
   PlaceId place_;
-  std::mt19937_64 random_;
-  std::map<ServiceId, std::vector<BackendServerId>> services_;
-  std::unordered_map<BackendServerId, Server> servers_;
+  Random random_;
+  std::vector<ServerState> servers_;  // By handle.
+  std::vector<Handle> free_handles_;
+  CandidatePicker picker_;
+  std::vector<std::unique_ptr<ServiceState>> services_;  // Never shrinks: one per name seen.
+  std::unordered_map<ServiceId, uint32_t> service_index_;
+  std::unordered_map<BackendServerId, Handle> server_index_;
   std::unordered_map<Ticket, Request> requests_;
+  std::vector<uint32_t> waiting_services_;  // With a queue that is not empty.
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> hedges_;
+  std::vector<BackendServerId> newly_leaving_;
+  bool any_manifest_ = false;  // One has been applied.
+  MonotonicTime last_now_;     // Of the newest event.
 };
 
 }  // namespace cowsliphill
--- /dev/null
+++ b/src/choose/chooser_test.cc
@@ -0,0 +1,430 @@
+// Tests of the chooser on virtual time.
+
+#include "src/choose/chooser.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace cowsliphill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class ChooserTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChooserTest);
+  CPPUNIT_TEST(Choose_UnknownService_Refused);
+  CPPUNIT_TEST(Choose_PastDeadline_RefusedAtOnce);
+  CPPUNIT_TEST(Choose_QueueTooLongForDeadline_RefusedWithRetryAfter);
+  CPPUNIT_TEST(Choose_RoutineSaturated_EmergencySentAtOnceToReservedServer);
+  CPPUNIT_TEST(Choose_RoutineOnly_NeverUsesReservedServer);
+  CPPUNIT_TEST(Choose_ReservedServerLeaving_NextOneTakesOver);
+  CPPUNIT_TEST(TakeReady_SlotFreed_StrictClassOrder);
+  CPPUNIT_TEST(TakeReady_WaitedTooLong_RefusedBeforeDeadline);
+  CPPUNIT_TEST(OnLeaving_AnySource_NoNewWorkAndStays);
+  CPPUNIT_TEST(OnReport_ServingLongAfterDraining_BackWithRamp);
+  CPPUNIT_TEST(OnEnded_FailsFast_EjectedAndOthersServe);
+  CPPUNIT_TEST(OnEnded_AllFail_BoundedShareEjected);
+  CPPUNIT_TEST(OnEnded_Straggler_EjectedThenTried);
+  CPPUNIT_TEST(OnEnded_Shed_PausedAndNotRetriedThere);
+  CPPUNIT_TEST(Apply_ServerRemains_KeepsItsState);
+  CPPUNIT_TEST(Apply_ServerRemoved_OpenWorkEndsThere);
+  CPPUNIT_TEST(Apply_ServerAdded_RampedUp);
+  CPPUNIT_TEST(Retry_BudgetSpent_Refused);
+  CPPUNIT_TEST(Retry_OtherUsable_NotTheSameServer);
+  CPPUNIT_TEST(RetryBudget_TwentyFiveLevels_AmplificationBounded);
+  CPPUNIT_TEST(Hedge_SlowRepeatable_SecondServerOnce);
+  CPPUNIT_TEST(Recent_AfterChoice_SaysCandidates);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override { Build(20); }
+
+  void Choose_UnknownService_Refused() {
+    ChoiceRequest request = NewRequest(RequestClass::kRoutine);
+    request.service = ServiceId("other");
+    const Choice choice = chooser_->Choose(request, now_);
+    CPPUNIT_ASSERT(std::get<Refuse>(choice).cause == RefusalCause::kUnknownService);
+  }
+
+  void Choose_PastDeadline_RefusedAtOnce() {
+    ChoiceRequest request = NewRequest(RequestClass::kRoutine);
+    request.deadline = now_;
+    const Choice choice = chooser_->Choose(request, now_);
+    CPPUNIT_ASSERT(std::get<Refuse>(choice).cause == RefusalCause::kDeadline);
+  }
+
+  void Choose_QueueTooLongForDeadline_RefusedWithRetryAfter() {
+    Warm();
+    Saturate();
+    Choice choice = Wait{};
+    int waiting = 0;
+    while (std::holds_alternative<Wait>(choice) && ++waiting < 10) {
+      choice = Choose(RequestClass::kRoutine, milliseconds(15));
+    }
+    CPPUNIT_ASSERT(std::holds_alternative<Refuse>(choice));
+    CPPUNIT_ASSERT(waiting > 1);
+    CPPUNIT_ASSERT(std::get<Refuse>(choice).cause == RefusalCause::kOverload);
+    CPPUNIT_ASSERT(std::get<Refuse>(choice).retry_after >= milliseconds(50));
+  }
+
+  void Choose_RoutineSaturated_EmergencySentAtOnceToReservedServer() {
+    const BackendServerId reserved = ReservedServer();
+    Warm();
+    Saturate();
+    CPPUNIT_ASSERT(std::holds_alternative<Wait>(Choose(RequestClass::kRoutine)));
+    const Choice choice = Choose(RequestClass::kEmergency);
+    CPPUNIT_ASSERT(std::holds_alternative<SendTo>(choice));
+    CPPUNIT_ASSERT(std::get<SendTo>(choice).server == reserved);
+  }
+
+  void Choose_RoutineOnly_NeverUsesReservedServer() {
+    const BackendServerId reserved = ReservedServer();
+    for (int i = 0; i < 2000; ++i) {
+      const Choice choice = Choose(i % 4 == 0 ? RequestClass::kBulk : RequestClass::kRoutine);
+      CPPUNIT_ASSERT(std::holds_alternative<SendTo>(choice));
+      CPPUNIT_ASSERT(!(std::get<SendTo>(choice).server == reserved));
+      End(std::get<SendTo>(choice), AttemptEnd::kAnswered);
+    }
+  }
+
+  void Choose_ReservedServerLeaving_NextOneTakesOver() {
+    const BackendServerId reserved = ReservedServer();
+    chooser_->OnLeaving(reserved, LeavingSource::kVmList, now_);
+    const BackendServerId next = ReservedServer();
+    CPPUNIT_ASSERT(!(next == reserved));
+    for (int i = 0; i < 500; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+      CPPUNIT_ASSERT(!(sent.server == next) && !(sent.server == reserved));
+      End(sent, AttemptEnd::kAnswered);
+    }
+  }
+
+  void TakeReady_SlotFreed_StrictClassOrder() {
+    Warm();
+    const std::vector<SendTo> sent = Saturate();
+    const Ticket bulk = next_ticket_;
+    CPPUNIT_ASSERT(std::holds_alternative<Wait>(Choose(RequestClass::kBulk)));
+    const Ticket routine = next_ticket_;
+    CPPUNIT_ASSERT(std::holds_alternative<Wait>(Choose(RequestClass::kRoutine)));
+    for (size_t i = 0; i < sent.size(); ++i) {
+      End(sent[i], AttemptEnd::kAnswered);
+      const auto ready = chooser_->TakeReady(now_);
+      if (ready.empty()) continue;
+      CPPUNIT_ASSERT_EQUAL(routine, std::get<SendTo>(ready.front()).ticket);
+      return;
+    }
+    CPPUNIT_FAIL("bulk request " + std::to_string(bulk) + " and the routine one never left");
+  }
+
+  void TakeReady_WaitedTooLong_RefusedBeforeDeadline() {
+    Warm();
+    Saturate();
+    const Ticket ticket = next_ticket_;
+    CPPUNIT_ASSERT(std::holds_alternative<Wait>(Choose(RequestClass::kRoutine, milliseconds(40))));
+    CPPUNIT_ASSERT(chooser_->TakeReady(now_).empty());
+    const MonotonicTime deadline = now_ + milliseconds(40);
+    while (now_ < deadline) {
+      const auto wake = chooser_->NextWake();
+      CPPUNIT_ASSERT(wake.has_value());
+      now_ = std::max(now_, *wake);
+      chooser_->HedgeDue(now_);
+      const auto ready = chooser_->TakeReady(now_);
+      if (ready.empty()) continue;
+      CPPUNIT_ASSERT_EQUAL(ticket, std::get<Refuse>(ready.front()).ticket);
+      CPPUNIT_ASSERT(now_ < deadline);
+      return;
+    }
+    CPPUNIT_FAIL("the waiting request was held until its deadline");
+  }
+
+  void OnLeaving_AnySource_NoNewWorkAndStays() {
+    const LeavingSource sources[] = {LeavingSource::kAnswer, LeavingSource::kProbe,
+                                     LeavingSource::kVmList, LeavingSource::kManifest,
+                                     LeavingSource::kPeer};
+    uint32_t n = 0;
+    for (const LeavingSource source : sources) chooser_->OnLeaving(Id(n++), source, now_);
+    Report serving;
+    for (uint32_t i = 0; i < n; ++i) chooser_->OnReport(Id(i), serving, now_ + seconds(5));
+    for (int i = 0; i < 500; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+      for (uint32_t k = 0; k < n; ++k) CPPUNIT_ASSERT(!(sent.server == Id(k)));
+      End(sent, AttemptEnd::kAnswered);
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, chooser_->TakeNewlyLeaving().size());
+  }
+
+  void OnReport_ServingLongAfterDraining_BackWithRamp() {
+    Report report;
+    report.draining = true;
+    chooser_->OnReport(Id(3), report, now_);
+    report.draining = false;
+    now_ += seconds(31);
+    chooser_->OnReport(Id(3), report, now_);
+    CPPUNIT_ASSERT(ViewOf(Id(3)).leaving);
+    chooser_->OnReport(Id(3), report, now_ + seconds(1));
+    CPPUNIT_ASSERT(!ViewOf(Id(3)).leaving);
+  }
+
+  void OnEnded_FailsFast_EjectedAndOthersServe() {
+    const BackendServerId victim = UnreservedServer();
+    int failed = 0;
+    for (int i = 0; i < 1000; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine, seconds(2), false));
+      const bool fails = sent.server == victim;
+      failed += fails ? 1 : 0;
+      now_ += milliseconds(10);
+      End(sent, fails ? AttemptEnd::kServerError : AttemptEnd::kAnswered,
+          fails ? milliseconds(1) : milliseconds(10));
+    }
+    CPPUNIT_ASSERT(failed <= 5);
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), ViewOf(victim).circuit);
+  }
+
+  void OnEnded_AllFail_BoundedShareEjected() {
+    for (int i = 0; i < 2000; ++i) {
+      const Choice choice = Choose(RequestClass::kRoutine, seconds(2), false);
+      if (const auto* sent = std::get_if<SendTo>(&choice)) End(*sent, AttemptEnd::kServerError);
+    }
+    size_t open = 0;
+    for (const ServerView& view : chooser_->View(now_)) open += view.circuit == "open" ? 1 : 0;
+    CPPUNIT_ASSERT(open > 0 && open <= 7);
+  }
+
+  void OnEnded_Straggler_EjectedThenTried() {
+    const BackendServerId victim = UnreservedServer();
+    Warm();
+    for (int i = 0; i < 500; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+      const bool slow = sent.server == victim;
+      now_ += milliseconds(20);
+      End(sent, AttemptEnd::kAnswered, slow ? milliseconds(100) : milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("open"), ViewOf(victim).circuit);
+    now_ += seconds(5);
+    for (int i = 0; i < 200; ++i) {
+      End(std::get<SendTo>(Choose(RequestClass::kRoutine)), AttemptEnd::kAnswered);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("closed"), ViewOf(victim).circuit);
+  }
+
+  void OnEnded_Shed_PausedAndNotRetriedThere() {
+    Build(2);
+    const auto first = std::get<SendTo>(Choose(RequestClass::kRoutine));
+    EndKeep(first, AttemptEnd::kShed);
+    const auto second = std::get<SendTo>(chooser_->Retry(first.ticket, now_));
+    CPPUNIT_ASSERT(!(second.server == first.server));
+    EndKeep(second, AttemptEnd::kShed);
+    CPPUNIT_ASSERT(std::holds_alternative<Refuse>(chooser_->Retry(first.ticket, now_)));
+  }
+
+  void Apply_ServerRemains_KeepsItsState() {
+    const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+    chooser_->OnLeaving(Id(5), LeavingSource::kVmList, now_);
+    ++manifest_.revision;
+    manifest_.backend_servers.pop_back();
+    chooser_->Apply(manifest_, now_);
+    CPPUNIT_ASSERT(ViewOf(Id(5)).leaving);
+    if (!(sent.server == Id(19))) CPPUNIT_ASSERT_EQUAL(1U, ViewOf(sent.server).in_flight);
+  }
+
+  void Apply_ServerRemoved_OpenWorkEndsThere() {
+    const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+    const Manifest before = manifest_;
+    manifest_.backend_servers.clear();
+    chooser_->Apply(manifest_, now_);
+    CPPUNIT_ASSERT(std::holds_alternative<Refuse>(Choose(RequestClass::kRoutine)));
+    End(sent, AttemptEnd::kAnswered);
+    chooser_->Apply(before, now_);
+    CPPUNIT_ASSERT_EQUAL(0U, ViewOf(sent.server).in_flight);
+  }
+
+  void Apply_ServerAdded_RampedUp() {
+    BackendServer added = manifest_.backend_servers.front();
+    added.id = BackendServerId("new");
+    manifest_.backend_servers.push_back(added);
+    chooser_->Apply(manifest_, now_);
+    const int cold = CountSentTo(added.id);
+    now_ += seconds(11);
+    const int warm = CountSentTo(added.id);
+    CPPUNIT_ASSERT(cold * 3 < warm);
+  }
+
+  void Retry_BudgetSpent_Refused() {
+    int retried = 0;
+    for (int i = 0; i < 1000; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+      EndKeep(sent, AttemptEnd::kConnectFailed);
+      const Choice again = chooser_->Retry(sent.ticket, now_);
+      if (const auto* second = std::get_if<SendTo>(&again)) {
+        ++retried;
+        EndKeep(*second, AttemptEnd::kAnswered);
+      }
+      chooser_->Finish(sent.ticket, now_);
+    }
+    CPPUNIT_ASSERT(retried > 0);
+    CPPUNIT_ASSERT(retried <= 103);  // A tenth of the requests and what was saved at the start.
+  }
+
+  void Retry_OtherUsable_NotTheSameServer() {
+    Build(2);
+    const auto first = std::get<SendTo>(Choose(RequestClass::kRoutine));
+    EndKeep(first, AttemptEnd::kConnectFailed);
+    const auto second = std::get<SendTo>(chooser_->Retry(first.ticket, now_));
+    CPPUNIT_ASSERT(!(second.server == first.server));
+    CPPUNIT_ASSERT_EQUAL(2U, second.attempt);
+  }
+
+  void RetryBudget_TwentyFiveLevels_AmplificationBounded() {
+    const double share = 0.1;
+    double amplification = 1.0;
+    for (uint32_t depth = 0; depth <= 40; ++depth) {
+      RetryBudget budget;
+      int extra = 0;
+      for (int i = 0; i < 100000; ++i) {
+        budget.OnFirstAttempt(share, depth);
+        extra += budget.Take() ? 1 : 0;
+      }
+      amplification *= 1.0 + extra / 100000.0;
+    }
+    CPPUNIT_ASSERT(amplification < 1.11);  // e^0.1 and what was saved at the start.
+  }
+
+  void Hedge_SlowRepeatable_SecondServerOnce() {
+    Warm();
+    const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+    CPPUNIT_ASSERT(chooser_->HedgeDue(now_ + milliseconds(1)).empty());
+    now_ = *chooser_->NextWake();
+    std::vector<Ticket> due = chooser_->HedgeDue(now_);
+    while (due.empty()) {
+      now_ = *chooser_->NextWake();
+      due = chooser_->HedgeDue(now_);
+    }
+    CPPUNIT_ASSERT_EQUAL(sent.ticket, due.front());
+    const auto hedge = chooser_->Hedge(sent.ticket, now_);
+    CPPUNIT_ASSERT(hedge && !(hedge->server == sent.server));
+    CPPUNIT_ASSERT(!chooser_->Hedge(sent.ticket, now_));
+    EndKeep(*hedge, AttemptEnd::kAnswered);
+    chooser_->Finish(sent.ticket, now_);
+    EndKeep(sent, AttemptEnd::kCancelled);
+    CPPUNIT_ASSERT_EQUAL(0U, ViewOf(sent.server).in_flight);
+  }
+
+  void Recent_AfterChoice_SaysCandidates() {
+    const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+    const auto recent = chooser_->Recent(service_id_);
+    CPPUNIT_ASSERT_EQUAL(sent.server.Text(), recent.back().chosen);
+    CPPUNIT_ASSERT(recent.back().reason.find(sent.server.Text()) != std::string::npos);
+  }
+
+ private:
+  static BackendServerId Id(uint32_t i) { return BackendServerId("b" + std::to_string(i)); }
+
+  void Build(uint32_t servers) {
+    manifest_ = Manifest();
+    manifest_.revision = 1;
+    Service service;
+    service.id = service_id_;
+    service.emergency_tenants = {TenantId("crew")};
+    manifest_.services.push_back(service);
+    for (uint32_t i = 0; i < servers; ++i) {
+      BackendServer server;
+      server.id = Id(i);
+      server.service = service_id_;
+      server.endpoint = Endpoint{"127.0.0.1", static_cast<uint16_t>(9000 + i)};
+      manifest_.backend_servers.push_back(server);
+    }
+    chooser_ = std::make_unique<Chooser>(PlaceId("p1"), 7);
+    chooser_->Apply(manifest_, now_);
+  }
+
+  ChoiceRequest NewRequest(RequestClass request_class) {
+    ChoiceRequest request;
+    request.ticket = next_ticket_++;
+    request.service = service_id_;
+    request.request_class = request_class;
+    request.deadline = now_ + seconds(2);
+    request.repeatable = true;
+    return request;
+  }
+
+  Choice Choose(RequestClass request_class, Duration deadline = seconds(2),
+                bool repeatable = true) {
+    ChoiceRequest request = NewRequest(request_class);
+    request.deadline = now_ + deadline;
+    request.repeatable = repeatable;
+    return chooser_->Choose(request, now_);
+  }
+
+  void EndKeep(const SendTo& sent, AttemptEnd end, Duration latency = milliseconds(10)) {
+    AttemptResult result;
+    result.end = end;
+    result.latency = latency;
+    chooser_->OnEnded(sent.ticket, sent.server, result, now_);
+  }
+  void End(const SendTo& sent, AttemptEnd end, Duration latency = milliseconds(10)) {
+    EndKeep(sent, end, latency);
+    chooser_->Finish(sent.ticket, now_);
+  }
+
+  // Answers of 10 ms, so that latencies are known.
+  void Warm() {
+    for (int i = 0; i < 100; ++i) {
+      const RequestClass request_class = i % 2 == 0 ? RequestClass::kRoutine : RequestClass::kBulk;
+      End(std::get<SendTo>(Choose(request_class)), AttemptEnd::kAnswered);
+    }
+  }
+
+  // Sends routine requests until one has to wait; that one is given up.
+  std::vector<SendTo> Saturate() {
+    std::vector<SendTo> sent;
+    while (true) {
+      const Ticket ticket = next_ticket_;
+      const Choice choice = Choose(RequestClass::kRoutine, seconds(2), false);
+      if (!std::holds_alternative<SendTo>(choice)) {
+        chooser_->Finish(ticket, now_);
+        return sent;
+      }
+      sent.push_back(std::get<SendTo>(choice));
+    }
+  }
+
+  // Where an emergency goes while everything is idle.
+  BackendServerId ReservedServer() {
+    const auto sent = std::get<SendTo>(Choose(RequestClass::kEmergency));
+    End(sent, AttemptEnd::kAnswered);
+    return sent.server;
+  }
+
+  BackendServerId UnreservedServer() { return ReservedServer() == Id(0) ? Id(1) : Id(0); }
+
+  ServerView ViewOf(const BackendServerId& id) {
+    for (const ServerView& view : chooser_->View(now_)) {
+      if (view.server == id) return view;
+    }
+    CPPUNIT_FAIL("no such server: " + id.Text());
+    return {};
+  }
+
+  int CountSentTo(const BackendServerId& id) {
+    int n = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+      n += sent.server == id ? 1 : 0;
+      End(sent, AttemptEnd::kAnswered);
+    }
+    return n;
+  }
+
+  const ServiceId service_id_{"register"};
+  MonotonicTime now_ = MonotonicTime(std::chrono::hours(1));
+  Manifest manifest_;
+  std::unique_ptr<Chooser> chooser_;
+  Ticket next_ticket_ = 1;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ChooserTest);
+
+}  // namespace
+}  // namespace cowsliphill
