--- a/src/claims/claim_keeper.h
+++ b/src/claims/claim_keeper.h
@@ -117,7 +117,8 @@
   }
 
   std::optional<MonotonicTime> NextWake() const {
-    std::optional<MonotonicTime> wake = queue_.NextWake();
+    std::optional<MonotonicTime> wake;
+    if (settling_ < kMostSettling) wake = queue_.NextWake();
     if (ends_.empty()) return wake;
     return wake ? std::min(*wake, ends_.begin()->first) : ends_.begin()->first;
   }
