--- a/src/manifest/manifest_format.cc
+++ b/src/manifest/manifest_format.cc
@@ -294,7 +294,7 @@
   return items;
 }
 
-// Writes one table: a heading and aligned-free "key = value" lines.
+// Writes one table: a heading and "key = value" lines.
 class TableWriter {
  public:
   explicit TableWriter(std::string& out) : out_(out) {}
@@ -315,6 +315,7 @@
   template <typename Id>
   void Ids(std::string_view key, const std::vector<Id>& ids) {
     std::vector<std::string> texts;
+    texts.reserve(ids.size());
     for (const Id& id : ids) texts.push_back(id.Text());
     Texts(key, texts);
   }
@@ -403,6 +404,20 @@
   return manifest;
 }
 
+template <typename Item>
+std::string FormatItem(const Item& item) {
+  std::string out;
+  TableWriter writer(out);
+  Write(writer, item);
+  return out;
+}
+
+template std::string FormatItem(const Place& item);
+template std::string FormatItem(const Team& item);
+template std::string FormatItem(const Service& item);
+template std::string FormatItem(const BackendServer& item);
+template std::string FormatItem(const EntryRules& item);
+
 std::string FormatManifest(const Manifest& manifest) {
   std::string out;
   TableWriter writer(out);
