Acceptance of manifests by one conditional transaction of the platform's table

The transaction writes head, history row and submission row, each under a condition. Versions never repeat, so sending the very same transaction again settles a lost answer: it takes effect at most once, and its conflict carries the row of the submission or of the winner. Plain reads were ruled out for this, because an old read after a write that took effect would be told as a refusal; the look at the start is a transaction that can't write either.

A verdict that can't be known is NotSettled (ask again with the same id). A conflict names the revision, author and time that won.

Roll back takes an earlier revision as a new one.

--- a/src/manifest/manifest_codec.cc
+++ b/src/manifest/manifest_codec.cc
@@ -280,6 +280,7 @@
 template <typename Visit, typename T>
 void VisitMembers(Visit visit, T& it, const SubmissionRow& d) {
   visit("accepted", it.accepted, d.accepted);
+  visit("content", it.content, d.content);
 }
 
 // Without the revision, so that the digest tells contents alone.
@@ -361,11 +362,11 @@
   std::array<unsigned char, EVP_MAX_MD_SIZE> hash;
   EVP_Digest(encoded_manifest.data(), encoded_manifest.size(), hash.data(), nullptr, EVP_sha256(),
              nullptr);
-  constexpr std::string_view kHexDigits = "0123456789abcdef";
+  constexpr std::string_view hex_digits = "0123456789abcdef";
   std::string digest;
   for (size_t i = 0; i < kDigestBytes; ++i) {
-    digest += kHexDigits[hash[i] >> 4];
-    digest += kHexDigits[hash[i] & 0xf];
+    digest += hex_digits[hash[i] >> 4];
+    digest += hex_digits[hash[i] & 0xf];
   }
   return digest;
 }
--- a/src/manifest/manifest_codec.h
+++ b/src/manifest/manifest_codec.h
@@ -48,6 +48,7 @@
 // The platform's row of one accepted submission, written together with the head.
 struct SubmissionRow {
   RevisionMark accepted;
+  std::string content;  // Digest of what was submitted, to tell a repeat from a reused id.
 };
 
 // Any bytes, as opposed to text.
--- /dev/null
+++ b/src/manifest/manifest_keeper.h
@@ -0,0 +1,245 @@
+// Takes submitted manifests and answers questions about accepted ones. Any entry VM may be asked.
+// The decisions are in acceptance.h; this runs them against the platform.
+//
+//   ManifestKeeper keeper(table, objects, loop, worker, clock, follower);
+//   keeper.Submit(submission, [](SubmissionAnswer answer) { ... });
+//
+// A keeper whose process is paused or killed between two steps leaves either nothing or the whole
+// acceptance; a whole manifest in the object store that no row names is harmless.
+
+#ifndef COWSLIPHILL_MANIFEST_MANIFEST_KEEPER_H_
+#define COWSLIPHILL_MANIFEST_MANIFEST_KEEPER_H_
+
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/manifest/acceptance.h"
+#include "src/manifest/manifest_format.h"
+#include "src/manifest/manifest_loader.h"
+
+namespace cowsliphill {
+
+inline constexpr int kTransactionTries = 3;  // Of one Submit call, before it answers NotSettled.
+
+enum class HistoryError {
+  kUnavailable,  // The platform did not answer: ask again.
+  kNoSuchRevision,
+};
+using HistoryResult = Result<std::vector<HistoryEntry>, HistoryError>;
+using DifferenceResult = Result<std::vector<DifferenceLine>, HistoryError>;
+using RevisionResult = Result<ManifestPtr, HistoryError>;
+
+// What the keeper needs of the manifest in force: the one at hand, and a place to put a new one.
+template <typename T>
+concept ManifestInForce = requires(T& in_force, LoadedManifest loaded) {
+  { in_force.Current() } -> std::convertible_to<ManifestPtr>;
+  in_force.Adopt(loaded);
+};
+
+template <TableClient Table, ObjectClient Objects, ManifestInForce InForce>
+class ManifestKeeper {
+ public:
+  using Done = std::function<void(SubmissionAnswer)>;
+
+  // All are used on the loop's thread, but for what `worker` runs off it, and outlive the keeper.
+  ManifestKeeper(Table& table, Objects& objects, Executor loop, Executor worker, const Clock& clock,
+                 InForce& in_force)
+      : table_(table),
+        objects_(objects),
+        loop_(loop),
+        worker_(worker),
+        clock_(clock),
+        in_force_(in_force),
+        loader_(table, objects, std::move(loop), std::move(worker)) {}
+
+  // Answers once, within a few of the platform's timeouts.
+  void Submit(Submission submission, Done done) {
+    auto attempt = std::make_shared<Attempt>();
+    attempt->done = std::move(done);
+    attempt->input.submission = std::move(submission);
+    std::vector<Issue> issues = CheckSubmission(attempt->input.submission);
+    if (!issues.empty()) {
+      loop_([attempt, issues = std::move(issues)] { attempt->done(Refused{issues}); });
+      return;
+    }
+    if (attempt->input.submission.roll_back_to) return Look(attempt);
+    worker_([this, attempt] { ParseOffLoop(attempt); });
+  }
+
+  // Accepted revisions after `after`, oldest first, at most `most`.
+  void History(uint64_t after, size_t most, std::function<void(HistoryResult)> done) {
+    table_.Scan(kManifestHistoryPrefix, HistoryKey(after), most,
+                [done = std::move(done)](ScanResult result) {
+                  if (!Ok(result)) return done(HistoryError::kUnavailable);
+                  std::vector<HistoryEntry> entries;
+                  for (const Row& row : ValueOf(result)) {
+                    std::optional<HistoryEntry> entry = DecodeHistoryEntry(row.value);
+                    if (entry) entries.push_back(*std::move(entry));
+                  }
+                  done(std::move(entries));
+                });
+  }
+
+  // The manifest of an accepted revision.
+  void At(uint64_t revision, std::function<void(RevisionResult)> done) {
+    const ManifestPtr current = in_force_.Current();
+    if (current && current->revision == revision) {
+      loop_([current, done = std::move(done)] { done(current); });
+      return;
+    }
+    table_.Get(HistoryKey(revision), [this, done = std::move(done)](GetResult result) {
+      OnHistoryRow(std::move(result), done);
+    });
+  }
+
+  // What differs between two accepted revisions.
+  void Compare(uint64_t from, uint64_t to, std::function<void(DifferenceResult)> done) {
+    At(from, [this, to, done = std::move(done)](RevisionResult first) {
+      if (!Ok(first)) return done(ErrorOf(first));
+      At(to, [this, before = ValueOf(first), done](RevisionResult second) {
+        if (!Ok(second)) return done(ErrorOf(second));
+        worker_([loop = loop_, before, after = ValueOf(second), done] {
+          loop([done, lines = DescribeDifference(*before, *after)] { done(lines); });
+        });
+      });
+    });
+  }
+
+ private:
+  // One call of Submit on its way through the steps.
+  struct Attempt {
+    AcceptanceInput input;
+    PreparedAcceptance prepared;
+    Done done;
+    int tries = 0;  // Transactions sent.
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+
+  void ParseOffLoop(AttemptPtr attempt) {
+    ManifestResult result = ParseManifest(attempt->input.submission.text, "manifest");
+    if (!Ok(result)) {
+      loop_([attempt, issues = ErrorOf(result)] { attempt->done(Refused{issues}); });
+      return;
+    }
+    attempt->input.submitted = std::move(ValueOf(result));
+    loop_([this, attempt] { Look(attempt); });
+  }
+
+  void Look(AttemptPtr attempt) {
+    table_.Commit(LookTransaction(attempt->input.submission.id),
+                  [this, attempt](CommitResult result) { OnLooked(attempt, result); });
+  }
+
+  void OnLooked(AttemptPtr attempt, const CommitResult& result) {
+    const ManifestPtr current = in_force_.Current();
+    auto next = AfterLook(attempt->input.submission, result, current ? current->revision : 0);
+    if (auto* answer = std::get_if<SubmissionAnswer>(&next)) {
+      attempt->done(std::move(*answer));
+      return;
+    }
+    attempt->input.looked_up = std::get<LookedUp>(std::move(next));
+    LoadBase(attempt);
+  }
+
+  void LoadBase(AttemptPtr attempt) {
+    const std::optional<ManifestHead>& head = attempt->input.looked_up.head;
+    if (!head) {
+      attempt->input.base = std::make_shared<const Manifest>();
+      return LoadRollBack(attempt);
+    }
+    const ManifestPtr current = in_force_.Current();
+    if (current && current->revision == head->accepted.revision) {
+      attempt->input.base = current;
+      return LoadRollBack(attempt);
+    }
+    loader_.Load(*head, current, [this, attempt](LoadResult result) {
+      if (!Ok(result)) return attempt->done(NotSettled{"the accepted manifest can't be read"});
+      attempt->input.base = ValueOf(result).manifest;
+      LoadRollBack(attempt);
+    });
+  }
+
+  void LoadRollBack(AttemptPtr attempt) {
+    const std::optional<uint64_t> revision = attempt->input.submission.roll_back_to;
+    if (!revision) return Prepare(attempt);
+    At(*revision, [this, attempt](RevisionResult result) {
+      if (Ok(result)) {
+        attempt->input.submitted = *ValueOf(result);
+        return Prepare(attempt);
+      }
+      attempt->done(NotSettled{"the revision to roll back to can't be read"});
+    });
+  }
+
+  void Prepare(AttemptPtr attempt) {
+    attempt->input.now = clock_.WallNow();
+    worker_([this, attempt] {
+      auto next = std::make_shared<std::variant<PreparedAcceptance, SubmissionAnswer>>(
+          PrepareAcceptance(attempt->input));
+      loop_([this, attempt, next] {
+        if (auto* answer = std::get_if<SubmissionAnswer>(next.get())) {
+          return attempt->done(std::move(*answer));
+        }
+        attempt->prepared = std::get<PreparedAcceptance>(std::move(*next));
+        StoreWhole(attempt);
+      });
+    });
+  }
+
+  void StoreWhole(AttemptPtr attempt) {
+    if (!attempt->prepared.whole) return SendTransaction(attempt);
+    const std::string& digest = attempt->prepared.next.head.accepted.digest;
+    objects_.PutIfAbsent(WholeObjectName(digest), *attempt->prepared.whole,
+                         [this, attempt](PutObjectResult result) {
+                           if (Ok(result)) return SendTransaction(attempt);
+                           attempt->done(NotSettled{"the object store did not answer"});
+                         });
+  }
+
+  void SendTransaction(AttemptPtr attempt) {
+    ++attempt->tries;
+    table_.Commit(attempt->prepared.writes, [this, attempt](CommitResult result) {
+      auto answer = AfterTransaction(attempt->input.submission, attempt->prepared, result);
+      if (answer) return Answer(attempt, *std::move(answer));
+      if (attempt->tries < kTransactionTries) return SendTransaction(attempt);
+      attempt->done(NotSettled{"the platform's answer was lost"});
+    });
+  }
+
+  void Answer(AttemptPtr attempt, SubmissionAnswer answer) {
+    const auto* accepted = std::get_if<Accepted>(&answer);
+    if (accepted != nullptr && accepted->accepted == attempt->prepared.next.head.accepted) {
+      in_force_.Adopt(std::move(attempt->prepared.next));
+    }
+    attempt->done(std::move(answer));
+  }
+
+  void OnHistoryRow(GetResult result, std::function<void(RevisionResult)> done) {
+    if (!Ok(result)) return done(HistoryError::kUnavailable);
+    if (!ValueOf(result)) return done(HistoryError::kNoSuchRevision);
+    const std::optional<HistoryEntry> entry = DecodeHistoryEntry(ValueOf(result)->value);
+    if (!entry) return done(HistoryError::kNoSuchRevision);
+    loader_.Load(entry->head, nullptr, [done = std::move(done)](LoadResult loaded) {
+      if (!Ok(loaded)) return done(HistoryError::kUnavailable);
+      done(ValueOf(loaded).manifest);
+    });
+  }
+
+  Table& table_;
+  Objects& objects_;
+  Executor loop_;
+  Executor worker_;
+  const Clock& clock_;
+  InForce& in_force_;
+  ManifestLoader<Table, Objects> loader_;
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_MANIFEST_MANIFEST_KEEPER_H_
--- /dev/null
+++ b/src/manifest/manifest_keeper_test.cc
@@ -0,0 +1,223 @@
+#include "src/manifest/manifest_keeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "src/manifest/faulty_platform.h"
+#include "src/manifest/manifest_samples.h"
+
+namespace cowsliphill {
+namespace {
+
+using std::chrono::seconds;
+
+// The manifest in force of an entry VM that only knows what its own keeper gave it.
+struct InForceStub {
+  ManifestPtr current;
+  ManifestPtr Current() const { return current; }
+  void Adopt(LoadedManifest loaded) { current = loaded.manifest; }
+};
+
+// One entry VM's keeper on the shared store.
+struct Node {
+  Node(VirtualLoop& loop, PlatformStore& store)
+      : platform(loop, store),
+        keeper(platform, platform, loop.Post(), loop.Post(), loop.Time(), in_force) {}
+  FaultyPlatform platform;
+  InForceStub in_force;
+  ManifestKeeper<FaultyPlatform, FaultyPlatform, InForceStub> keeper;
+};
+
+class ManifestKeeperTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ManifestKeeperTest);
+  CPPUNIT_TEST(Submission_OfAFirstManifest_IsAccepted);
+  CPPUNIT_TEST(Submissions_OnOneBase_OneWinsAndTheOtherIsToldByWhom);
+  CPPUNIT_TEST(Submission_Repeated_NamesTheSameRevision);
+  CPPUNIT_TEST(Submission_WithAnotherOnesId_IsRefused);
+  CPPUNIT_TEST(Submission_WithoutAChange_WritesNothing);
+  CPPUNIT_TEST(Submission_AsDryRun_WritesNothingAndShowsTheDifference);
+  CPPUNIT_TEST(Submission_OutsideTheTeam_IsRefused);
+  CPPUNIT_TEST(Submission_WithPlatformBehindTheRevisionInForce_IsNotSettled);
+  CPPUNIT_TEST(RollBack_ToAnEarlierRevision_IsANewRevision);
+  CPPUNIT_TEST(Manifest_OfManyRevisions_IsReadFromSnapshotAndChanges);
+  CPPUNIT_TEST(History_OfRevisions_NamesAuthorNoteAndTime);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    store_ = PlatformStore();
+    loop_ = std::make_unique<VirtualLoop>();
+    first_ = std::make_unique<Node>(*loop_, store_);
+    second_ = std::make_unique<Node>(*loop_, store_);
+    manifest_ = SampleManifest(2, 6);
+  }
+
+  void Submission_OfAFirstManifest_IsAccepted() {
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, AcceptedRevision(Submit(*first_, "a", 0)));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, first_->in_force.current->revision);
+  }
+
+  void Submissions_OnOneBase_OneWinsAndTheOtherIsToldByWhom() {
+    Submit(*first_, "a", 0);
+    std::optional<SubmissionAnswer> one;
+    std::optional<SubmissionAnswer> two;
+    manifest_.entry.max_requests = 100;
+    Start(*first_, Made("b", 1, "north"), one);
+    manifest_.entry.max_requests = 200;
+    Start(*second_, Made("c", 1, "south"), two);
+    loop_->RunFor(seconds(5));
+    const bool one_won = std::holds_alternative<Accepted>(*one);
+    const auto& conflict = std::get<BaseConflict>(one_won ? *two : *one);
+    CPPUNIT_ASSERT(one_won != std::holds_alternative<Accepted>(*two));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, conflict.revision);
+    CPPUNIT_ASSERT_EQUAL(std::string(one_won ? "north" : "south"), conflict.author.Text());
+    CPPUNIT_ASSERT(conflict.time.time_since_epoch().count() > 0);
+  }
+
+  void Submission_Repeated_NamesTheSameRevision() {
+    Submit(*first_, "a", 0);
+    const Submission again = Made("a", 0, "ops");
+    manifest_.entry.max_requests = 100;
+    Submit(*first_, "b", 1);
+    const auto accepted = std::get<Accepted>(Run(*second_, again));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, accepted.accepted.revision);
+    CPPUNIT_ASSERT(accepted.by_earlier_try);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, Revisions().size());
+  }
+
+  void Submission_WithAnotherOnesId_IsRefused() {
+    Submit(*first_, "a", 0);
+    manifest_.entry.max_requests = 100;
+    CPPUNIT_ASSERT(std::holds_alternative<Refused>(Submit(*second_, "a", 0)));
+  }
+
+  void Submission_WithoutAChange_WritesNothing() {
+    Submit(*first_, "a", 0);
+    CPPUNIT_ASSERT(std::holds_alternative<Unchanged>(Submit(*second_, "b", 1)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Revisions().size());
+  }
+
+  void Submission_AsDryRun_WritesNothingAndShowsTheDifference() {
+    Submit(*first_, "a", 0);
+    manifest_.entry.max_requests = 100;
+    Submission submission = Made("b", 1, "ops");
+    submission.dry_run = true;
+    const auto would = std::get<WouldBeAccepted>(Run(*second_, submission));
+    CPPUNIT_ASSERT_EQUAL(std::string("~ entry max_requests: 4096 -> 100"),
+                         would.difference.front().ToString());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Revisions().size());
+  }
+
+  void Submission_OutsideTheTeam_IsRefused() {
+    Submit(*first_, "a", 0);
+    manifest_.services[0].queue_limit = 9;
+    const SubmissionAnswer answer = Run(*second_, Made("b", 1, "team000001"));
+    CPPUNIT_ASSERT_EQUAL(std::string("service service000000"),
+                         std::get<Refused>(answer).issues.front().key);
+  }
+
+  void Submission_WithPlatformBehindTheRevisionInForce_IsNotSettled() {
+    Submit(*first_, "a", 0);
+    const PlatformStore restored = store_;
+    manifest_.entry.max_requests = 100;
+    Submit(*first_, "b", 1);
+    store_ = restored;
+    manifest_.entry.max_requests = 200;
+    CPPUNIT_ASSERT(std::holds_alternative<NotSettled>(Submit(*first_, "c", 1)));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Revisions().size());
+  }
+
+  void RollBack_ToAnEarlierRevision_IsANewRevision() {
+    Submit(*first_, "a", 0);
+    const std::string digest = DigestOf(manifest_);
+    manifest_.entry.max_requests = 100;
+    Submit(*first_, "b", 1);
+    Submission submission = Made("c", 2, "ops");
+    submission.roll_back_to = 1;
+    const auto accepted = std::get<Accepted>(Run(*second_, submission));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, accepted.accepted.revision);
+    CPPUNIT_ASSERT_EQUAL(digest, accepted.accepted.digest);
+    submission.id = "d";
+    submission.base_revision = 3;
+    submission.roll_back_to = 9;
+    CPPUNIT_ASSERT(std::holds_alternative<Refused>(Run(*second_, submission)));
+  }
+
+  void Manifest_OfManyRevisions_IsReadFromSnapshotAndChanges() {
+    constexpr uint64_t kRevisions = 2 * kSnapshotEvery + 3;
+    std::vector<std::string> digests;
+    for (uint64_t i = 0; i < kRevisions; ++i) {
+      manifest_.entry.max_requests = static_cast<uint32_t>(1000 + i);
+      Submit(*first_, "s" + std::to_string(i), i);
+      digests.push_back(DigestOf(manifest_));
+    }
+    for (const uint64_t revision : {uint64_t{1}, kSnapshotEvery, kSnapshotEvery + 1, kRevisions}) {
+      std::optional<RevisionResult> result;
+      second_->keeper.At(revision, [&](RevisionResult it) { result = it; });
+      loop_->RunFor(seconds(1));
+      CPPUNIT_ASSERT(result && Ok(*result));
+      CPPUNIT_ASSERT_EQUAL(digests[revision - 1], DigestOf(*ValueOf(*result)));
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, store_.ListObjects("manifest/", "", 100).size());
+  }
+
+  void History_OfRevisions_NamesAuthorNoteAndTime() {
+    Submit(*first_, "a", 0);
+    const std::vector<HistoryEntry> entries = Revisions();
+    CPPUNIT_ASSERT_EQUAL(std::string("ops"), entries.front().head.author.Text());
+    CPPUNIT_ASSERT_EQUAL(std::string("note of a"), entries.front().note);
+    CPPUNIT_ASSERT(entries.front().head.time.time_since_epoch().count() > 0);
+  }
+
+ private:
+  Submission Made(const std::string& id, uint64_t base, const std::string& team) {
+    Submission submission;
+    submission.id = id;
+    submission.base_revision = base;
+    submission.text = FormatManifest(manifest_);
+    submission.author.team = TeamId(team);
+    submission.note = "note of " + id;
+    return submission;
+  }
+
+  static void Start(Node& node, const Submission& submission,
+                    std::optional<SubmissionAnswer>& answer) {
+    node.keeper.Submit(submission, [&answer](SubmissionAnswer it) {
+      CPPUNIT_ASSERT_MESSAGE("answered twice", !answer);
+      answer = std::move(it);
+    });
+  }
+
+  SubmissionAnswer Run(Node& node, const Submission& submission) {
+    std::optional<SubmissionAnswer> answer;
+    Start(node, submission, answer);
+    loop_->RunFor(seconds(5));
+    CPPUNIT_ASSERT_MESSAGE("no answer", answer.has_value());
+    return *answer;
+  }
+
+  SubmissionAnswer Submit(Node& node, const std::string& id, uint64_t base) {
+    return Run(node, Made(id, base, "ops"));
+  }
+
+  static uint64_t AcceptedRevision(const SubmissionAnswer& answer) {
+    return std::get<Accepted>(answer).accepted.revision;
+  }
+
+  std::vector<HistoryEntry> Revisions() {
+    std::optional<HistoryResult> result;
+    second_->keeper.History(0, 1000, [&](HistoryResult it) { result = it; });
+    loop_->RunFor(seconds(1));
+    return ValueOf(*result);
+  }
+
+  PlatformStore store_;
+  std::unique_ptr<VirtualLoop> loop_;
+  std::unique_ptr<Node> first_;
+  std::unique_ptr<Node> second_;
+  Manifest manifest_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ManifestKeeperTest);
+
+}  // namespace
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/manifest/manifest_loader.cc
@@ -0,0 +1,55 @@
+#include "src/manifest/manifest_loader.h"
+
+namespace cowsliphill {
+
+namespace {
+
+constexpr size_t kRevisionDigits = 20;  // Of the largest uint64_t, so that keys sort by number.
+
+// Applies one entry to `manifest`, if it is the next one.
+std::optional<LoadError> ApplyEntry(const HistoryEntry& entry, Manifest& manifest) {
+  if (entry.head.accepted.revision != manifest.revision + 1) return LoadError::kIncomplete;
+  if (!entry.change) return LoadError::kIncomplete;
+  manifest = Apply(manifest, *entry.change);
+  manifest.revision = entry.head.accepted.revision;
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string HistoryKey(uint64_t revision) {
+  const std::string digits = std::to_string(revision);
+  return kManifestHistoryPrefix + std::string(kRevisionDigits - digits.size(), '0') + digits;
+}
+
+std::string SubmissionKey(const std::string& id) { return "manifest/submission/" + id; }
+
+std::string WholeObjectName(const std::string& digest) { return "manifest/whole/" + digest; }
+
+LoadResult Assemble(ManifestParts parts) {
+  Manifest manifest;
+  if (parts.base) {
+    manifest = *parts.base;
+  } else {
+    std::optional<Manifest> whole = DecodeManifest(parts.whole);
+    if (!whole) return LoadError::kCorrupt;
+    manifest = *std::move(whole);
+    manifest.revision = parts.whole_revision;
+  }
+  LoadedManifest loaded;
+  loaded.head = parts.target;
+  for (std::string& bytes : parts.entries) {
+    if (manifest.revision == parts.target.accepted.revision) break;
+    const std::optional<HistoryEntry> entry = DecodeHistoryEntry(bytes);
+    if (!entry) return LoadError::kCorrupt;
+    const std::optional<LoadError> error = ApplyEntry(*entry, manifest);
+    if (error) return *error;
+    loaded.entries.push_back(std::move(bytes));
+  }
+  if (manifest.revision != parts.target.accepted.revision) return LoadError::kIncomplete;
+  if (DigestOf(manifest) != parts.target.accepted.digest) return LoadError::kCorrupt;
+  loaded.manifest = std::make_shared<const Manifest>(std::move(manifest));
+  return loaded;
+}
+
+}  // namespace cowsliphill
