--- a/src/claims/fault_matrix_test.cc
+++ b/src/claims/fault_matrix_test.cc
@@ -543,9 +543,10 @@
   template <typename Policy>
   static std::vector<std::string> Violations(TimeoutSays timeout_says) {
     std::vector<std::string> found;
-    for (int cell = 0; cell < kStepCount * kFaultCount; ++cell) {
-      const auto step = static_cast<Step>(cell / kFaultCount);
-      const auto fault = static_cast<Fault>(cell % kFaultCount);
+    constexpr int faults = kFaultCount;
+    for (int cell = 0; cell < kStepCount * faults; ++cell) {
+      const auto step = static_cast<Step>(cell / faults);
+      const auto fault = static_cast<Fault>(cell % faults);
       if (Impossible(step, fault) != nullptr) continue;
       for (uint64_t seed = 1; seed <= Seeds(); ++seed) {
         const std::string problem = World<Policy>(Plan{step, fault, seed}, timeout_says).Run();
--- /dev/null
+++ b/src/records/record_query.cc
@@ -0,0 +1,64 @@
+#include "src/records/record_query.h"
+
+#include <algorithm>
+
+namespace cowsliphill {
+
+std::optional<RecordReadError> CheckQuery(const RecordQuery& query, WallTime now) {
+  using Kind = RecordReadError::Kind;
+  if (query.to < query.from) {
+    return RecordReadError{Kind::kEmptySpan, "the span ends before it begins"};
+  }
+  if (query.from + query.lifetime < now) {
+    return RecordReadError{Kind::kPastLifetime, "records are not kept for that long"};
+  }
+  return std::nullopt;
+}
+
+bool RecordMerge::Wants(WallTime hour) const {
+  using std::chrono::hours;
+  return std::chrono::floor<hours>(hour) <= std::chrono::floor<hours>(query_.to);
+}
+
+bool RecordMerge::Matches(const RequestRecord& record) const {
+  if (!query_.tenant.Empty() && record.tenant != query_.tenant) return false;
+  if (!query_.service.Empty() && record.service != query_.service) return false;
+  return query_.request.Empty() || record.request == query_.request;
+}
+
+void RecordMerge::Add(const std::string& bytes) {
+  std::optional<RecordBatch> batch = BatchFromBytes(bytes);
+  if (!batch) {
+    ++answer_.malformed_batches;
+    return;
+  }
+  for (RequestRecord& it : batch->records) {
+    if (Matches(it)) AddRecord(std::move(it), batch->writer);
+  }
+  answer_.dropped.insert(answer_.dropped.end(), batch->dropped.begin(), batch->dropped.end());
+}
+
+void RecordMerge::AddRecord(RequestRecord record, const EntryVmId& writer) {
+  const bool own = record.entry_vm == writer;
+  const std::pair key(record.entry_vm, record.request);
+  const auto it = entries_.find(key);
+  if (it == entries_.end()) {
+    if (entries_.size() >= query_.most) {
+      ++answer_.left_out;
+      return;
+    }
+    entries_.emplace(key, Entry{std::move(record), own});
+    return;
+  }
+  ++answer_.duplicates;
+  if (own) it->second = Entry{std::move(record), own};
+}
+
+RecordAnswer RecordMerge::Take() {
+  for (auto& [key, entry] : entries_) answer_.records.push_back(std::move(entry.record));
+  std::stable_sort(answer_.records.begin(), answer_.records.end(),
+                   [](const auto& a, const auto& b) { return a.started < b.started; });
+  return std::move(answer_);
+}
+
+}  // namespace cowsliphill
