--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -19,6 +19,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{1000};            // Between rounds of housekeeping.
+constexpr milliseconds kShortTick{20};         // Between looks at the slices' timers.
 constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request has ended.
 
 double Millis(Duration duration) {
@@ -59,11 +60,13 @@
       dispatcher_(io_, clock_, chooser_),
       pool_(io_, clock_, settings_.backend, settings_.edge.max_header_bytes,
             settings_.edge.buffer_bytes),
+      claims_(platform_, clock_, seed, id_),
       context_(MakeContext()),
       edge_(context_),
       admin_(settings_.admin, on_loop_),
       signals_(io_, SIGTERM, SIGINT),
       tick_(io_),
+      short_tick_(io_),
       stop_timer_(io_) {
   context_.ids.prefix = seed;
 }
@@ -71,7 +74,7 @@
 EntryVm::~EntryVm() = default;
 
 ForwardContext EntryVm::MakeContext() {
-  ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, {}, {}, {}, {}, {}};
+  ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, claims_};
   context.manifest = [this] { return manifest_; };
   context.lookup = [this](const std::string& caller_ip, const std::string& query) {
     return LookupJson(caller_ip, query);
@@ -81,6 +84,10 @@
     dispatcher_.Poll();
   };
   context.observer = MakeObserver();
+  dispatcher_.OnSlow([this](Ticket ticket) {
+    const auto it = context_.exchanges.find(ticket);
+    if (it != context_.exchanges.end()) it->second->OnSlow();
+  });
   return context;
 }
 
@@ -135,6 +142,7 @@
               {"admin", Endpoint{settings_.admin.listen.ip, admin_.Port()}.ToString()}});
   AwaitSignal();
   EveryTick();
+  EveryShortTick();
   io_.run();
   admin_.Stop();
   DrainLoop();
@@ -248,6 +256,14 @@
                              "\"; allowed: a backend server of the manifest in force");
 }
 
+void EntryVm::EveryShortTick() {
+  claims_.Tick();
+  short_tick_.expires_after(kShortTick);
+  short_tick_.async_wait([this](std::error_code ec) {
+    if (!ec) EveryShortTick();
+  });
+}
+
 void EntryVm::EveryTick() {
   pool_.CloseIdle();
   metrics_.Set("cowsliphill_open_requests", "Requests in flight",
--- a/src/cli/entry_vm.h
+++ b/src/cli/entry_vm.h
@@ -41,6 +41,7 @@
   void StartStopping();
   void StopWhenIdle();
   void EveryTick();
+  void EveryShortTick();
   void DrainLoop();
   std::string LookupJson(const std::string& caller_ip, const std::string& query) const;
   std::string StatusJson() const;
@@ -60,11 +61,13 @@
   Chooser chooser_;
   Dispatcher dispatcher_;
   BackendPool pool_;
+  EntryClaims claims_;
   ForwardContext context_;
   EdgeServer edge_;
   AdminServer admin_;
   asio::signal_set signals_;
   asio::steady_timer tick_;        // Housekeeping.
+  asio::steady_timer short_tick_;  // Timers of the slices.
   asio::steady_timer stop_timer_;  // Steps of a graceful stop.
   MonotonicTime stop_started_{};
   bool stopping_ = false;
--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "src/choose/chooser.h"
 #include "src/forward/backend_pool.h"
@@ -36,11 +37,15 @@
   // Ends it: takes the connection back to the pool after a whole answer, else closes it.
   void Close();
 
+  // True the first time: the chooser must be told exactly once how an attempt ended.
+  bool TakeEndReport() { return !std::exchange(end_reported_, true); }
+
   const SendTo& Target() const { return target_; }
   bool SentBytes() const { return sent_; }  // Bytes may have reached the server.
   bool IsReused() const { return connection_.reused; }
   Duration FirstByteLatency() const { return first_byte_ - started_; }
   Duration Age() const { return clock_.Now() - started_; }
+  bool IsOpen() const { return !closed_; }
   bool HasAnswer() const { return has_answer_; }
 
  private:
@@ -62,6 +67,7 @@
   bool has_answer_ = false;    // The answer's head came.
   bool whole_ = false;         // The answer's end came.
   bool keep_alive_ = false;    // The server keeps the connection open.
+  bool end_reported_ = false;  // TakeEndReport was called.
   bool closed_ = false;        // Close was called, or it failed.
 };
 
--- a/src/forward/dispatcher.cc
+++ b/src/forward/dispatcher.cc
@@ -18,9 +18,9 @@
 }
 
 void Dispatcher::Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done) {
+  PollSoon();
   if (!std::holds_alternative<Wait>(choice)) return done(choice);
   waiting_[ticket] = std::move(done);
-  PollSoon();
 }
 
 void Dispatcher::OnEnded(Ticket ticket, const BackendServerId& server,
@@ -52,11 +52,22 @@
     waiting_.erase(it);
     done(choice);
   }
+  for (const Ticket ticket : chooser_.HedgeDue(clock_.Now())) {
+    if (on_slow_) on_slow_(ticket);
+  }
+  ArmTimer();
+}
+
+void Dispatcher::ArmTimer() {
   const std::optional<MonotonicTime> wake = chooser_.NextWake();
   if (!wake) return;
+  if (armed_ && *armed_ <= *wake) return;
+  armed_ = wake;
   timer_.expires_after(std::max<Duration>(*wake - clock_.Now(), Duration{}));
   timer_.async_wait([this](std::error_code ec) {
-    if (!ec) PollSoon();
+    if (ec) return;
+    armed_.reset();
+    PollSoon();
   });
 }
 
--- a/src/forward/dispatcher.h
+++ b/src/forward/dispatcher.h
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 #include "src/base/clock.h"
@@ -23,6 +24,10 @@
   void Choose(const ChoiceRequest& request, ChoiceCallback done);
   // Another try, after OnEnded.
   void Retry(Ticket ticket, ChoiceCallback done);
+  // A second, concurrent attempt, if affordable.
+  std::optional<SendTo> Hedge(Ticket ticket) { return chooser_.Hedge(ticket, clock_.Now()); }
+  // Told of each request that has waited so long for an answer that a hedge may help.
+  void OnSlow(std::function<void(Ticket)> slow) { on_slow_ = std::move(slow); }
   void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result);
   // The request is over; a wait of it is forgotten.
   void Finish(Ticket ticket);
@@ -32,12 +37,15 @@
  private:
   void Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done);
   void PollSoon();
+  void ArmTimer();
 
   asio::io_context& io_;
   const Clock& clock_;
   Chooser& chooser_;
+  std::function<void(Ticket)> on_slow_;
   asio::steady_timer timer_;                            // Until the chooser's next wake.
   std::unordered_map<Ticket, ChoiceCallback> waiting_;  // Requests told to wait.
+  std::optional<MonotonicTime> armed_;                  // When timer_ ends.
   bool poll_pending_ = false;                           // A Poll is posted.
 };
 
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
 #include <cstdio>
 #include <utility>
 
 #include "src/measure/report.h"
+#include "xxhash.h"
 
 namespace cowsliphill {
 
@@ -24,6 +26,42 @@
 
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
+// What a caller is told whose claim was not granted.
+Verdict VerdictOf(const ClaimAnswer& answer) {
+  if (const auto* running = std::get_if<StillRunning>(&answer)) {
+    return {409, Outcome::kUnknown, running->retry_after, "http_request_denied",
+            "request " + running->first.Text() + " with this key is still running"};
+  }
+  if (const auto* unknown = std::get_if<OutcomeUnknown>(&answer)) {
+    return {409,
+            Outcome::kUnknown,
+            {},
+            "http_request_denied",
+            "request " + unknown->first.Text() +
+                " with this key may have run; it is not run again under this key"};
+  }
+  if (std::holds_alternative<KeyMismatch>(answer)) {
+    return {422,
+            Outcome::kNotRun,
+            {},
+            "http_request_denied",
+            "idempotency-key: found one that was used for another request; allowed: a new one"};
+  }
+  if (std::holds_alternative<KeyExpired>(answer)) {
+    return {410,
+            Outcome::kUnknown,
+            {},
+            "http_request_denied",
+            "idempotency-key: found one past its lifetime; whether it ran is no longer known"};
+  }
+  Verdict verdict{503, Outcome::kNotRun, milliseconds(1000), "destination_unavailable",
+                  "the platform can't be asked whether this key has run"};
+  if (const auto* unavailable = std::get_if<ClaimUnavailable>(&answer)) {
+    verdict.retry_after = unavailable->retry_after;
+  }
+  return verdict;
+}
+
 std::optional<Report> ReportOn(const HttpHead& answer, ReportFormat format) {
   return ParseReport(format, [&answer](const std::string& name) { return answer.Find(name); });
 }
@@ -51,7 +89,10 @@
   ++context_.open_requests;
 }
 
-Exchange::~Exchange() { --context_.open_requests; }
+Exchange::~Exchange() {
+  context_.exchanges.erase(ticket_);
+  --context_.open_requests;
+}
 
 void Exchange::Start() {
   end_.started = context_.clock.WallNow();
@@ -69,11 +110,13 @@
                           "this entry VM has as many open requests as it may have"});
   }
   ticket_ = context_.next_ticket++;
+  context_.exchanges[ticket_] = this;
   if (context_.observer.on_started) context_.observer.on_started(meta_.id, meta_);
   Arm(TimerUse::kDeadline, deadline_ - started_);
   const bool wants_continue = head_.Find("expect").value_or("") == "100-continue";
   if (!wants_continue) return ReadFirstPart();
   caller_->Write("HTTP/1.1 100 Continue\r\n\r\n", [self = shared_from_this()](bool ok) {
+    if (self->ended_ || self->answering_) return;
     if (!ok) return self->OnCallerGone();
     self->ReadFirstPart();
   });
@@ -107,6 +150,55 @@
     if (has_body) head_.content_length = body_.size();
     caller_->WatchClose([self = shared_from_this()] { self->OnCallerGone(); });
   }
+  if (!meta_.idempotent && !meta_.key.empty()) return BeginClaim();
+  Choose();
+}
+
+// ---- 2. Claim, choice and attempts -------------------------------------------------------------
+
+void Exchange::BeginClaim() {
+  ClaimRequest request;
+  request.service = meta_.service->id;
+  request.tenant = meta_.tenant;
+  request.key = meta_.key;
+  request.fingerprint = Fingerprint();
+  request.request = meta_.id;
+  request.deadline = deadline_;
+  context_.claims.Begin(
+      request, [self = shared_from_this()](const ClaimAnswer& answer) { self->OnClaim(answer); });
+}
+
+std::string Exchange::Fingerprint() const {
+  std::string text = head_.method + "\n" + head_.target + "\n";
+  text += body_whole_ ? body_ : std::to_string(head_.content_length.value_or(0));
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  std::array<char, 40> buf;
+  const int n =
+      std::snprintf(buf.data(), buf.size(), "%016" PRIx64 "%016" PRIx64, hash.high64, hash.low64);
+  return std::string(buf.data(), static_cast<size_t>(n));
+}
+
+void Exchange::OnClaim(const ClaimAnswer& answer) {
+  if (const auto* proceed = std::get_if<Proceed>(&answer)) {
+    claim_ = proceed->claim;
+    if (ended_ || answering_) return FinishClaim();  // Given up meanwhile: it did not run.
+    return Choose();
+  }
+  if (ended_ || answering_) return;
+  if (const auto* repeat = std::get_if<Repeat>(&answer)) return AnswerRepeat(*repeat);
+  AnswerVerdict(VerdictOf(answer));
+}
+
+void Exchange::FinishClaim() {
+  if (!claim_) return;
+  ClaimOutcome outcome{end_.outcome, std::move(kept_answer_)};
+  if (!ended_) outcome.outcome = Outcome::kNotRun;
+  outcome.answer.status = answer_status_;
+  context_.claims.Finish(*claim_, outcome);
+  claim_.reset();
+}
+
+void Exchange::Choose() {
   ChoiceRequest request;
   request.ticket = ticket_;
   request.service = meta_.service->id;
@@ -120,35 +212,51 @@
   });
 }
 
-// ---- 2. Choice and attempts --------------------------------------------------------------------
-
 void Exchange::OnChoice(const Choice& choice) {
   if (ended_) return;
-  if (const auto* target = std::get_if<SendTo>(&choice)) return StartAttempt(*target);
-  const Refuse& refusal = std::get<Refuse>(choice);
+  if (const auto* target = std::get_if<SendTo>(&choice)) {
+    // A pause may have ended past the deadline before the timer could run.
+    if (!answering_ && context_.clock.Now() >= deadline_) {
+      context_.dispatcher.OnEnded(ticket_, target->server, {AttemptEnd::kCancelled, {}, {}});
+      return OnTimer(TimerUse::kDeadline);
+    }
+    attempt_ = StartAttempt(*target);
+    return;
+  }
   if (answering_) return End(ConnectionFate::kAbort);
   if (end_.attempts > 0) return AnswerVerdict(FailureVerdict());
-  AnswerVerdict(RefusalVerdict(refusal));
+  AnswerVerdict(RefusalVerdict(std::get<Refuse>(choice)));
 }
 
-void Exchange::StartAttempt(const SendTo& target) {
+std::shared_ptr<Attempt> Exchange::StartAttempt(const SendTo& target) {
   const MonotonicTime now = context_.clock.Now();
   if (end_.attempts == 0) end_.waited = now - started_;
   ++end_.attempts;
   end_.server = target.server;
-  end_reported_ = false;
-  attempt_ = std::make_shared<Attempt>(context_.pool, context_.clock, target, meta_.request_class);
-  attempt_->SetRequestWhole(body_whole_);
+  auto attempt =
+      std::make_shared<Attempt>(context_.pool, context_.clock, target, meta_.request_class);
+  attempt->SetRequestWhole(body_whole_);
+  const std::weak_ptr<Attempt> weak = attempt;
   Attempt::Events events;
-  events.on_answer = [self = shared_from_this()](const HttpEvent& event) { self->OnAnswer(event); };
-  events.on_failed = [self = shared_from_this()](AttemptEnd end, const std::string& detail) {
-    self->OnAttemptFailed(end, detail);
+  events.on_answer = [self = shared_from_this(), weak](const HttpEvent& event) {
+    self->OnAnswer(weak.lock(), event);
+  };
+  events.on_failed = [self = shared_from_this(), weak](AttemptEnd end, const std::string& detail) {
+    self->OnAttemptFailed(weak.lock(), end, detail);
   };
   if (!body_whole_) {
     events.on_sent = [self = shared_from_this()] { self->PumpRequestBody(); };
   }
-  attempt_->Start(FirstBytesFor(target), meta_.idempotent, head_.method == "HEAD",
-                  std::move(events));
+  attempt->Start(FirstBytesFor(target), meta_.idempotent, head_.method == "HEAD",
+                 std::move(events));
+  return attempt;
+}
+
+void Exchange::OnSlow() {
+  const bool may_hedge = attempt_ && !hedge_ && !answering_ && !ended_ && meta_.idempotent;
+  if (!may_hedge || !body_whole_) return;
+  const std::optional<SendTo> target = context_.dispatcher.Hedge(ticket_);
+  if (target) hedge_ = StartAttempt(*target);
 }
 
 std::string Exchange::FirstBytesFor(const SendTo& target) const {
@@ -162,24 +270,37 @@
   return bytes += head_.chunked ? AsChunk(body_) : body_;
 }
 
-void Exchange::ReportEnd(AttemptEnd end, const std::optional<Report>& report) {
-  if (end_reported_ || !attempt_) return;
-  end_reported_ = true;
+void Exchange::ReportEnd(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
+                         const std::optional<Report>& report) {
+  if (!attempt || !attempt->TakeEndReport()) return;
   AttemptResult result;
   result.end = end;
-  result.latency = attempt_->HasAnswer() ? attempt_->FirstByteLatency() : Duration{};
-  if (!attempt_->HasAnswer()) result.latency = attempt_->Age();
+  result.latency = attempt->HasAnswer() ? attempt->FirstByteLatency() : attempt->Age();
   result.report = report;
-  context_.dispatcher.OnEnded(ticket_, attempt_->Target().server, result);
+  context_.dispatcher.OnEnded(ticket_, attempt->Target().server, result);
 }
 
-void Exchange::OnAttemptFailed(AttemptEnd end, const std::string& detail) {
-  if (ended_) return;
-  if (resuming_) return OnAnswerBroken(end, detail);
-  if (attempt_->SentBytes()) may_have_run_ = true;
+void Exchange::Drop(std::shared_ptr<Attempt>& attempt, AttemptEnd end) {
+  if (!attempt) return;
+  ReportEnd(attempt, end, std::nullopt);
+  attempt->Close();
+  attempt.reset();
+}
+
+void Exchange::OnAttemptFailed(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
+                               const std::string& detail) {
+  if (ended_ || answering_) {
+    if (resuming_) OnAnswerBroken(end, detail);
+    return;
+  }
+  const bool did_not_run = end == AttemptEnd::kNotStarted || end == AttemptEnd::kShed;
+  if (attempt->SentBytes() && !did_not_run) may_have_run_ = true;
   failure_ = detail;
-  ReportEnd(end, std::nullopt);
-  attempt_->Close();
+  ReportEnd(attempt, end, std::nullopt);
+  attempt->Close();
+  if (attempt == attempt_) std::swap(attempt_, hedge_);
+  hedge_.reset();
+  if (attempt_) return;  // The other one goes on.
   if (!MayTryAgain(end)) return AnswerVerdict(FailureVerdict());
   TryAgain();
 }
@@ -207,7 +328,7 @@
 }
 
 void Exchange::OnMoreRequestBody(const HttpEvent& event) {
-  if (ended_ || end_reported_) return;
+  if (ended_ || answering_ || !attempt_) return;
   if (const auto* error = std::get_if<HttpError>(&event)) {
     context_.observer.on_bad_input("body", error->detail);
     return OnCallerGone();  // The backend server sees the cut and can't take it for a whole body.
@@ -228,27 +349,27 @@
 
 // ---- 4. The answer -----------------------------------------------------------------------------
 
-void Exchange::OnAnswer(const HttpEvent& event) {
-  if (ended_) return;
-  if (const auto* head = std::get_if<HttpHead>(&event)) return OnAnswerHead(*head);
+void Exchange::OnAnswer(const std::shared_ptr<Attempt>& attempt, const HttpEvent& event) {
+  if (ended_ || !attempt) return;
+  if (const auto* head = std::get_if<HttpHead>(&event)) return OnAnswerHead(attempt, *head);
+  if (attempt != attempt_) return;
   if (const auto* body = std::get_if<HttpBody>(&event)) return ForwardBody(body->bytes);
   if (std::holds_alternative<HttpEnd>(event)) return OnAnswerEnd();
   OnAnswerBroken(AttemptEnd::kCut, std::get<HttpError>(event).detail);
 }
 
-void Exchange::OnAnswerHead(const HttpHead& answer) {
+void Exchange::OnAnswerHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& answer) {
   if (resuming_) return OnResumedHead(answer);
   const std::optional<Report> report = ReportOn(answer, meta_.service->report_format);
   if (const std::optional<AttemptEnd> refused = RefusalOf(answer, report)) {
-    ReportEnd(*refused, report);
-    failure_ = "the backend server did not start it";
-    attempt_->Close();
-    if (!MayTryAgain(*refused)) return AnswerVerdict(FailureVerdict());
-    return TryAgain();
+    ReportEnd(attempt, *refused, report);
+    return OnAttemptFailed(attempt, *refused, "the backend server did not start it");
   }
+  if (attempt != attempt_) std::swap(attempt_, hedge_);
+  Drop(hedge_, AttemptEnd::kCancelled);
   may_have_run_ = true;
   if (answer.ends_by_close) {
-    ReportEnd(AttemptEnd::kServerError, report);
+    ReportEnd(attempt_, AttemptEnd::kServerError, report);
     attempt_->Close();
     return AnswerVerdict({502,
                           Outcome::kRan,
@@ -265,6 +386,7 @@
 
 void Exchange::ForwardHead(const HttpHead& answer) {
   answering_ = true;
+  kept_answer_.content_type = answer.Find("content-type").value_or("");
   answer_chunked_ = answer.chunked;
   answer_status_ = answer.status;
   end_.first_byte = context_.clock.Now() - started_;
@@ -282,6 +404,7 @@
 
 void Exchange::ForwardBody(std::string_view bytes) {
   if (resume_) resume_->offset += bytes.size();
+  if (claim_) KeepBody(bytes);
   Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
   caller_->Write(
       answer_chunked_ ? AsChunk(bytes) : std::string(bytes), [self = shared_from_this()](bool ok) {
@@ -292,9 +415,18 @@
       });
 }
 
+void Exchange::KeepBody(std::string_view bytes) {
+  if (!kept_answer_.body_kept) return;
+  kept_answer_.body.append(bytes);
+  if (kept_answer_.body.size() <= kKeptBodyBytes) return;
+  kept_answer_.body.clear();
+  kept_answer_.body_kept = false;
+}
+
 void Exchange::OnAnswerEnd() {
   const bool server_error = answer_status_ >= 500;
-  ReportEnd(server_error ? AttemptEnd::kServerError : AttemptEnd::kAnswered, std::nullopt);
+  ReportEnd(attempt_, server_error ? AttemptEnd::kServerError : AttemptEnd::kAnswered,
+            std::nullopt);
   attempt_->Close();
   end_.whole = true;
   if (!answer_chunked_) return End(FateAfterAnswer());
@@ -306,8 +438,8 @@
 }
 
 void Exchange::OnAnswerBroken(AttemptEnd end, const std::string& detail) {
-  ReportEnd(end, std::nullopt);
-  attempt_->Close();
+  Drop(attempt_, end);
+  kept_answer_.body_kept = false;
   failure_ = "the answer broke off: " + detail;
   if (!resume_ || !meta_.idempotent) return End(ConnectionFate::kAbort);
   resuming_ = true;
@@ -317,7 +449,7 @@
 
 void Exchange::OnResumedHead(const HttpHead& answer) {
   if (!ContinuesAt(answer, *resume_)) {
-    ReportEnd(AttemptEnd::kAnswered, ReportOn(answer, meta_.service->report_format));
+    ReportEnd(attempt_, AttemptEnd::kAnswered, ReportOn(answer, meta_.service->report_format));
     failure_ = "the answer broke off and no backend server has the same one";
     attempt_->Close();
     return End(ConnectionFate::kAbort);
@@ -345,17 +477,14 @@
     return OnAnswerBroken(AttemptEnd::kTimedOut, "the backend server fell silent");
   }
   if (answering_) return;
-  if (attempt_ && attempt_->SentBytes() && !end_reported_) may_have_run_ = true;
-  ReportEnd(AttemptEnd::kTimedOut, std::nullopt);
-  if (attempt_) attempt_->Close();
+  DropAll(AttemptEnd::kTimedOut);
   AnswerVerdict({504, MayHaveRun() ? Outcome::kUnknown : Outcome::kNotRun, kRetryAfterDeadline,
                  "connection_timeout", "not answered within the deadline"});
 }
 
 void Exchange::OnCallerGone() {
   if (ended_) return;
-  if (attempt_ && attempt_->SentBytes() && !end_reported_) may_have_run_ = true;
-  ReportEnd(AttemptEnd::kCancelled, std::nullopt);
+  DropAll(AttemptEnd::kCancelled);
   end_.caller_gone = true;
   failure_ = "the caller closed its connection";
   End(ConnectionFate::kAbort);
@@ -400,20 +529,46 @@
 
 void Exchange::AnswerVerdict(Verdict verdict) {
   if (ended_) return;
-  answering_ = true;
   answer_status_ = verdict.status;
   end_.detail = verdict.detail;
   end_.outcome = verdict.outcome;
+  const bool keep_alive = FateAfterAnswer() == ConnectionFate::kKeep;
+  WriteLast(FormatOwnAnswer(verdict, meta_.id, keep_alive));
+}
+
+void Exchange::AnswerRepeat(const Repeat& repeat) {
+  answer_status_ = repeat.answer.status;
+  end_.detail = "a repeat of request " + repeat.first.Text();
+  end_.outcome = Outcome::kRan;
+  const bool keep_alive = FateAfterAnswer() == ConnectionFate::kKeep;
+  WriteLast(FormatRepeatAnswer(repeat, meta_.id, keep_alive));
+}
+
+void Exchange::WriteLast(std::string answer) {
+  answering_ = true;
   end_.first_byte = context_.clock.Now() - started_;
   const ConnectionFate fate = FateAfterAnswer();
-  if (ticket_ != 0) context_.dispatcher.Finish(ticket_);
-  ticket_ = 0;
+  FinishTicket();
   Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
-  caller_->Write(FormatOwnAnswer(verdict, meta_.id, fate == ConnectionFate::kKeep),
-                 [self = shared_from_this(), fate](bool ok) {
-                   self->end_.whole = ok;
-                   self->End(ok ? fate : ConnectionFate::kAbort);
-                 });
+  caller_->Write(std::move(answer), [self = shared_from_this(), fate](bool ok) {
+    self->end_.whole = ok;
+    self->End(ok ? fate : ConnectionFate::kAbort);
+  });
+}
+
+void Exchange::FinishTicket() {
+  if (ticket_ == 0) return;
+  context_.dispatcher.Finish(ticket_);
+  context_.exchanges.erase(ticket_);
+  ticket_ = 0;
+}
+
+void Exchange::DropAll(AttemptEnd end) {
+  for (const auto& attempt : {attempt_, hedge_}) {
+    if (attempt && attempt->SentBytes() && attempt->IsOpen()) may_have_run_ = true;
+  }
+  Drop(attempt_, end);
+  Drop(hedge_, end);
 }
 
 void Exchange::Abandon() {
@@ -424,9 +579,8 @@
   if (ended_) return;
   ended_ = true;
   timer_.cancel();
-  ReportEnd(AttemptEnd::kCancelled, std::nullopt);
-  if (attempt_) attempt_->Close();
-  if (ticket_ != 0) context_.dispatcher.Finish(ticket_);
+  DropAll(AttemptEnd::kCancelled);
+  FinishTicket();
   const bool own_answer = !end_.detail.empty();
   end_.id = meta_.id;
   end_.service = meta_.service != nullptr ? meta_.service->id : ServiceId();
@@ -440,6 +594,7 @@
     end_.outcome =
         answering_ ? Outcome::kRan : (MayHaveRun() ? Outcome::kUnknown : Outcome::kNotRun);
   }
+  FinishClaim();
   if (context_.observer.on_ended) context_.observer.on_ended(end_);
   const Done done = std::move(done_);
   done(fate);
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -2,7 +2,7 @@
 //
 // Sections of exchange.cc:
 //   1. Start: headers, limits, the first part of the body
-//   2. Choice and attempts
+//   2. Claim, choice and attempts
 //   3. The request's body beyond the first part
 //   4. The answer: head, body, taking up a broken download
 //   5. Ends: refusals, deadlines, callers that leave
@@ -19,6 +19,7 @@
 #include <optional>
 #include <string>
 
+#include "src/claims/claim.h"
 #include "src/forward/attempt.h"
 #include "src/forward/forward_context.h"
 #include "src/forward/http_stream.h"
@@ -42,6 +43,8 @@
   void Start();
   // The entry VM stops at once: ends without an answer.
   void Abandon();
+  // The chooser finds it slow: tries a second backend server at the same time, if affordable.
+  void OnSlow();
 
  private:
   enum class TimerUse { kDeadline, kBackendSilence, kCallerSilence };
@@ -51,12 +54,20 @@
   void OnRequestBody(const HttpEvent& event);
   void OnFirstPartRead();
 
-  // 2. Choice and attempts
+  // 2. Claim, choice and attempts
+  void BeginClaim();
+  void OnClaim(const ClaimAnswer& answer);
+  void FinishClaim();
+  std::string Fingerprint() const;
+  void Choose();
   void OnChoice(const Choice& choice);
-  void StartAttempt(const SendTo& target);
+  std::shared_ptr<Attempt> StartAttempt(const SendTo& target);
   std::string FirstBytesFor(const SendTo& target) const;
-  void OnAttemptFailed(AttemptEnd end, const std::string& detail);
-  void ReportEnd(AttemptEnd end, const std::optional<Report>& report);
+  void OnAttemptFailed(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
+                       const std::string& detail);
+  void ReportEnd(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
+                 const std::optional<Report>& report);
+  void Drop(std::shared_ptr<Attempt>& attempt, AttemptEnd end);
   bool MayTryAgain(AttemptEnd end) const;
   void TryAgain();
 
@@ -65,10 +76,11 @@
   void OnMoreRequestBody(const HttpEvent& event);
 
   // 4. The answer
-  void OnAnswer(const HttpEvent& event);
-  void OnAnswerHead(const HttpHead& answer);
+  void OnAnswer(const std::shared_ptr<Attempt>& attempt, const HttpEvent& event);
+  void OnAnswerHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& answer);
   void ForwardHead(const HttpHead& answer);
   void ForwardBody(std::string_view bytes);
+  void KeepBody(std::string_view bytes);
   void OnAnswerEnd();
   void OnAnswerBroken(AttemptEnd end, const std::string& detail);
   void OnResumedHead(const HttpHead& answer);
@@ -79,6 +91,10 @@
   void OnCallerGone();
   void AnswerVerdict(Verdict verdict);
   void End(ConnectionFate fate);
+  void FinishTicket();
+  void DropAll(AttemptEnd end);
+  void AnswerRepeat(const Repeat& repeat);
+  void WriteLast(std::string answer);
   Verdict RefusalVerdict(const Refuse& refusal) const;
   Verdict FailureVerdict() const;
   bool MayHaveRun() const { return may_have_run_; }
@@ -97,8 +113,10 @@
   std::string body_;                   // First part of the body, up to buffer_bytes.
   bool body_whole_ = false;            // body_ is the whole body.
   bool body_open_ = false;             // The rest of the body is being passed on.
+  std::optional<Claim> claim_;         // Held: FinishClaim must follow.
+  KeptAnswer kept_answer_;             // For repeats of a request that holds a claim.
   std::shared_ptr<Attempt> attempt_;   // The one in progress.
-  bool end_reported_ = true;           // The chooser knows how attempt_ ended.
+  std::shared_ptr<Attempt> hedge_;     // A second one at the same time.
   bool may_have_run_ = false;          // An attempt sent bytes and no word denies a start.
   std::string failure_;                // How the last attempt failed.
   bool answering_ = false;             // The answer's head went to the caller.
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -8,13 +8,16 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "src/base/clock.h"
 #include "src/base/request_class.h"
+#include "src/claims/claim_keeper.h"
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
 #include "src/forward/request_headers.h"
 #include "src/manifest/manifest.h"
+#include "src/platform/any_platform.h"
 #include "src/settings/settings.h"
 
 namespace cowsliphill {
@@ -47,17 +50,22 @@
   std::function<void(const std::string& kind, const std::string& detail)> on_bad_input;
 };
 
+class Exchange;
+using EntryClaims = ClaimKeeper<AnyPlatform>;
+
 struct ForwardContext {
   asio::io_context& io;
   const Clock& clock;
   const Settings& settings;
   Dispatcher& dispatcher;
   BackendPool& pool;
-  std::function<std::shared_ptr<const Manifest>()> manifest;  // In force now.
-  std::function<std::string(const std::string& caller_ip, const std::string& query)> lookup;
-  std::function<void(const BackendServerId&, const Report&)> on_report;  // Seen on an answer.
-  RequestObserver observer;
-  RequestIdSource ids;
+  EntryClaims& claims;
+  std::function<std::shared_ptr<const Manifest>()> manifest = {};  // In force now.
+  std::function<std::string(const std::string& caller_ip, const std::string& query)> lookup = {};
+  std::function<void(const BackendServerId&, const Report&)> on_report = {};  // Seen on an answer.
+  RequestObserver observer = {};
+  std::unordered_map<Ticket, Exchange*> exchanges = {};  // Open ones that the chooser knows.
+  RequestIdSource ids = {};
   Ticket next_ticket = 1;
   bool leaving = false;      // Answers ask callers to close their connections.
   size_t open_requests = 0;  // In flight in this entry VM.
--- a/src/forward/request_headers.cc
+++ b/src/forward/request_headers.cc
@@ -320,6 +320,18 @@
   return out;
 }
 
+std::string FormatRepeatAnswer(const Repeat& repeat, const RequestId& id, bool keep_alive) {
+  std::string out = StatusLine(repeat.answer.status);
+  AppendHeader(out, "X-Request-Id", id.Text());
+  AppendHeader(out, "Cowsliphill-Outcome", NameOf(Outcome::kRan));
+  AppendHeader(out, "Idempotency-Replayed", "true");
+  AppendHeader(out, "Cowsliphill-First-Request", repeat.first.Text());
+  if (!repeat.answer.body_kept) AppendHeader(out, "Cowsliphill-Body-Kept", "false");
+  const std::string& type = repeat.answer.content_type;
+  AppendBody(out, type.empty() ? "application/octet-stream" : type, repeat.answer.body, keep_alive);
+  return out;
+}
+
 std::string FormatJsonAnswer(const std::string& body, bool keep_alive) {
   std::string out = StatusLine(200);
   AppendBody(out, "application/json", body, keep_alive);
--- a/src/forward/request_headers.h
+++ b/src/forward/request_headers.h
@@ -12,6 +12,7 @@
 #include "src/base/ids.h"
 #include "src/base/request_class.h"
 #include "src/base/result.h"
+#include "src/claims/claim.h"
 #include "src/forward/http_reader.h"
 #include "src/manifest/manifest.h"
 
@@ -59,6 +60,9 @@
 // A whole answer of our own, in problem details form (RFC 9457).
 std::string FormatOwnAnswer(const Verdict& verdict, const RequestId& id, bool keep_alive);
 
+// The answer of an earlier run, given again. Says so in Idempotency-Replayed.
+std::string FormatRepeatAnswer(const Repeat& repeat, const RequestId& id, bool keep_alive);
+
 // A short answer of our own with a JSON body and status 200.
 std::string FormatJsonAnswer(const std::string& body, bool keep_alive);
 
