--- /dev/null
+++ b/bench/policy_bench.cc
@@ -0,0 +1,206 @@
+// Measures the chooser against simple policies on the same seeded work, and its time per decision.
+//
+//   policy_bench            every scenario
+//   policy_bench NAME...    only those scenarios
+//   policy_bench decisions  only the time per decision
+//   SEED=N policy_bench     another seed (default 1)
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "bench/policy_model.h"
+
+namespace cowsliphill::bench {
+namespace {
+
+struct Scenario {
+  std::string name;
+  ModelOptions options;
+};
+
+template <typename Change>
+Scenario Make(const std::string& name, uint64_t seed, Change change) {
+  Scenario scenario{name, {}};
+  scenario.options.seed = seed;
+  change(scenario.options);
+  return scenario;
+}
+
+std::vector<Scenario> Scenarios(uint64_t seed) {
+  std::vector<Scenario> all;
+  const auto add = [&](const std::string& name, auto change) {
+    all.push_back(Make(name, seed, change));
+  };
+  add("emergency-only", [](ModelOptions& o) { o.emergency_only = true; });
+  add("steady-40", [](ModelOptions& o) { o.load = 0.40; });
+  add("steady-70", [](ModelOptions& o) { o.load = 0.70; });
+  add("steady-85", [](ModelOptions& o) { o.load = 0.85; });
+  add("steady-95", [](ModelOptions& o) { o.load = 0.95; });
+  add("overload-3x", [](ModelOptions& o) { o.load = 3.0; });
+  add("swings-85", [](ModelOptions& o) { o.swings = true; });
+  add("stragglers-85", [](ModelOptions& o) { o.stragglers = 2; });
+  add("stragglers-swings-85", [](ModelOptions& o) {
+    o.stragglers = 2;
+    o.swings = true;
+  });
+  add("noisy-70", [](ModelOptions& o) {
+    o.noisy = true;
+    o.load = 0.70;
+  });
+  add("fast-failer-70", [](ModelOptions& o) {
+    o.fast_failer = true;
+    o.load = 0.70;
+  });
+  add("drain-70", [](ModelOptions& o) {
+    o.drain = true;
+    o.load = 0.70;
+  });
+  add("cold-start-70", [](ModelOptions& o) {
+    o.cold_start = true;
+    o.load = 0.70;
+  });
+  for (const int age : {5, 50, 500}) {
+    add("stale-" + std::to_string(age) + "ms-85",
+        [age](ModelOptions& o) { o.report_period = milliseconds(age); });
+  }
+  return all;
+}
+
+void PrintHead() {
+  std::printf("%-21s %-9s | %6s %6s %6s | %6s %6s %6s | %6s | %6s %6s %6s | %7s %6s\n", "scenario",
+              "policy", "em p50", "p99", "p99.9", "ro p50", "p99", "p99.9", "bu p99", "refus%",
+              "late%", "fail%", "goodput", "ampl");
+}
+
+double Share(uint64_t part, uint64_t whole) {
+  return whole == 0 ? 0.0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+void Print(const Scenario& scenario, const char* policy, Figures figures) {
+  ClassFigures& emergency = figures.Of(RequestClass::kEmergency);
+  ClassFigures& routine = figures.Of(RequestClass::kRoutine);
+  ClassFigures& bulk = figures.Of(RequestClass::kBulk);
+  const uint64_t offered = emergency.offered + routine.offered + bulk.offered;
+  std::printf(
+      "%-21s %-9s | %6.1f %6.1f %6.1f | %6.1f %6.1f %6.1f | %6.0f | %6.2f %6.2f %6.2f | %7.3f "
+      "%6.3f",
+      scenario.name.c_str(), policy, emergency.Percentile(0.5), emergency.Percentile(0.99),
+      emergency.Percentile(0.999), routine.Percentile(0.5), routine.Percentile(0.99),
+      routine.Percentile(0.999), bulk.Percentile(0.99),
+      Share(emergency.refused + routine.refused + bulk.refused, offered),
+      Share(emergency.late + routine.late + bulk.late, offered),
+      Share(emergency.failed + routine.failed + bulk.failed, offered), figures.goodput,
+      figures.Amplification());
+  if (scenario.options.drain) std::printf("  after drain: %lu", figures.sent_after_drain);
+  if (emergency.refused > 0) std::printf("  emergencies refused: %lu", emergency.refused);
+  std::printf("\n");
+}
+
+void RunBaseline(const Scenario& scenario, const char* name, BaselineKind kind) {
+  PolicyModel<BaselineDecider> model(scenario.options, [kind](uint64_t seed) {
+    return std::make_unique<BaselineDecider>(kind, seed);
+  });
+  Print(scenario, name, model.Run());
+}
+
+void RunChooser(const Scenario& scenario) {
+  PolicyModel<Chooser> model(scenario.options, [](uint64_t seed) {
+    return std::make_unique<Chooser>(PlaceId("place"), seed);
+  });
+  Print(scenario, "cowslip", model.Run());
+}
+
+void Run(const Scenario& scenario) {
+  RunBaseline(scenario, "random", BaselineKind::kRandom);
+  RunBaseline(scenario, "robin", BaselineKind::kRoundRobin);
+  RunBaseline(scenario, "least", BaselineKind::kLeastInFlight);
+  RunBaseline(scenario, "two", BaselineKind::kTwoChoices);
+  RunChooser(scenario);
+}
+
+// Real time per request and per decision, with `servers` backend servers in `services` services.
+void MeasureDecisions(uint32_t services, uint32_t servers) {
+  Manifest manifest;
+  for (uint32_t i = 0; i < services; ++i) {
+    Service service;
+    service.id = ServiceId("service-" + std::to_string(i));
+    service.emergency_tenants = {TenantId("crew")};
+    manifest.services.push_back(service);
+  }
+  for (uint32_t i = 0; i < servers; ++i) {
+    BackendServer server;
+    server.id = BackendServerId("backend-" + std::to_string(i));
+    server.service = manifest.services[i % services].id;
+    server.endpoint = Endpoint{"10.0.0.1", static_cast<uint16_t>(1024 + i)};
+    manifest.backend_servers.push_back(server);
+  }
+  Chooser chooser(PlaceId("place"), 1);
+  MonotonicTime now{std::chrono::hours(1)};
+  chooser.Apply(manifest, now);
+
+  constexpr int kRequests = 1000000;
+  constexpr size_t kOpen = 64;  // Requests out at a time.
+  std::deque<SendTo> open;
+  Duration in_choose{};
+  uint64_t refused = 0;
+  const auto begin = std::chrono::steady_clock::now();
+  for (Ticket ticket = 1; ticket <= kRequests; ++ticket) {
+    now += microseconds(20);
+    ChoiceRequest request;
+    request.ticket = ticket;
+    request.service = manifest.services[ticket * 7919 % services].id;
+    request.deadline = now + seconds(1);
+    request.repeatable = true;
+    const auto before = std::chrono::steady_clock::now();
+    const Choice choice = chooser.Choose(request, now);
+    in_choose += std::chrono::steady_clock::now() - before;
+    if (const auto* send = std::get_if<SendTo>(&choice)) {
+      open.push_back(*send);
+    } else {
+      ++refused;
+      chooser.Finish(ticket, now);
+    }
+    chooser.HedgeDue(now);
+    if (open.size() < kOpen) continue;
+    AttemptResult result;
+    result.latency = milliseconds(10);
+    result.report = Report{1, 3, false, false};
+    chooser.OnEnded(open.front().ticket, open.front().server, result, now);
+    chooser.Finish(open.front().ticket, now);
+    open.pop_front();
+  }
+  const Duration whole = std::chrono::steady_clock::now() - begin;
+  std::printf(
+      "%u services, %u backend servers: %.0f ns in Choose, %.0f ns a request, %lu not sent\n",
+      services, servers, static_cast<double>(in_choose.count()) / kRequests,
+      static_cast<double>(whole.count()) / kRequests, refused);
+}
+
+void MeasureDecisionsAtSizes() {
+  MeasureDecisions(1, 20);
+  MeasureDecisions(180, 2500);
+  MeasureDecisions(1, 2500);
+}
+
+int Main(int argc, char** argv) {
+  const char* seed_text = std::getenv("SEED");
+  const uint64_t seed = seed_text == nullptr ? 1 : std::strtoull(seed_text, nullptr, 10);
+  const std::vector<std::string> wanted(argv + 1, argv + argc);
+  const auto is_wanted = [&](const std::string& name) {
+    return wanted.empty() || std::find(wanted.begin(), wanted.end(), name) != wanted.end();
+  };
+  PrintHead();
+  for (const Scenario& scenario : Scenarios(seed)) {
+    if (is_wanted(scenario.name)) Run(scenario);
+  }
+  if (is_wanted("decisions")) MeasureDecisionsAtSizes();
+  return 0;
+}
+
+}  // namespace
+}  // namespace cowsliphill::bench
+
+int main(int argc, char** argv) { return cowsliphill::bench::Main(argc, argv); }
