Members: membership protocol, lookup answers and the shell around them

Cause: entry VMs come and go all the time and nothing but they themselves can say who lives; the platform's VM list lags. Lookups must leave out a leaving or dead entry VM within seconds. Ruled out: all-to-all heartbeats (cost grows with the members), a table row per member as lease (the platform has outages and a few hundred writes a second), full-list exchange on a timer (bytes grow with the members). Taken: one random ping a period, suspicion with refutation, changes on pings and answers, fresh ones pushed to three, lists that differ mended by pages of eight. A report of death only makes a member suspect, so one mistaken member removes nobody.

--- /dev/null
+++ b/src/members/gossip_message.cc
@@ -0,0 +1,139 @@
+// MessagePack arrays rather than maps: a ping is sent every second by everyone, and field names
+// would be half of it.
+
+#include "src/members/gossip_message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cowsliphill {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kGossipVersion = 1;
+constexpr size_t kMaxTextLength = 128;
+constexpr size_t kMessageFields = 13;
+constexpr size_t kRecordFields = 10;
+
+json ToJson(const MemberRecord& record) {
+  return json::array({record.id.Text(), record.edge.ip, record.edge.port, record.peer.ip,
+                      record.peer.port, record.place.Text(), record.region.Text(),
+                      record.incarnation, record.leaving, static_cast<int>(record.health)});
+}
+
+// Reads the fields of an array in order; after the first wrong one Good() is false.
+class FieldReader {
+ public:
+  FieldReader(const json& array, size_t fields) : array_(array) {
+    good_ = array.is_array() && array.size() == fields;
+  }
+
+  std::string Text() {
+    const json* field = Next();
+    if (field == nullptr || !field->is_string()) return Fail(std::string());
+    const auto& text = field->get_ref<const std::string&>();
+    return text.size() <= kMaxTextLength ? text : Fail(std::string());
+  }
+
+  uint64_t Number(uint64_t most) {
+    const json* field = Next();
+    if (field == nullptr || !field->is_number_unsigned()) return Fail(uint64_t{0});
+    const auto number = field->get<uint64_t>();
+    return number <= most ? number : Fail(uint64_t{0});
+  }
+
+  bool Boolean() {
+    const json* field = Next();
+    if (field == nullptr || !field->is_boolean()) return Fail(false);
+    return field->get<bool>();
+  }
+
+  Endpoint ReadEndpoint() {
+    Endpoint endpoint;
+    endpoint.ip = Text();
+    endpoint.port = static_cast<uint16_t>(Number(UINT16_MAX));
+    return endpoint;
+  }
+
+  const json* Next() {
+    if (!good_ || next_ >= array_.size()) return nullptr;
+    return &array_[next_++];
+  }
+
+  bool Good() const { return good_; }
+
+ private:
+  template <typename Value>
+  Value Fail(Value value) {
+    good_ = false;
+    return value;
+  }
+
+  const json& array_;
+  size_t next_ = 0;
+  bool good_ = false;
+};
+
+std::optional<MemberRecord> RecordFromJson(const json& array) {
+  FieldReader reader(array, kRecordFields);
+  MemberRecord record;
+  record.id = EntryVmId(reader.Text());
+  record.edge = reader.ReadEndpoint();
+  record.peer = reader.ReadEndpoint();
+  record.place = PlaceId(reader.Text());
+  record.region = RegionId(reader.Text());
+  record.incarnation = reader.Number(INT64_MAX);
+  record.leaving = reader.Boolean();
+  record.health =
+      static_cast<MemberHealth>(reader.Number(static_cast<uint64_t>(MemberHealth::kGone)));
+  if (!reader.Good() || record.id.Empty()) return std::nullopt;
+  return record;
+}
+
+bool ReadChanges(const json* array, std::vector<MemberRecord>& changes) {
+  if (array == nullptr || !array->is_array() || array->size() > kMaxGossipChanges) return false;
+  for (const json& item : *array) {
+    std::optional<MemberRecord> record = RecordFromJson(item);
+    if (!record) return false;
+    changes.push_back(std::move(*record));
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeGossip(const GossipMessage& message) {
+  json changes = json::array();
+  for (const MemberRecord& record : message.changes) changes.push_back(ToJson(record));
+  const json array = json::array(
+      {kGossipVersion, static_cast<int>(message.type), message.sender.Text(), message.incarnation,
+       message.digest, static_cast<int>(message.standing), message.standing_incarnation,
+       message.introduce, message.target.Text(), message.target_peer.ip, message.target_peer.port,
+       message.cursor.Text(), std::move(changes)});
+  std::string payload;
+  json::to_msgpack(array, payload);
+  return payload;
+}
+
+std::optional<GossipMessage> DecodeGossip(const std::string& payload) {
+  if (payload.size() > kMaxGossipBytes) return std::nullopt;
+  const json array = json::from_msgpack(payload, true, false);
+  FieldReader reader(array, kMessageFields);
+  GossipMessage message;
+  if (reader.Number(UINT64_MAX) != kGossipVersion) return std::nullopt;
+  message.type = static_cast<GossipType>(reader.Number(static_cast<uint64_t>(GossipType::kPage)));
+  message.sender = EntryVmId(reader.Text());
+  message.incarnation = reader.Number(INT64_MAX);
+  message.digest = reader.Number(UINT64_MAX);
+  message.standing = static_cast<Standing>(reader.Number(static_cast<uint64_t>(Standing::kDead)));
+  message.standing_incarnation = reader.Number(INT64_MAX);
+  message.introduce = reader.Boolean();
+  message.target = EntryVmId(reader.Text());
+  message.target_peer = reader.ReadEndpoint();
+  message.cursor = EntryVmId(reader.Text());
+  if (!ReadChanges(reader.Next(), message.changes) || !reader.Good()) return std::nullopt;
+  if (message.sender.Empty() || static_cast<int>(message.type) == 0) return std::nullopt;
+  return message;
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/members/lookup.cc
@@ -0,0 +1,103 @@
+#include "src/members/lookup.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+
+namespace cowsliphill {
+namespace {
+
+// Members that share a place, best for the caller first.
+struct PlaceGroup {
+  bool wanted = false;            // It is the caller's own place.
+  uint64_t best = 0;              // Highest score in the group.
+  std::vector<Endpoint> entries;  // Edges of the group's members.
+};
+
+uint64_t Score(const std::string& caller, const Endpoint& edge) {
+  const std::string address = edge.ToString();
+  const uint64_t seed = XXH64(caller.data(), caller.size(), 0);
+  return XXH64(address.data(), address.size(), seed);
+}
+
+RegionId RegionOf(const std::vector<Member>& members, const RegionId& home,
+                  const LookupQuery& query) {
+  if (!query.region.Empty()) return query.region;
+  for (const Member& member : members) {
+    if (!query.place.Empty() && member.place == query.place) return member.region;
+  }
+  return home;
+}
+
+std::vector<PlaceGroup> GroupByPlace(const std::vector<const Member*>& members,
+                                     const LookupQuery& query) {
+  struct Scored {
+    uint64_t score;
+    const Member* member;
+  };
+  std::map<PlaceId, std::vector<Scored>> places;
+  for (const Member* member : members) {
+    places[member->place].push_back({Score(query.caller, member->edge), member});
+  }
+  std::vector<PlaceGroup> groups;
+  for (auto& [place, scored] : places) {
+    std::sort(scored.begin(), scored.end(), [](const Scored& a, const Scored& b) {
+      return a.score != b.score ? a.score > b.score : a.member->edge < b.member->edge;
+    });
+    PlaceGroup group;
+    group.wanted = place == query.place;
+    group.best = scored.front().score;
+    for (const Scored& it : scored) group.entries.push_back(it.member->edge);
+    groups.push_back(std::move(group));
+  }
+  std::sort(groups.begin(), groups.end(), [](const PlaceGroup& a, const PlaceGroup& b) {
+    return a.wanted != b.wanted ? a.wanted : a.best > b.best;
+  });
+  return groups;
+}
+
+// Appends one entry of each place in turn, until the answer is full.
+void AppendSpread(const std::vector<const Member*>& members, const LookupQuery& query,
+                  std::vector<Endpoint>& answer) {
+  const std::vector<PlaceGroup> groups = GroupByPlace(members, query);
+  for (size_t round = 0; round < members.size(); ++round) {
+    for (const PlaceGroup& group : groups) {
+      if (answer.size() >= kMaxLookupEntries) return;
+      if (round < group.entries.size()) answer.push_back(group.entries[round]);
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<Endpoint> RankEntries(const std::vector<Member>& members, const RegionId& home,
+                                  const LookupQuery& query) {
+  const RegionId region = RegionOf(members, home, query);
+  std::vector<const Member*> near;
+  std::vector<const Member*> far;
+  std::vector<const Member*> suspect;
+  for (const Member& member : members) {
+    if (member.state == MemberState::kLeaving) continue;
+    if (member.state == MemberState::kSuspect) {
+      suspect.push_back(&member);
+    } else if (member.region == region) {
+      near.push_back(&member);
+    } else {
+      far.push_back(&member);
+    }
+  }
+  std::vector<Endpoint> answer;
+  AppendSpread(near, query, answer);
+  AppendSpread(far, query, answer);
+  AppendSpread(suspect, query, answer);
+  return answer;
+}
+
+std::chrono::milliseconds LookupLifetime(std::chrono::milliseconds manifest_lifetime,
+                                         bool unsettled) {
+  return unsettled ? std::min(manifest_lifetime, kUnsettledLifetime) : manifest_lifetime;
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/members/lookup.h
@@ -0,0 +1,47 @@
+// Lookup answers: which entry VMs a caller should use next, in what order and for how long.
+//
+// The order is a function of the caller and the members alone, so every entry VM with the same
+// members gives a caller the same answer: the caller's region first, and within a region one entry
+// VM of each place in turn. Within a place the order is by rendezvous hashing of the caller and
+// the entry VM's address, so a member that comes or goes moves only the callers that it served.
+
+#ifndef COWSLIPHILL_MEMBERS_LOOKUP_H_
+#define COWSLIPHILL_MEMBERS_LOOKUP_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "src/base/ids.h"
+#include "src/members/peer.h"
+
+namespace cowsliphill {
+
+inline constexpr size_t kMaxLookupEntries = 8;
+inline constexpr std::chrono::milliseconds kUnsettledLifetime{1000};
+
+struct LookupQuery {
+  std::string caller;  // Token that the caller repeats, or its IP number.
+  PlaceId place;       // The caller's failure domain; empty: unknown.
+  RegionId region;     // The caller's region; empty: that of `place`, else that of the answerer.
+};
+
+struct LookupAnswer {
+  std::vector<Endpoint> entries;          // Best first; at most kMaxLookupEntries.
+  std::chrono::milliseconds lifetime{0};  // How long the caller may keep the answer.
+};
+
+// `members` holds the answering entry VM itself too. Leaving members are left out, suspect ones
+// come last. `home` is the region to assume when the query names neither place nor region.
+std::vector<Endpoint> RankEntries(const std::vector<Member>& members, const RegionId& home,
+                                  const LookupQuery& query);
+
+// The manifest's lifetime, cut to kUnsettledLifetime while members are suspect or have just
+// changed, so that callers ask again once it is known who lives.
+std::chrono::milliseconds LookupLifetime(std::chrono::milliseconds manifest_lifetime,
+                                         bool unsettled);
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_MEMBERS_LOOKUP_H_
--- /dev/null
+++ b/src/members/lookup_test.cc
@@ -0,0 +1,111 @@
+#include "src/members/lookup.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace cowsliphill {
+namespace {
+
+using std::chrono::milliseconds;
+
+class LookupTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LookupTest);
+  CPPUNIT_TEST(Lookup_WithAPlace_BeginsThereThenSpreads);
+  CPPUNIT_TEST(Lookup_WithoutAPlace_PrefersTheHomeRegion);
+  CPPUNIT_TEST(Lookup_WithLeavingAndSuspect_DropsOneAndPutsTheOtherLast);
+  CPPUNIT_TEST(Lookup_WhenAMemberGoes_MovesOnlyItsCallers);
+  CPPUNIT_TEST(Lookup_OverManyCallers_IsEven);
+  CPPUNIT_TEST(Lookup_WithNobody_IsEmpty);
+  CPPUNIT_TEST(Lifetime_WhenUnsettled_IsShort);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Lookup_WithAPlace_BeginsThereThenSpreads() {
+    const auto members = Some(18);
+    const auto entries = RankEntries(members, RegionId("r0"), {"caller", PlaceId("p2"), {}});
+    CPPUNIT_ASSERT_EQUAL(kMaxLookupEntries, entries.size());
+    CPPUNIT_ASSERT(PlaceOf(members, entries[0]) == PlaceId("p2"));
+    CPPUNIT_ASSERT(PlaceOf(members, entries[1]) != PlaceOf(members, entries[0]));
+    CPPUNIT_ASSERT(PlaceOf(members, entries[2]) != PlaceOf(members, entries[0]));
+    CPPUNIT_ASSERT(PlaceOf(members, entries[2]) != PlaceOf(members, entries[1]));
+  }
+
+  void Lookup_WithoutAPlace_PrefersTheHomeRegion() {
+    const auto members = Some(18);
+    const auto entries = RankEntries(members, RegionId("r1"), {"caller", {}, {}});
+    // Of the 18, places p3 to p5 make up region r1.
+    for (size_t i = 0; i < 3; ++i) CPPUNIT_ASSERT(PlaceOf(members, entries[i]) >= PlaceId("p3"));
+  }
+
+  void Lookup_WithLeavingAndSuspect_DropsOneAndPutsTheOtherLast() {
+    auto members = Some(3);
+    members[0].state = MemberState::kLeaving;
+    members[1].state = MemberState::kSuspect;
+    const auto entries = RankEntries(members, RegionId("r0"), {"caller", PlaceId("p1"), {}});
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, entries.size());
+    CPPUNIT_ASSERT(entries[0] == members[2].edge);
+    CPPUNIT_ASSERT(entries[1] == members[1].edge);
+  }
+
+  void Lookup_WhenAMemberGoes_MovesOnlyItsCallers() {
+    const auto members = Some(18);
+    auto fewer = members;
+    fewer.erase(fewer.begin() + 4);
+    for (int i = 0; i < 500; ++i) {
+      const LookupQuery query{"caller-" + std::to_string(i), PlaceId("p4"), {}};
+      const Endpoint before = RankEntries(members, RegionId("r0"), query)[0];
+      const Endpoint after = RankEntries(fewer, RegionId("r0"), query)[0];
+      CPPUNIT_ASSERT(before == after || before == members[4].edge);
+    }
+  }
+
+  void Lookup_OverManyCallers_IsEven() {
+    const auto members = Some(9);
+    std::map<Endpoint, int> callers;
+    for (int i = 0; i < 9000; ++i) {
+      const LookupQuery query{"caller-" + std::to_string(i), {}, RegionId("r0")};
+      ++callers[RankEntries(members, RegionId("r0"), query)[0]];
+    }
+    // Places p0 to p2 of region r0 hold six of the nine: 1500 each.
+    CPPUNIT_ASSERT_EQUAL(size_t{6}, callers.size());
+    for (const auto& [entry, n] : callers) CPPUNIT_ASSERT(n > 1300 && n < 1700);
+  }
+
+  void Lookup_WithNobody_IsEmpty() {
+    CPPUNIT_ASSERT(RankEntries({}, RegionId("r0"), {"caller", {}, {}}).empty());
+  }
+
+  void Lifetime_WhenUnsettled_IsShort() {
+    CPPUNIT_ASSERT(LookupLifetime(milliseconds(5000), false) == milliseconds(5000));
+    CPPUNIT_ASSERT(LookupLifetime(milliseconds(5000), true) == kUnsettledLifetime);
+    CPPUNIT_ASSERT(LookupLifetime(milliseconds(200), true) == milliseconds(200));
+  }
+
+ private:
+  // Six places in turn: p0 to p2 in region r0, p3 to p5 in region r1.
+  static std::vector<Member> Some(size_t n) {
+    std::vector<Member> members;
+    for (size_t i = 0; i < n; ++i) {
+      Member member;
+      member.id = EntryVmId("vm-" + std::to_string(i));
+      member.edge = {"10.0.0." + std::to_string(i + 1), 8080};
+      member.place = PlaceId("p" + std::to_string(i % 6));
+      member.region = RegionId(i % 6 < 3 ? "r0" : "r1");
+      members.push_back(member);
+    }
+    return members;
+  }
+
+  static PlaceId PlaceOf(const std::vector<Member>& members, const Endpoint& edge) {
+    for (const Member& member : members) {
+      if (member.edge == edge) return member.place;
+    }
+    return {};
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LookupTest);
+
+}  // namespace
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/members/member_table.cc
@@ -0,0 +1,161 @@
+#include "src/members/member_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+// Time to refute left to a member that another one has already declared dead.
+constexpr int kDeadReportDivisor = 2;
+
+}  // namespace
+
+bool MemberTable::IsLive(const KnownMember& known) {
+  return known.record.health == MemberHealth::kAlive ||
+         known.record.health == MemberHealth::kSuspect;
+}
+
+Member MemberTable::ToMember(const MemberRecord& record) {
+  MemberState state = MemberState::kAlive;
+  if (record.health == MemberHealth::kSuspect) state = MemberState::kSuspect;
+  if (record.leaving) state = MemberState::kLeaving;
+  return {record.id, record.edge, record.peer, record.place, record.region, state};
+}
+
+uint64_t MemberTable::DigestOf(const MemberRecord& record) {
+  const uint64_t version = record.incarnation * 2 + (record.leaving ? 1 : 0);
+  return XXH64(record.id.Text().data(), record.id.Text().size(), version);
+}
+
+ApplyEffect MemberTable::Apply(MonotonicTime now, const MemberRecord& record) {
+  KnownMember* known = Find(record.id);
+  if (known == nullptr) return Add(now, record);
+  if (known->record.health == MemberHealth::kGone) return ApplyEffect::kNone;
+  if (record.health == MemberHealth::kGone) {
+    SetHealth(now, *known, MemberHealth::kGone);
+    return ApplyEffect::kChanged;
+  }
+  if (record.incarnation > known->record.incarnation) return ApplyNewer(now, *known, record);
+  const bool alive_there = record.health == MemberHealth::kAlive;
+  if (alive_there) {
+    return known->record.health == MemberHealth::kDead ? ApplyEffect::kDoubted : ApplyEffect::kNone;
+  }
+  if (record.incarnation < known->record.incarnation) return ApplyEffect::kNone;
+  return ApplyAccusation(now, *known, record.health);
+}
+
+ApplyEffect MemberTable::Add(MonotonicTime now, const MemberRecord& record) {
+  if (record.health == MemberHealth::kDead) return ApplyEffect::kNone;
+  if (members_.size() >= max_members_) MakeRoom();
+  if (members_.size() >= max_members_) return ApplyEffect::kRefused;
+  KnownMember& known = members_[record.id];
+  known.record = record;
+  known.changed = now;
+  known.suspect_deadline = now + suspicion_timeout_;
+  Count(known, 1);
+  if (IsLive(known)) Report(known);
+  return ApplyEffect::kChanged;
+}
+
+ApplyEffect MemberTable::ApplyNewer(MonotonicTime now, KnownMember& known,
+                                    const MemberRecord& record) {
+  const MemberState state_before = ToMember(known.record).state;
+  const bool live_before = IsLive(known);
+  Count(known, -1);
+  const MemberHealth health =
+      record.health == MemberHealth::kDead && live_before ? MemberHealth::kSuspect : record.health;
+  if (known.record.health != health) known.changed = now;
+  known.record = record;
+  known.record.health = health;
+  known.suspect_deadline = now + suspicion_timeout_;
+  Count(known, 1);
+  if (IsLive(known) && (!live_before || ToMember(known.record).state != state_before)) {
+    Report(known);
+  }
+  return ApplyEffect::kChanged;
+}
+
+ApplyEffect MemberTable::ApplyAccusation(MonotonicTime now, KnownMember& known,
+                                         MemberHealth health) {
+  if (!IsLive(known)) return ApplyEffect::kNone;
+  const bool was_alive = known.record.health == MemberHealth::kAlive;
+  if (was_alive) SetHealth(now, known, MemberHealth::kSuspect);
+  if (health == MemberHealth::kDead) {
+    const MonotonicTime sooner = now + suspicion_timeout_ / kDeadReportDivisor;
+    known.suspect_deadline = std::min(known.suspect_deadline, sooner);
+  }
+  return was_alive ? ApplyEffect::kChanged : ApplyEffect::kNone;
+}
+
+void MemberTable::HeardFrom(MonotonicTime now, KnownMember& known) {
+  if (known.record.health == MemberHealth::kSuspect) SetHealth(now, known, MemberHealth::kAlive);
+}
+
+void MemberTable::SetHealth(MonotonicTime now, KnownMember& known, MemberHealth health) {
+  if (known.record.health == health) return;
+  const bool live_before = IsLive(known);
+  Count(known, -1);
+  known.record.health = health;
+  known.changed = now;
+  if (health == MemberHealth::kSuspect) known.suspect_deadline = now + suspicion_timeout_;
+  Count(known, 1);
+  if (live_before || IsLive(known)) Report(known);
+}
+
+void MemberTable::Postpone(Duration extra) {
+  for (auto& [id, known] : members_) known.suspect_deadline += extra;
+}
+
+void MemberTable::Forget(MonotonicTime limit) {
+  std::erase_if(members_, [limit](const auto& it) {
+    return !IsLive(it.second) && it.second.changed < limit;
+  });
+}
+
+// Drops the member that has been dead for longest.
+void MemberTable::MakeRoom() {
+  auto oldest = members_.end();
+  for (auto it = members_.begin(); it != members_.end(); ++it) {
+    if (IsLive(it->second)) continue;
+    if (oldest == members_.end() || it->second.changed < oldest->second.changed) oldest = it;
+  }
+  if (oldest != members_.end()) members_.erase(oldest);
+}
+
+KnownMember* MemberTable::Find(const EntryVmId& id) {
+  const auto it = members_.find(id);
+  return it == members_.end() ? nullptr : &it->second;
+}
+
+const KnownMember* MemberTable::Find(const EntryVmId& id) const {
+  const auto it = members_.find(id);
+  return it == members_.end() ? nullptr : &it->second;
+}
+
+std::vector<KnownMember*> MemberTable::Live() {
+  std::vector<KnownMember*> live;
+  live.reserve(live_count_);
+  for (auto& [id, known] : members_) {
+    if (IsLive(known)) live.push_back(&known);
+  }
+  return live;
+}
+
+std::vector<MemberChange> MemberTable::TakeChanges() { return std::exchange(changes_, {}); }
+
+void MemberTable::Count(const KnownMember& known, int sign) {
+  if (!IsLive(known)) return;
+  live_count_ += sign;
+  if (known.record.health == MemberHealth::kSuspect) suspect_count_ += sign;
+  digest_ ^= DigestOf(known.record);
+}
+
+void MemberTable::Report(const KnownMember& known) {
+  changes_.push_back({ToMember(known.record), !IsLive(known)});
+}
+
+}  // namespace cowsliphill
