The revision in force: polled, spread among entry VMs, never lower

RevisionTracker decides (events in, actions out); ManifestFollower does the I/O and puts fetched parts together off the loop. A manifest is taken only whole and with the digest of its revision.

Start without memory: asking the peers alone can't tell what a silent one holds, and a plain read of the platform may be old. So a new process is ready after a read through a transaction, or when every listed entry VM of its own place has answered and one of them is ready; then with the highest revision heard of. Letting callers carry the highest revision was ruled out: a wrong number from one caller would keep every new entry VM from being ready.

--- a/src/manifest/acceptance.cc
+++ b/src/manifest/acceptance.cc
@@ -126,9 +126,9 @@
     return Unchanged{base_head.accepted.revision};
   }
 
-  std::string whole = EncodeManifest(input.submitted);
+  auto encoded = std::make_shared<const std::string>(EncodeManifest(input.submitted));
   HistoryEntry entry;
-  entry.head.accepted = {base_head.accepted.revision + 1, DigestOfBytes(whole)};
+  entry.head.accepted = {base_head.accepted.revision + 1, DigestOfBytes(*encoded)};
   entry.head.snapshot = base_head.snapshot;
   entry.head.submission = submission.id;
   entry.head.author = submission.author.team;
@@ -138,7 +138,7 @@
   if (change_bytes <= kMostInlineChangeBytes) entry.change = change;
   if (NeedsSnapshot(base_head, entry.head.accepted.revision, change_bytes)) {
     entry.head.snapshot = entry.head.accepted;
-    prepared.whole = std::move(whole);
+    prepared.snapshot = true;
   }
   std::string entry_bytes = EncodeHistoryEntry(entry);
   prepared.writes = {
@@ -149,7 +149,7 @@
   };
   auto next = std::make_shared<Manifest>(input.submitted);
   next->revision = entry.head.accepted.revision;
-  prepared.next = {std::move(next), entry.head, {std::move(entry_bytes)}};
+  prepared.next = {std::move(next), entry.head, {std::move(entry_bytes)}, std::move(encoded)};
   return prepared;
 }
 
--- a/src/manifest/acceptance.h
+++ b/src/manifest/acceptance.h
@@ -85,7 +85,7 @@
 // Everything that the acceptance will write, made off the event loop.
 struct PreparedAcceptance {
   LoadedManifest next;
-  std::optional<std::string> whole;      // To be stored first, if this revision is a snapshot.
+  bool snapshot = false;                 // The encoded manifest is to be stored first.
   std::vector<ConditionalWrite> writes;  // The transaction.
   std::vector<DifferenceLine> difference;
 };
--- a/src/manifest/manifest_codec.cc
+++ b/src/manifest/manifest_codec.cc
@@ -239,11 +239,11 @@
 
 template <typename Visit, typename T>
 void VisitMembers(Visit visit, T& it, const PeerHead& d) {
+  visit("id", it.sender, d.sender);
+  visit("place", it.place, d.place);
   visit("in_force", it.in_force, d.in_force);
   visit("highest", it.highest_known, d.highest_known);
   visit("ready", it.ready, d.ready);
-  visit("place", it.place, d.place);
-  visit("head", it.accepted_head, d.accepted_head);
 }
 
 template <typename Visit, typename T>
--- a/src/manifest/manifest_codec.h
+++ b/src/manifest/manifest_codec.h
@@ -60,11 +60,12 @@
 
 // What entry VMs tell each other, both as question and as answer.
 struct PeerHead {
-  RevisionMark in_force;       // At the sender.
-  uint64_t highest_known = 0;  // Highest revision that it has heard of.
-  bool ready = false;          // It serves callers under `in_force`.
-  PlaceId place;               // Of the sender.
-  ManifestHead accepted_head;  // Head of `in_force`, so that the receiver can check and hand on.
+  EntryVmId sender;
+  PlaceId place;          // Of the sender.
+  RevisionMark in_force;  // At the sender.
+  uint64_t highest_known =
+      0;               // Highest revision that it heard to be accepted or in force anywhere.
+  bool ready = false;  // It serves callers under `in_force`.
 };
 
 // Asks another entry VM for its revision in force.
--- /dev/null
+++ b/src/manifest/manifest_follower.h
@@ -0,0 +1,257 @@
+// Keeps the accepted manifest in force at this entry VM: polls the platform's head row, hears other
+// entry VMs, fetches what changed and switches. The decisions are in revision_tracker.h.
+//
+//   ManifestFollower follower(table, objects, transport, loop, worker, clock, options, members);
+//   follower.Subscribe([&](const ManifestPtr& manifest) { chooser.Apply(*manifest, ...); });
+//   follower.Tick();  // Again every 50 to 100 ms.
+//
+// Everything runs on the loop's thread but putting fetched parts together, which `worker` does.
+// Whoever holds a ManifestPtr goes on under that revision: a request that was decided under one
+// finishes under it.
+
+#ifndef COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
+#define COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/manifest/manifest_loader.h"
+#include "src/manifest/manifest_log.h"
+#include "src/manifest/revision_tracker.h"
+#include "src/members/peer.h"
+#include "src/platform/platform.h"
+
+namespace cowsliphill {
+
+template <TableClient Table, ObjectClient Objects, PeerTransport Transport,
+          typename Tracker = RevisionTracker>
+class ManifestFollower {
+ public:
+  using Subscriber = std::function<void(const ManifestPtr&)>;
+  using MemberList = std::function<std::vector<Member>()>;
+
+  // All outlive the follower, and the follower outlives its calls.
+  ManifestFollower(Table& table, Objects& objects, Transport& transport, Executor loop,
+                   Executor worker, const Clock& clock, TrackerOptions options, MemberList members)
+      : table_(table),
+        transport_(transport),
+        loop_(loop),
+        worker_(worker),
+        clock_(clock),
+        tracker_(std::move(options)),
+        members_(std::move(members)),
+        loader_(table, objects, std::move(loop), std::move(worker)) {
+    transport_.Handle(
+        MessageKind::kManifestHead,
+        [this](const EntryVmId& from, const std::string& payload) { return AnswerHead(payload); });
+    transport_.Handle(
+        MessageKind::kManifestFetch,
+        [this](const EntryVmId& from, const std::string& payload) { return AnswerFetch(payload); });
+  }
+
+  void Tick() {
+    Feed(MembersSeen{members_()});
+    Feed(TimePassed{});
+  }
+
+  // Called with each manifest that comes into force from now on, and at once with the present one.
+  void Subscribe(Subscriber subscriber) {
+    if (current_) subscriber(current_);
+    subscribers_.push_back(std::move(subscriber));
+  }
+
+  // A manifest that this process has accepted (ManifestKeeper).
+  void Adopt(LoadedManifest loaded) {
+    adopted_ = std::move(loaded);
+    Feed(AcceptedHere{adopted_.head}, &adopted_);
+  }
+
+  ManifestPtr Current() const { return current_; }  // Null until there is one.
+  bool Ready() const { return tracker_.Ready(); }
+  TrackerView View() const { return tracker_.View(clock_.Now()); }
+  uint64_t BadMessages() const { return bad_messages_; }
+
+ private:
+  // Hands an event to the tracker; `loaded` is what a PutInForce in answer to it refers to.
+  void Feed(const TrackerEvent& event, LoadedManifest* loaded = nullptr) {
+    for (const TrackerAction& action : tracker_.On(event, clock_.Now())) {
+      if (std::holds_alternative<PutInForce>(action)) {
+        Switch(*loaded);
+      } else {
+        std::visit([this](const auto& it) { Do(it); }, action);
+      }
+    }
+  }
+
+  void Switch(LoadedManifest& loaded) {
+    log_.Add(loaded);
+    current_ = loaded.manifest;
+    for (const Subscriber& subscriber : subscribers_) subscriber(current_);
+  }
+
+  void Do(const PutInForce& action) {}
+
+  void Do(const ReadHead& action) {
+    if (!action.certain) {
+      table_.Get(kManifestHeadKey, [this](GetResult result) {
+        if (!Ok(result)) return Feed(HeadFailed{});
+        const std::optional<Row>& row = ValueOf(result);
+        OnHeadRow(row ? &*row : nullptr, false);
+      });
+      return;
+    }
+    // Deletes the row on the condition that it is absent: the conflict returns it as it is now.
+    table_.Commit({{kManifestHeadKey, 0, std::nullopt}}, [this](CommitResult result) {
+      if (std::holds_alternative<PlatformError>(result)) return Feed(HeadFailed{});
+      const auto* conflict = std::get_if<Conflict>(&result);
+      OnHeadRow(conflict != nullptr && !conflict->current.empty() ? &conflict->current[0] : nullptr,
+                true);
+    });
+  }
+
+  void OnHeadRow(const Row* row, bool certain) {
+    if (row == nullptr) return Feed(HeadRead{std::nullopt, certain});
+    std::optional<ManifestHead> head = DecodeHead(row->value);
+    if (head) return Feed(HeadRead{std::move(head), certain});
+    ++bad_messages_;
+    Feed(HeadFailed{});
+  }
+
+  void Do(const AskPeer& action) {
+    transport_.Request(
+        action.peer, MessageKind::kManifestHead, EncodePeerHead(tracker_.OwnHead()),
+        [this, id = action.id](Result<std::string, PeerError> reply) { OnPeerReply(id, reply); });
+  }
+
+  void OnPeerReply(const EntryVmId& id, const Result<std::string, PeerError>& reply) {
+    const std::optional<PeerHead> head = Ok(reply) ? DecodePeerHead(ValueOf(reply)) : std::nullopt;
+    if (Ok(reply) && !head) ++bad_messages_;
+    if (head) Feed(PeerHeadSeen{*head});
+    // Another process may answer at the address of one that is gone.
+    if (!head || head->sender != id) Feed(PeerSilent{id});
+  }
+
+  std::string AnswerHead(const std::string& payload) {
+    const std::optional<PeerHead> head = DecodePeerHead(payload);
+    if (head) {
+      loop_([this, head] { Feed(PeerHeadSeen{*head}); });
+    } else {
+      ++bad_messages_;
+    }
+    return EncodePeerHead(tracker_.OwnHead());
+  }
+
+  std::string AnswerFetch(const std::string& payload) {
+    const std::optional<FetchRequest> request = DecodeFetchRequest(payload);
+    if (!request) ++bad_messages_;
+    return request ? EncodeFetchReply(log_.Answer(*request)) : "";
+  }
+
+  void Do(const FetchFromPlatform& action) {
+    loader_.Load(action.target, action.whole ? nullptr : current_,
+                 [this](LoadResult result) { OnFetched(std::move(result)); });
+  }
+
+  void Do(const FetchFromPeer& action) {
+    staging_ = Staging();
+    staging_.peer = action.peer;
+    FetchRequest request;
+    request.since = action.whole || !current_ ? 0 : current_->revision;
+    SendFetch(request);
+  }
+
+  void SendFetch(const FetchRequest& request) {
+    transport_.Request(
+        staging_.peer, MessageKind::kManifestFetch, EncodeFetchRequest(request),
+        [this](Result<std::string, PeerError> reply) { OnFetchReply(std::move(reply)); });
+  }
+
+  void OnFetchReply(Result<std::string, PeerError> bytes) {
+    if (!Ok(bytes)) return OnFetched(LoadError::kUnavailable);
+    std::optional<FetchReply> reply = DecodeFetchReply(ValueOf(bytes));
+    if (!reply) {
+      ++bad_messages_;
+      return OnFetched(LoadError::kCorrupt);
+    }
+    if (!reply->entries.empty()) return AssembleEntries(*reply);
+    TakePart(*reply);
+  }
+
+  void AssembleEntries(FetchReply& reply) {
+    ManifestParts parts;
+    parts.target = std::move(reply.head);
+    parts.base = current_;
+    for (Bytes& entry : reply.entries) parts.entries.push_back(std::move(entry.data));
+    if (!parts.base) return OnFetched(LoadError::kIncomplete);
+    AssembleOffLoop(std::move(parts));
+  }
+
+  // Adds one part of a whole manifest; a part of another revision starts again from the first.
+  void TakePart(FetchReply& reply) {
+    if (reply.whole_bytes == 0) return OnFetched(LoadError::kIncomplete);
+    if (reply.whole_bytes > kMostWholeBytes) return OnFetched(LoadError::kCorrupt);
+    if (!(reply.head.accepted == staging_.head.accepted)) {
+      if (!staging_.bytes.empty()) return OnFetched(LoadError::kIncomplete);
+      staging_.head = reply.head;
+    }
+    staging_.bytes += reply.part.data;
+    if (staging_.bytes.size() >= reply.whole_bytes) {
+      ManifestParts parts;
+      parts.target = staging_.head;
+      parts.whole = std::move(staging_.bytes);
+      parts.whole_revision = staging_.head.accepted.revision;
+      return AssembleOffLoop(std::move(parts));
+    }
+    if (reply.part.data.empty()) return OnFetched(LoadError::kIncomplete);
+    FetchRequest next;
+    next.whole = staging_.head.accepted;
+    next.offset = staging_.bytes.size();
+    SendFetch(next);
+  }
+
+  void AssembleOffLoop(ManifestParts parts) {
+    auto shared = std::make_shared<ManifestParts>(std::move(parts));
+    worker_([this, shared] {
+      loop_([this, result = Assemble(std::move(*shared))] { OnFetched(result); });
+    });
+  }
+
+  void OnFetched(LoadResult result) {
+    if (Ok(result)) {
+      LoadedManifest loaded = ValueOf(result);
+      return Feed(FetchDone{loaded.head}, &loaded);
+    }
+    Feed(FetchFailed{ErrorOf(result) == LoadError::kCorrupt});
+  }
+
+  // The parts of a whole manifest that a peer has sent so far.
+  struct Staging {
+    Endpoint peer;
+    ManifestHead head;
+    std::string bytes;
+  };
+
+  Table& table_;
+  Transport& transport_;
+  Executor loop_;
+  Executor worker_;
+  const Clock& clock_;
+  Tracker tracker_;
+  MemberList members_;
+  ManifestLoader<Table, Objects> loader_;
+  ManifestLog log_;
+  ManifestPtr current_;
+  LoadedManifest adopted_;
+  Staging staging_;
+  std::vector<Subscriber> subscribers_;
+  uint64_t bad_messages_ = 0;
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
--- /dev/null
+++ b/src/manifest/manifest_follower_test.cc
@@ -0,0 +1,194 @@
+#include "src/manifest/manifest_follower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "src/manifest/manifest_world.h"
+
+namespace cowsliphill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using World = ManifestWorld<>;
+
+class ManifestFollowerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ManifestFollowerTest);
+  CPPUNIT_TEST(Manifest_Accepted_IsInForceEverywhereWithinASecond);
+  CPPUNIT_TEST(Manifest_AcceptedThenPlatformDown_StillSpreads);
+  CPPUNIT_TEST(Follower_BehindByMany_TakesTheWholeInParts);
+  CPPUNIT_TEST(NewVm_WithPlatformDown_TakesTheHighestOfItsPlace);
+  CPPUNIT_TEST(NewVm_WithPlatformDownAndAMemberSilent_IsNotReady);
+  CPPUNIT_TEST(NewVm_AloneInItsPlaceWithPlatformDown_IsNotReady);
+  CPPUNIT_TEST(NewVm_ThatHeardOfALostRevision_IsNotReady);
+  CPPUNIT_TEST(NewVm_BeforeAnyManifest_IsNotReady);
+  CPPUNIT_TEST(Follower_WithOldReads_StaysAndCounts);
+  CPPUNIT_TEST(Follower_WithBadMessages_CountsAndRefuses);
+  CPPUNIT_TEST(Manifest_Held_OutlivesTheSwitch);
+  CPPUNIT_TEST(Place_ThatStaysBehind_IsAnAlarm);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    world_ = std::make_unique<World>();
+    for (int i = 0; i < 3; ++i) {
+      world_->Start("riga-centrs");
+      world_->Start("jelgava-dc");
+    }
+    world_->SubmitAndRun(Vm(0), "a", 0, 1000);
+    CPPUNIT_ASSERT(world_->AllHave(1));
+  }
+
+  void tearDown() override {
+    world_->CheckAnswers();
+    CPPUNIT_ASSERT_EQUAL(std::string(), world_->broken.empty() ? "" : *world_->broken.begin());
+  }
+
+  void Manifest_Accepted_IsInForceEverywhereWithinASecond() {
+    world_->Submit(Vm(0), world_->Made("b", 1, 1001));
+    world_->loop.RunFor(seconds(1));
+    CPPUNIT_ASSERT(world_->AllHave(2));
+    for (const auto& vm : world_->vms) CPPUNIT_ASSERT(vm->follower.Ready());
+  }
+
+  void Manifest_AcceptedThenPlatformDown_StillSpreads() {
+    for (size_t i = 1; i < 6; ++i) Vm(i).platform.Always(PlatformFault::kDown);
+    world_->Submit(Vm(0), world_->Made("b", 1, 1001));
+    world_->loop.RunFor(milliseconds(10));
+    PlatformDown();
+    world_->loop.RunFor(seconds(2));
+    CPPUNIT_ASSERT(world_->AllHave(2));
+  }
+
+  void Follower_BehindByMany_TakesTheWholeInParts() {
+    Cut(Vm(5));
+    for (uint64_t i = 1; i <= kKeptChanges + 5; ++i) {
+      const auto max_requests = static_cast<uint32_t>(2000 + i);
+      world_->Submit(Vm(0), world_->Made("s" + std::to_string(i), i, max_requests));
+      world_->loop.RunFor(seconds(1));
+    }
+    Vm(5).peers.Isolate(false);
+    PlatformDown();
+    world_->loop.RunFor(seconds(3));
+    CPPUNIT_ASSERT_EQUAL(kKeptChanges + 6, Vm(5).Revision());
+  }
+
+  void NewVm_WithPlatformDown_TakesTheHighestOfItsPlace() {
+    PlatformDown();
+    World::EntryVm& vm = StartWithoutPlatform("riga-centrs");
+    world_->loop.RunFor(seconds(3));
+    CPPUNIT_ASSERT(vm.follower.Ready());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, vm.Revision());
+  }
+
+  void NewVm_WithPlatformDownAndAMemberSilent_IsNotReady() {
+    PlatformDown();
+    Vm(2).peers.Isolate(true);  // It may hold more than the others.
+    World::EntryVm& vm = StartWithoutPlatform("riga-centrs");
+    world_->loop.RunFor(seconds(20));
+    CPPUNIT_ASSERT(!vm.follower.Ready());
+    CPPUNIT_ASSERT(vm.follower.View().waiting_for.find("vm3") != std::string::npos);
+    Vm(2).peers.Isolate(false);
+    world_->loop.RunFor(seconds(3));
+    CPPUNIT_ASSERT(vm.follower.Ready());
+  }
+
+  void NewVm_AloneInItsPlaceWithPlatformDown_IsNotReady() {
+    PlatformDown();
+    World::EntryVm& vm = StartWithoutPlatform("riga-ziemeli");
+    world_->loop.RunFor(seconds(20));
+    CPPUNIT_ASSERT(!vm.follower.Ready());
+    vm.platform.Always(PlatformFault::kNone);
+    world_->loop.RunFor(seconds(2));
+    CPPUNIT_ASSERT(vm.follower.Ready());
+  }
+
+  void NewVm_ThatHeardOfALostRevision_IsNotReady() {
+    for (size_t i = 2; i < 6; ++i) Cut(Vm(i));
+    world_->Submit(Vm(0), world_->Made("b", 1, 1001));
+    world_->loop.RunFor(seconds(1));  // Only two entry VMs have revision 2.
+    PlatformDown();
+    Vm(2).peers.Isolate(false);
+    Vm(2).peers.Always(PeerFault::kCut);  // It is told of it and can't fetch it.
+    world_->loop.RunFor(seconds(20));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Vm(2).Revision());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Vm(2).follower.View().highest_known);
+    world_->Kill(Vm(0));
+    world_->Kill(Vm(1));
+    Vm(2).peers.Always(PeerFault::kNone);
+    for (size_t i = 3; i < 6; ++i) Vm(i).peers.Isolate(false);
+    World::EntryVm& vm = StartWithoutPlatform("riga-centrs");
+    world_->loop.RunFor(seconds(20));
+    CPPUNIT_ASSERT(!vm.follower.Ready());
+    vm.platform.Always(PlatformFault::kNone);
+    world_->loop.RunFor(seconds(2));
+    CPPUNIT_ASSERT(vm.follower.Ready());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, vm.Revision());
+  }
+
+  void NewVm_BeforeAnyManifest_IsNotReady() {
+    World world;
+    world.Start("riga-centrs");
+    world.loop.RunFor(seconds(5));
+    CPPUNIT_ASSERT(!world.vms[0]->follower.Ready());
+    CPPUNIT_ASSERT_EQUAL(std::string("no manifest has been accepted yet"),
+                         world.vms[0]->follower.View().waiting_for);
+  }
+
+  void Follower_WithOldReads_StaysAndCounts() {
+    Vm(4).platform.KeepOldState();
+    world_->SubmitAndRun(Vm(0), "b", 1, 1001);
+    Vm(4).platform.Always(PlatformFault::kOldRead);
+    world_->loop.RunFor(seconds(5));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Vm(4).Revision());
+    CPPUNIT_ASSERT(Vm(4).follower.View().counters.old_reads > 0);
+  }
+
+  void Follower_WithBadMessages_CountsAndRefuses() {
+    for (const MessageKind kind : {MessageKind::kManifestHead, MessageKind::kManifestFetch}) {
+      Vm(1).peers.Request(Vm(0).self.peer, kind, "\xc1 bad", [](FaultyPeers::Reply) {});
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Vm(0).follower.BadMessages());
+  }
+
+  void Manifest_Held_OutlivesTheSwitch() {
+    const ManifestPtr held = Vm(3).follower.Current();
+    world_->SubmitAndRun(Vm(0), "b", 1, 1001);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, held->revision);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1000}, held->entry.max_requests);
+  }
+
+  void Place_ThatStaysBehind_IsAnAlarm() {
+    for (const size_t i : {1, 3, 5}) Cut(Vm(i));
+    world_->Submit(Vm(0), world_->Made("b", 1, 1001));
+    world_->loop.RunFor(seconds(10));
+    const std::vector<PlaceLag> places = Vm(0).follower.View().places;
+    CPPUNIT_ASSERT_EQUAL(std::string("jelgava-dc"), places.front().place.Text());
+    CPPUNIT_ASSERT(places.front().alarm);
+    CPPUNIT_ASSERT(!places.back().alarm);
+  }
+
+ private:
+  World::EntryVm& Vm(size_t i) { return *world_->vms[i]; }
+
+  void PlatformDown() {
+    for (const auto& vm : world_->vms) vm->platform.Always(PlatformFault::kDown);
+  }
+
+  static void Cut(World::EntryVm& vm) {
+    vm.platform.Always(PlatformFault::kCut);
+    vm.peers.Isolate(true);
+  }
+
+  World::EntryVm& StartWithoutPlatform(const std::string& place) {
+    World::EntryVm& vm = world_->Start(place);
+    vm.platform.Always(PlatformFault::kDown);
+    return vm;
+  }
+
+  std::unique_ptr<World> world_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ManifestFollowerTest);
+
+}  // namespace
+}  // namespace cowsliphill
--- a/src/manifest/manifest_keeper.h
+++ b/src/manifest/manifest_keeper.h
@@ -193,9 +193,9 @@
   }
 
   void StoreWhole(AttemptPtr attempt) {
-    if (!attempt->prepared.whole) return SendTransaction(attempt);
+    if (!attempt->prepared.snapshot) return SendTransaction(attempt);
     const std::string& digest = attempt->prepared.next.head.accepted.digest;
-    objects_.PutIfAbsent(WholeObjectName(digest), *attempt->prepared.whole,
+    objects_.PutIfAbsent(WholeObjectName(digest), *attempt->prepared.next.encoded,
                          [this, attempt](PutObjectResult result) {
                            if (Ok(result)) return SendTransaction(attempt);
                            attempt->done(NotSettled{"the object store did not answer"});
--- a/src/manifest/manifest_keeper_test.cc
+++ b/src/manifest/manifest_keeper_test.cc
@@ -10,6 +10,8 @@
 
 using std::chrono::seconds;
 
+constexpr uint64_t kRevisions = 2 * kSnapshotEvery + 3;
+
 // The manifest in force of an entry VM that only knows what its own keeper gave it.
 struct InForceStub {
   ManifestPtr current;
@@ -143,7 +145,6 @@
   }
 
   void Manifest_OfManyRevisions_IsReadFromSnapshotAndChanges() {
-    constexpr uint64_t kRevisions = 2 * kSnapshotEvery + 3;
     std::vector<std::string> digests;
     for (uint64_t i = 0; i < kRevisions; ++i) {
       manifest_.entry.max_requests = static_cast<uint32_t>(1000 + i);
--- a/src/manifest/manifest_loader.cc
+++ b/src/manifest/manifest_loader.cc
@@ -47,7 +47,8 @@
     loaded.entries.push_back(std::move(bytes));
   }
   if (manifest.revision != parts.target.accepted.revision) return LoadError::kIncomplete;
-  if (DigestOf(manifest) != parts.target.accepted.digest) return LoadError::kCorrupt;
+  loaded.encoded = std::make_shared<const std::string>(EncodeManifest(manifest));
+  if (DigestOfBytes(*loaded.encoded) != parts.target.accepted.digest) return LoadError::kCorrupt;
   loaded.manifest = std::make_shared<const Manifest>(std::move(manifest));
   return loaded;
 }
--- a/src/manifest/manifest_loader.h
+++ b/src/manifest/manifest_loader.h
@@ -32,8 +32,9 @@
 
 struct LoadedManifest {
   ManifestPtr manifest;
-  ManifestHead head;                 // Of this revision.
-  std::vector<std::string> entries;  // HistoryEntry bytes that led to it, for handing on.
+  ManifestHead head;                           // Of this revision.
+  std::vector<std::string> entries;            // HistoryEntry bytes that led to it, for handing on.
+  std::shared_ptr<const std::string> encoded;  // EncodeManifest of it, for handing on.
 };
 
 enum class LoadError {
--- /dev/null
+++ b/src/manifest/manifest_world.h
@@ -0,0 +1,178 @@
+// For tests of this slice: some entry VMs with keeper and follower on virtual time, one platform,
+// and a checker that watches what must always hold.
+
+#ifndef COWSLIPHILL_MANIFEST_MANIFEST_WORLD_H_
+#define COWSLIPHILL_MANIFEST_MANIFEST_WORLD_H_
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/manifest/faulty_peers.h"
+#include "src/manifest/faulty_platform.h"
+#include "src/manifest/manifest_follower.h"
+#include "src/manifest/manifest_keeper.h"
+#include "src/manifest/manifest_samples.h"
+
+namespace cowsliphill {
+
+template <typename Tracker = RevisionTracker>
+class ManifestWorld {
+ public:
+  using Follower = ManifestFollower<FaultyPlatform, FaultyPlatform, FaultyPeers, Tracker>;
+  static constexpr std::chrono::milliseconds kTick{50};
+  static constexpr std::chrono::seconds kMemberLifetime{3};  // Of a dead one on the others' lists.
+
+  struct EntryVm {
+    EntryVm(ManifestWorld& world, Member own, uint64_t seed)
+        : self(own),
+          platform(world.loop, world.store),
+          peers(world.loop, world.net, own.id, own.peer),
+          follower(platform, platform, peers, world.loop.Post(), world.loop.Post(),
+                   world.loop.Time(), Options(own, seed), [&world] { return world.members; }),
+          keeper(platform, platform, world.loop.Post(), world.loop.Post(), world.loop.Time(),
+                 follower) {}
+
+    static TrackerOptions Options(const Member& own, uint64_t seed) {
+      TrackerOptions options;
+      options.id = own.id;
+      options.place = own.place;
+      options.seed = seed;
+      return options;
+    }
+    uint64_t Revision() const { return follower.Current() ? follower.Current()->revision : 0; }
+
+    Member self;
+    FaultyPlatform platform;
+    FaultyPeers peers;
+    Follower follower;
+    ManifestKeeper<FaultyPlatform, FaultyPlatform, Follower> keeper;
+    uint64_t place_had = 0;  // Highest revision in force in its place when it started.
+    bool was_ready = false;
+  };
+
+  // Starts an entry VM in a place.
+  EntryVm& Start(const std::string& place) {
+    const std::string n = std::to_string(vms.size() + 1);
+    Member member;
+    member.id = EntryVmId("vm" + n);
+    member.peer = {"192.0.2." + n, 8081};
+    member.place = PlaceId(place);
+    vms.push_back(std::make_unique<EntryVm>(*this, member, vms.size() + 1));
+    EntryVm& vm = *vms.back();
+    vm.place_had = place_high[member.place];
+    vm.peers.OnKill([this, &vm] { Kill(vm); });
+    vm.follower.Subscribe([this, &vm](const ManifestPtr& manifest) { OnSwitch(vm, *manifest); });
+    members.push_back(member);
+    loop.After(Duration(0), [this, &vm] { Tick(vm); });
+    return vm;
+  }
+
+  void Kill(EntryVm& vm) {
+    vm.platform.Kill();
+    vm.peers.Kill();
+    loop.After(kMemberLifetime, [this, id = vm.self.id] { Unlist(id); });
+  }
+
+  void Unlist(const EntryVmId& id) {
+    std::erase_if(members, [&](const Member& it) { return it.id == id; });
+  }
+
+  // Submits a change of max_requests, which tells the submissions apart.
+  Submission Made(const std::string& id, uint64_t base, uint32_t max_requests) const {
+    Manifest manifest = SampleManifest(2, 6);
+    manifest.entry.max_requests = max_requests;
+    Submission submission;
+    submission.id = id;
+    submission.base_revision = base;
+    submission.text = FormatManifest(manifest);
+    submission.author.team = TeamId("ops");
+    return submission;
+  }
+
+  // The answer comes into answers[id] when it comes.
+  void Submit(EntryVm& vm, const Submission& submission) {
+    vm.keeper.Submit(submission, [this, id = submission.id](SubmissionAnswer answer) {
+      answers[id].push_back(std::move(answer));
+    });
+  }
+
+  void SubmitAndRun(EntryVm& vm, const std::string& id, uint64_t base, uint32_t max_requests) {
+    Submit(vm, Made(id, base, max_requests));
+    loop.RunFor(std::chrono::seconds(4));
+  }
+
+  bool IsAccepted(const std::string& id) const { return store.Get(SubmissionKey(id)).has_value(); }
+
+  uint64_t AcceptedRevision() const {
+    const std::optional<Row> row = store.Get(kManifestHeadKey);
+    return row ? DecodeHead(row->value)->accepted.revision : 0;
+  }
+
+  bool AllHave(uint64_t revision) const {
+    return std::all_of(vms.begin(), vms.end(), [&](const auto& vm) {
+      return vm->platform.Dead() || vm->Revision() == revision;
+    });
+  }
+
+  // What answers must not say, judged at the end of a run.
+  void CheckAnswers() {
+    for (const auto& [id, said] : answers) {
+      for (const SubmissionAnswer& answer : said) {
+        const bool yes = std::holds_alternative<Accepted>(answer);
+        const bool no =
+            std::holds_alternative<Refused>(answer) || std::holds_alternative<BaseConflict>(answer);
+        if (yes && !IsAccepted(id)) broken.insert("accepted was said of one that did not take");
+        if (no && IsAccepted(id)) broken.insert("refused was said of one that took effect");
+      }
+    }
+    std::set<uint64_t> revisions;
+    for (const Row& row : store.Scan("manifest/submission/", "", 1000)) {
+      const uint64_t revision = DecodeSubmissionRow(row.value)->accepted.revision;
+      if (!revisions.insert(revision).second) broken.insert("two submissions won one revision");
+    }
+  }
+
+  VirtualLoop loop;
+  PlatformStore store;
+  FaultyPeers::Net net;
+  std::vector<Member> members;
+  std::vector<std::unique_ptr<EntryVm>> vms;
+  std::map<PlaceId, uint64_t> place_high;  // Highest revision ever in force in a place.
+  std::map<std::string, std::vector<SubmissionAnswer>> answers;
+  std::set<std::string> broken;  // What must hold and did not.
+
+ private:
+  void Tick(EntryVm& vm) {
+    if (vm.platform.Dead()) return;
+    vm.follower.Tick();
+    if (vm.follower.Ready() && !vm.was_ready) {
+      vm.was_ready = true;
+      if (vm.Revision() < vm.place_had) broken.insert("ready with less than its place had");
+    }
+    loop.After(kTick, [this, &vm] { Tick(vm); });
+  }
+
+  void OnSwitch(EntryVm& vm, const Manifest& manifest) {
+    const uint64_t last = std::exchange(last_revision_[vm.self.id], manifest.revision);
+    if (manifest.revision <= last) broken.insert("an entry VM went back to an earlier revision");
+    const std::string digest = DigestOf(manifest);
+    if (digests_.emplace(manifest.revision, digest).first->second != digest) {
+      broken.insert("one revision with two contents");
+    }
+    uint64_t& high = place_high[vm.self.place];
+    high = std::max(high, manifest.revision);
+  }
+
+  std::map<EntryVmId, uint64_t> last_revision_;
+  std::map<uint64_t, std::string> digests_;
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_MANIFEST_MANIFEST_WORLD_H_
