Stand-ins: platform, backend server, fault-injecting proxy and caller

One program with one vocabulary of faults, deterministic by seed. cpp-httplib can't close a connection without an answer (needed for lost answers) and pins a thread per connection (250 are wanted), so the servers stand on Asio and http_parser; the caller uses cpp-httplib's client.

--- /dev/null
+++ b/standins/platform_standin.cc
@@ -0,0 +1,292 @@
+#include "standins/platform_standin.h"
+
+#include <algorithm>
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "src/base/toml_reader.h"
+#include "src/platform/memory_platform.h"
+#include "standins/faults.h"
+#include "standins/http_server.h"
+
+namespace cowsliphill::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr size_t kMostRows = 1000;  // Per scan or listing.
+const char* const kObjectsPath = "/objects/";
+
+Json Binary(const std::string& bytes) {
+  return Json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
+std::string BytesOf(const Json& json) {
+  if (json.is_string()) return json.get<std::string>();
+  const Json::binary_t& bytes = json.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+Json ToJson(const Row& row) {
+  return {{"key", row.key}, {"value", Binary(row.value)}, {"version", row.version}};
+}
+
+Json ToJson(const std::vector<Row>& rows) {
+  Json list = Json::array();
+  for (const Row& row : rows) list.push_back(ToJson(row));
+  return list;
+}
+
+HttpAnswer Packed(int status, const Json& json) {
+  const std::vector<uint8_t> bytes = Json::to_msgpack(json);
+  return {status, {{"Content-Type", "application/msgpack"}}, {bytes.begin(), bytes.end()}, {}};
+}
+
+HttpAnswer Plain(int status, std::string body) { return {status, {}, std::move(body), {}}; }
+
+HttpAnswer NotApplied() { return {503, {{"X-Not-Applied", "true"}}, "over the rate\n", {}}; }
+
+std::vector<ConditionalWrite> WritesOf(const Json& json) {
+  std::vector<ConditionalWrite> writes;
+  for (const Json& it : json.at("writes")) {
+    ConditionalWrite write;
+    write.key = it.at("key").get<std::string>();
+    write.expected_version = it.value("expect", uint64_t{0});
+    const Json& value = it.at("value");
+    if (!value.is_null()) write.value = BytesOf(value);
+    writes.push_back(std::move(write));
+  }
+  return writes;
+}
+
+std::vector<ListedVm> VmsOf(const Json& json) {
+  std::vector<ListedVm> vms;
+  for (const Json& it : json.at("vms")) {
+    ListedVm vm;
+    vm.edge = ParseEndpoint(it.at("edge").get<std::string>()).value_or(Endpoint{});
+    vm.peer = ParseEndpoint(it.at("peer").get<std::string>()).value_or(Endpoint{});
+    vm.place = PlaceId(it.at("place").get<std::string>());
+    vm.leaving = it.value("leaving", false);
+    vms.push_back(std::move(vm));
+  }
+  return vms;
+}
+
+Json ToJson(const std::vector<ListedVm>& vms) {
+  Json list = Json::array();
+  for (const ListedVm& vm : vms) {
+    list.push_back({{"edge", vm.edge.ToString()},
+                    {"peer", vm.peer.ToString()},
+                    {"place", vm.place.Text()},
+                    {"leaving", vm.leaving}});
+  }
+  return {{"vms", list}};
+}
+
+// Allows a steady rate with bursts of up to one second's worth.
+class RateLimit {
+ public:
+  RateLimit(double per_second, MonotonicTime now)
+      : per_second_(per_second), tokens_(per_second), at_(now) {}
+
+  bool Take(MonotonicTime now) {
+    const double passed = std::chrono::duration<double>(now - at_).count();
+    at_ = now;
+    tokens_ = std::min(per_second_, tokens_ + passed * per_second_);
+    if (tokens_ < 1) return false;
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  double per_second_;
+  double tokens_;
+  MonotonicTime at_;
+};
+
+struct VmListVersion {
+  MonotonicTime since;
+  std::vector<ListedVm> vms;
+};
+
+}  // namespace
+
+struct PlatformStandin::State : std::enable_shared_from_this<PlatformStandin::State> {
+  State(asio::io_context& io, const Clock& time, const PlatformOptions& options)
+      : loop(io),
+        clock(time),
+        reads(options.reads_per_second, time.Now()),
+        writes(options.writes_per_second, time.Now()) {}
+
+  void OnRequest(HttpExchange exchange) {
+    try {
+      if (Control(exchange)) return;
+      if (faults.down && dice.Hits(faults.probability)) return exchange.Drop();
+      if (exchange.Request().method == "PUT" || exchange.Request().path == "/table/commit") {
+        return Write(exchange);
+      }
+      Read(exchange);
+    } catch (const Json::exception& e) {
+      ++stats.malformed;
+      exchange.Answer(Plain(400, std::string(e.what()) + "\n"));
+    }
+  }
+
+  // Requests of the test itself; faults and rates don't touch them.
+  bool Control(const HttpExchange& exchange) {
+    const HttpRequest& request = exchange.Request();
+    if (request.path == "/faults") {
+      SetFaults(exchange);
+      return true;
+    }
+    if (request.path == "/stats") {
+      exchange.Answer(Plain(200, StatsText()));
+      return true;
+    }
+    if (request.path == "/vms" && request.method == "PUT") {
+      vm_lists.push_back({clock.Now(), VmsOf(Json::parse(request.body))});
+      exchange.Answer(Plain(200, "ok\n"));
+      return true;
+    }
+    return false;
+  }
+
+  void SetFaults(const HttpExchange& exchange) {
+    const std::optional<Faults> parsed = ParseFaults(exchange.Request().body);
+    if (!parsed) return exchange.Answer(Plain(400, "not the JSON of faults.h\n"));
+    if (parsed->old_reads && !faults.old_reads) old_store = store;
+    faults = *parsed;
+    dice = FaultDice(faults.seed);
+    exchange.Answer(Plain(200, "ok\n"));
+  }
+
+  void Write(const HttpExchange& exchange) {
+    if (!writes.Take(clock.Now())) {
+      ++stats.over_rate;
+      return AnswerLater(exchange, NotApplied());
+    }
+    const HttpRequest& request = exchange.Request();
+    HttpAnswer answer = request.path == "/table/commit" ? Commit(request) : StoreObject(request);
+    if (faults.lost_answers && dice.Hits(faults.probability)) {
+      ++stats.lost_answers;
+      return exchange.Drop();
+    }
+    AnswerLater(exchange, std::move(answer));
+  }
+
+  HttpAnswer Commit(const HttpRequest& request) {
+    const auto outcome = store.Commit(WritesOf(Json::from_msgpack(request.body)));
+    ++stats.writes;
+    if (const auto* committed = std::get_if<Committed>(&outcome)) {
+      return Packed(200, {{"versions", committed->versions}});
+    }
+    ++stats.conflicts;
+    return Packed(409, {{"current", ToJson(std::get<Conflict>(outcome).current)}});
+  }
+
+  HttpAnswer StoreObject(const HttpRequest& request) {
+    if (request.path.rfind(kObjectsPath, 0) != 0) return Plain(404, "no such path\n");
+    ++stats.writes;
+    const std::string name = request.path.substr(std::string(kObjectsPath).size());
+    const bool stored = store.PutIfAbsent(name, request.body) == PutObject::kStored;
+    return stored ? Plain(201, "stored\n") : Plain(412, "already there\n");
+  }
+
+  void Read(const HttpExchange& exchange) {
+    if (!reads.Take(clock.Now())) {
+      ++stats.over_rate;
+      return AnswerLater(exchange, NotApplied());
+    }
+    ++stats.reads;
+    const bool old = faults.old_reads && dice.Hits(faults.probability);
+    if (old) ++stats.old_reads;
+    AnswerLater(exchange, ReadFrom(old ? old_store : store, exchange.Request()));
+  }
+
+  HttpAnswer ReadFrom(const PlatformStore& from, const HttpRequest& request) {
+    if (request.path == "/table/get") {
+      const std::string key = Json::from_msgpack(request.body).at("key").get<std::string>();
+      const std::optional<Row> row = from.Get(key);
+      return Packed(200, {{"row", row ? ToJson(*row) : Json(nullptr)}});
+    }
+    if (request.path == "/table/scan") {
+      const Json json = Json::from_msgpack(request.body);
+      const size_t most = std::min(json.value("most", kMostRows), kMostRows);
+      return Packed(
+          200,
+          {{"rows", ToJson(from.Scan(json.value("prefix", ""), json.value("after", ""), most))}});
+    }
+    if (request.path == "/objects") return ListObjects(from, request);
+    if (request.path.rfind(kObjectsPath, 0) == 0) {
+      const std::string name = request.path.substr(std::string(kObjectsPath).size());
+      const std::optional<std::string> object = from.GetObject(name);
+      return object ? Plain(200, *object) : Plain(404, "absent\n");
+    }
+    if (request.path == "/vms") return Packed(200, ToJson(VmsAsRead()));
+    return Plain(404, "no such path\n");
+  }
+
+  static HttpAnswer ListObjects(const PlatformStore& from, const HttpRequest& request) {
+    const std::string most = request.Query("most");
+    const size_t n = most.empty() ? kMostRows : std::min<size_t>(std::stoul(most), kMostRows);
+    return Packed(
+        200, {{"names", from.ListObjects(request.Query("prefix"), request.Query("after"), n)}});
+  }
+
+  // The newest list that is older than the lag.
+  std::vector<ListedVm> VmsAsRead() const {
+    std::vector<ListedVm> vms;
+    for (const VmListVersion& it : vm_lists) {
+      if (clock.Now() - it.since >= faults.lag) vms = it.vms;
+    }
+    return vms;
+  }
+
+  void AnswerLater(const HttpExchange& exchange, HttpAnswer answer) {
+    const bool slow = faults.slow.count() > 0 && dice.Hits(faults.probability);
+    if (!slow) return exchange.Answer(std::move(answer));
+    auto timer = std::make_shared<asio::steady_timer>(loop, faults.slow);
+    timer->async_wait([timer, exchange, answer = std::move(answer)](std::error_code) {
+      exchange.Answer(answer);
+    });
+  }
+
+  std::string StatsText() const {
+    const Json json = {{"reads", stats.reads},         {"writes", stats.writes},
+                       {"conflicts", stats.conflicts}, {"over_rate", stats.over_rate},
+                       {"malformed", stats.malformed}, {"lost_answers", stats.lost_answers},
+                       {"old_reads", stats.old_reads}};
+    return json.dump() + "\n";
+  }
+
+  asio::io_context& loop;
+  const Clock& clock;
+  PlatformStore store;
+  PlatformStore old_store;  // As of the moment at which old_reads was set.
+  std::vector<VmListVersion> vm_lists;
+  RateLimit reads;
+  RateLimit writes;
+  Faults faults;
+  FaultDice dice{1};
+  PlatformStats stats;
+  std::unique_ptr<HttpServer> server;
+};
+
+PlatformStandin::PlatformStandin(asio::io_context& loop, const Clock& clock,
+                                 const PlatformOptions& options)
+    : state_(std::make_shared<State>(loop, clock, options)) {
+  state_->server = std::make_unique<HttpServer>(
+      loop, options.listen, [state = state_.get()](HttpExchange it) { state->OnRequest(it); },
+      [state = state_.get()](size_t) { return true; });
+}
+
+PlatformStandin::~PlatformStandin() = default;
+
+Endpoint PlatformStandin::Address() const { return state_->server->Address(); }
+
+}  // namespace cowsliphill::standins
--- /dev/null
+++ b/standins/proxy.cc
@@ -0,0 +1,179 @@
+#include "standins/proxy.h"
+
+#include <array>
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "standins/faults.h"
+#include "standins/http_server.h"
+
+namespace cowsliphill::standins {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t kPieceBytes = size_t{16} * 1024;     // Forwarded at a time.
+constexpr std::chrono::milliseconds kPauseCheck{20};  // Between looks whether a pause has ended.
+constexpr size_t kDirections = 2;
+
+// Shared by all connections; the control changes it.
+struct Shared {
+  Faults faults;
+  FaultDice dice{1};
+  uint64_t connections = 0;
+  uint64_t dropped = 0;
+  uint64_t cut = 0;
+};
+
+// One caller connection and its counterpart. `silent` is for good: a connection that was open
+// while it was set never forwards again, though both ends stay connected.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  Link(tcp::socket from, const asio::any_io_executor& executor, std::shared_ptr<Shared> shared)
+      : sockets_{std::move(from), tcp::socket(executor)},
+        timers_{asio::steady_timer(executor), asio::steady_timer(executor)},
+        shared_(std::move(shared)),
+        chosen_(shared_->dice.Hits(shared_->faults.probability)) {}
+
+  void Start(const Endpoint& to) {
+    const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
+    sockets_[1].async_connect(endpoint, [self = shared_from_this()](std::error_code ec) {
+      if (ec) return self->Close();
+      asio::error_code ignored;
+      for (tcp::socket& it : self->sockets_) it.set_option(tcp::no_delay(true), ignored);
+      for (size_t i = 0; i < kDirections; ++i) self->Read(i);
+    });
+  }
+
+ private:
+  const Faults& Spoil() const { return shared_->faults; }
+
+  void Read(size_t from) {
+    sockets_[from].async_read_some(asio::buffer(buffers_[from]),
+                                   [self = shared_from_this(), from](std::error_code ec, size_t n) {
+                                     if (ec) return self->EndOf(from);
+                                     self->Take(from, n);
+                                   });
+  }
+
+  // A closed end closes the other, unless this link has gone silent.
+  void EndOf(size_t from) {
+    if (silent_) return;
+    Close();
+  }
+
+  void Take(size_t from, size_t n) {
+    if (chosen_ && Spoil().silent) silent_ = true;
+    if (silent_) return Read(from);
+    if (chosen_ && Spoil().pause) return Wait(from, n, kPauseCheck, &Link::Take);
+    if (chosen_ && Spoil().delay.count() > 0) return Wait(from, n, Spoil().delay, &Link::Forward);
+    Forward(from, n);
+  }
+
+  void Wait(size_t from, size_t n, std::chrono::milliseconds time,
+            void (Link::*next)(size_t, size_t)) {
+    timers_[from].expires_after(time);
+    timers_[from].async_wait([self = shared_from_this(), from, n, next](std::error_code ec) {
+      if (!ec) ((*self).*next)(from, n);
+    });
+  }
+
+  void Forward(size_t from, size_t n) {
+    forwarded_ += n;
+    const uint64_t limit = Spoil().cut_after;
+    if (chosen_ && limit > 0 && forwarded_ > limit) return Cut();
+    asio::async_write(sockets_[1 - from], asio::buffer(buffers_[from], n),
+                      [self = shared_from_this(), from](std::error_code ec, size_t) {
+                        if (ec) return self->Close();
+                        self->Read(from);
+                      });
+  }
+
+  // Ends by a reset, so that no side takes it for a clean end.
+  void Cut() {
+    ++shared_->cut;
+    asio::error_code ec;
+    for (tcp::socket& it : sockets_) it.set_option(asio::socket_base::linger(true, 0), ec);
+    Close();
+  }
+
+  void Close() {
+    asio::error_code ec;
+    for (tcp::socket& it : sockets_) it.close(ec);
+    for (asio::steady_timer& it : timers_) it.cancel();
+  }
+
+  std::array<tcp::socket, kDirections> sockets_;  // The caller's, then the server's.
+  std::array<asio::steady_timer, kDirections> timers_;
+  std::array<std::array<char, kPieceBytes>, kDirections> buffers_{};
+  std::shared_ptr<Shared> shared_;
+  bool chosen_;             // Hit by the faults that are set per connection.
+  bool silent_ = false;     // For good.
+  uint64_t forwarded_ = 0;  // Bytes, both ways.
+};
+
+}  // namespace
+
+struct Proxy::State : std::enable_shared_from_this<Proxy::State> {
+  State(asio::io_context& loop, const ProxyOptions& options)
+      : to(options.to),
+        acceptor(loop,
+                 tcp::endpoint(asio::ip::make_address(options.listen.ip), options.listen.port)),
+        control(loop, options.control, [this](HttpExchange it) { OnControl(it); }) {}
+
+  void Accept() {
+    acceptor.async_accept([self = shared_from_this()](std::error_code ec, tcp::socket socket) {
+      if (!self->acceptor.is_open()) return;
+      if (!ec) self->Take(std::move(socket));
+      self->Accept();
+    });
+  }
+
+  void Take(tcp::socket socket) {
+    ++shared->connections;
+    if (shared->faults.drop_new && shared->dice.Hits(shared->faults.probability)) {
+      ++shared->dropped;
+      return;
+    }
+    std::make_shared<Link>(std::move(socket), acceptor.get_executor(), shared)->Start(to);
+  }
+
+  void OnControl(const HttpExchange& exchange) {
+    if (exchange.Request().path == "/stats") {
+      const nlohmann::json json = {
+          {"connections", shared->connections}, {"dropped", shared->dropped}, {"cut", shared->cut}};
+      return exchange.Answer({200, {}, json.dump() + "\n", {}});
+    }
+    const std::optional<Faults> parsed = ParseFaults(exchange.Request().body);
+    if (!parsed) return exchange.Answer({400, {}, "not the JSON of faults.h\n", {}});
+    shared->faults = *parsed;
+    shared->dice = FaultDice(parsed->seed);
+    exchange.Answer({200, {}, "ok\n", {}});
+  }
+
+  Endpoint to;
+  tcp::acceptor acceptor;
+  HttpServer control;
+  std::shared_ptr<Shared> shared = std::make_shared<Shared>();
+};
+
+Proxy::Proxy(asio::io_context& loop, const ProxyOptions& options)
+    : state_(std::make_shared<State>(loop, options)) {
+  state_->Accept();
+}
+
+Proxy::~Proxy() {
+  asio::error_code ec;
+  state_->acceptor.close(ec);
+}
+
+Endpoint Proxy::Address() const {
+  const tcp::endpoint it = state_->acceptor.local_endpoint();
+  return Endpoint{it.address().to_string(), it.port()};
+}
+
+Endpoint Proxy::ControlAddress() const { return state_->control.Address(); }
+
+}  // namespace cowsliphill::standins
