--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -138,6 +138,85 @@
                    "/v1/drain?backend_server=" + httplib::detail::encode_query_param(server), "");
 }
 
+// "name=value" with the value encoded, for a query string.
+std::string QueryPart(const std::string& name, const std::string& value) {
+  return name + "=" + httplib::detail::encode_query_param(value);
+}
+
+std::string OptionOr(const cxxopts::ParseResult& options, const std::string& name,
+                     const std::string& fallback) {
+  return options.count(name) > 0 ? options[name].as<std::string>() : fallback;
+}
+
+std::string NewSubmissionId() {
+  std::random_device device;
+  return "cli-" + std::to_string(device()) + "-" + std::to_string(device());
+}
+
+// Query of a submission: id, base revision, note, dry run.
+std::string SubmissionQuery(const cxxopts::ParseResult& options) {
+  const std::string id = OptionOr(options, "id", NewSubmissionId());
+  std::cerr << "submission id: " << id << "\n";
+  std::string query = "?" + QueryPart("id", id) + "&" +
+                      QueryPart("base", OptionOr(options, "base", "0")) + "&" +
+                      QueryPart("note", OptionOr(options, "note", ""));
+  if (options.count("dry-run") > 0) query += "&dry_run=true";
+  return query;
+}
+
+int RunManifestSubmit(const cxxopts::ParseResult& options) {
+  const std::string file = FileArgument(options);
+  if (file.empty()) return kExitUsage;
+  const std::optional<std::string> text = ReadFile(file);
+  if (!text) return PrintIssues({{file, 0, "", "an unreadable file", "a manifest in TOML"}});
+  const ManifestResult manifest = ParseManifest(*text, file);
+  if (!Ok(manifest)) return PrintIssues(ErrorOf(manifest));
+  return CallAdmin(options, "POST", "/v1/manifest" + SubmissionQuery(options), *text);
+}
+
+int RunManifestRollBack(const cxxopts::ParseResult& options) {
+  if (options.count("to") == 0) return Usage("manifest rollback: --to REVISION is needed");
+  const std::string query =
+      SubmissionQuery(options) + "&" + QueryPart("roll_back_to", options["to"].as<std::string>());
+  return CallAdmin(options, "POST", "/v1/manifest" + query, "");
+}
+
+int RunManifestShow(const cxxopts::ParseResult& options) {
+  return CallAdmin(options, "GET", "/v1/manifest", "");
+}
+
+int RunManifestHistory(const cxxopts::ParseResult& options) {
+  return CallAdmin(options, "GET",
+                   "/v1/manifest/history?" + QueryPart("after", OptionOr(options, "after", "0")),
+                   "");
+}
+
+int RunManifestDifference(const cxxopts::ParseResult& options) {
+  const std::string query = QueryPart("from", OptionOr(options, "from", "")) + "&" +
+                            QueryPart("to", OptionOr(options, "to", ""));
+  return CallAdmin(options, "GET", "/v1/manifest/difference?" + query, "");
+}
+
+int RunRecords(const cxxopts::ParseResult& options) {
+  std::string query = QueryPart("minutes", OptionOr(options, "minutes", "60"));
+  for (const char* name : {"tenant", "service", "request"}) {
+    if (options.count(name) > 0) query += "&" + QueryPart(name, options[name].as<std::string>());
+  }
+  return CallAdmin(options, "GET", "/v1/records?" + query, "");
+}
+
+void AddText(cxxopts::Options& options, const std::string& name, const std::string& help) {
+  options.add_options()(name, help, cxxopts::value<std::string>());
+}
+
+void AddSubmission(cxxopts::Options& options) {
+  AddEntry(options);
+  AddText(options, "base", "Revision that the manifest was written against; default 0");
+  AddText(options, "id", "Submission id; repeat a delivery with the same one");
+  AddText(options, "note", "Why, for the history");
+  options.add_options()("dry-run", "Check and compare only");
+}
+
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands = {
       {"serve", "--settings FILE", "Run one entry VM", RunServe,
@@ -146,6 +225,42 @@
        }},
       {"settings check", "FILE", "Check a settings file", RunSettingsCheck, AddFile},
       {"manifest check", "FILE", "Check a manifest", RunManifestCheck, AddFile},
+      {"manifest submit",
+       "FILE --entry IP:PORT [--base REVISION] [--id ID] [--note TEXT] [--dry-run]",
+       "Submit a manifest", RunManifestSubmit,
+       [](cxxopts::Options& options) {
+         AddFile(options);
+         AddSubmission(options);
+       }},
+      {"manifest rollback", "--to REVISION --entry IP:PORT [--base REVISION] [--note TEXT]",
+       "Take an earlier revision's manifest as a new revision", RunManifestRollBack,
+       [](cxxopts::Options& options) {
+         AddSubmission(options);
+         AddText(options, "to", "Revision to take again");
+       }},
+      {"manifest show", "--entry IP:PORT", "The manifest in force", RunManifestShow, AddEntry},
+      {"manifest history", "--entry IP:PORT [--after REVISION]", "Who changed what, and when",
+       RunManifestHistory,
+       [](cxxopts::Options& options) {
+         AddEntry(options);
+         AddText(options, "after", "Show revisions after this one");
+       }},
+      {"manifest difference", "--entry IP:PORT --from REVISION --to REVISION",
+       "What differs between two revisions", RunManifestDifference,
+       [](cxxopts::Options& options) {
+         AddEntry(options);
+         AddText(options, "from", "Earlier revision");
+         AddText(options, "to", "Later revision");
+       }},
+      {"records", "--entry IP:PORT [--minutes N] [--tenant T] [--service S] [--request ID]",
+       "Late, refused, unknown and lost requests", RunRecords,
+       [](cxxopts::Options& options) {
+         AddEntry(options);
+         AddText(options, "minutes", "How far back; default 60");
+         AddText(options, "tenant", "Of this tenant only");
+         AddText(options, "service", "Of this service only");
+         AddText(options, "request", "Of this request only");
+       }},
       {"status", "--entry IP:PORT", "What an entry VM knows, and why", RunStatus, AddEntry},
       {"explain", "--entry IP:PORT --service NAME", "Why the last decisions went where they did",
        RunExplain,
--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -9,49 +9,54 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "src/manifest/manifest_format.h"
-
 namespace cowsliphill {
 
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{1000};            // Between rounds of housekeeping.
+constexpr milliseconds kSecond{1000};
 constexpr milliseconds kShortTick{20};         // Between looks at the slices' timers.
 constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request has ended.
-
-double Millis(Duration duration) {
-  return std::chrono::duration<double, std::milli>(duration).count();
-}
+constexpr milliseconds kFarewell{300};         // For the last peer messages to go out.
+constexpr milliseconds kHandOffLimit{10000};   // For records and claims once requests have ended.
+constexpr size_t kMostDetailLength = 200;      // Characters of a record's detail.
 
 EntryVmId NewEntryVmId(const Settings& settings, uint64_t seed) {
   return EntryVmId(settings.place.Text() + "-" + fmt::format("{:016x}", seed));
 }
 
-json ServerJson(const ServerView& view) {
-  json item = {{"backend_server", view.server.Text()},
-               {"service", view.service.Text()},
-               {"in_flight", view.in_flight},
-               {"leaving", view.leaving},
-               {"circuit", view.circuit},
-               {"latency_estimate_ms", Millis(view.latency_estimate)}};
-  if (!view.last_report) return item;
-  item["report_age_ms"] = Millis(view.report_age);
-  item["report"] = {{"draining", view.last_report->draining},
-                    {"shedding", view.last_report->shedding}};
-  if (view.last_report->in_flight) item["report"]["in_flight"] = *view.last_report->in_flight;
-  if (view.last_report->slots) item["report"]["slots"] = *view.last_report->slots;
-  return item;
+RecordCause CauseOf(const RequestEnd& end) {
+  if (end.caller_gone) return RecordCause::kCallerGone;
+  if (end.outcome == Outcome::kNotRun) return RecordCause::kRefused;
+  if (end.outcome == Outcome::kUnknown) return RecordCause::kUnknown;
+  if (!end.whole) return RecordCause::kCutAnswer;
+  return end.late ? RecordCause::kLate : RecordCause::kOnTime;
+}
+
+// The value of a name in a query string, without percent-decoding: ids need none.
+std::string QueryValue(const std::string& query, const std::string& name) {
+  size_t begin = 0;
+  while (begin < query.size()) {
+    const size_t end = std::min(query.find('&', begin), query.size());
+    const std::string part = query.substr(begin, end - begin);
+    if (part.rfind(name + "=", 0) == 0) return part.substr(name.size() + 1);
+    begin = end + 1;
+  }
+  return "";
 }
 
 }  // namespace
 
+// ---- 1. Build ----------------------------------------------------------------------------------
+
 EntryVm::EntryVm(Settings settings, const Clock& clock, uint64_t seed)
     : settings_(std::move(settings)),
       clock_(clock),
+      seed_(seed),
+      worker_(1),
       on_loop_([this](std::function<void()> task) { asio::post(io_, std::move(task)); }),
+      on_worker_([this](std::function<void()> task) { asio::post(worker_, std::move(task)); }),
       id_(NewEntryVmId(settings_, seed)),
       log_(clock_, settings_.log),
       platform_(clock_, settings_.platform, on_loop_),
@@ -64,11 +69,23 @@
       context_(MakeContext()),
       edge_(context_),
       admin_(settings_.admin, on_loop_),
+      peers_(io_, clock_, id_, settings_.peer),
+      record_reader_(platform_),
+      probe_client_(io_, clock_, settings_,
+                    [this](const ProbeTarget& target, const std::optional<Report>& report) {
+                      OnProbed(target, report);
+                    }),
+      prober_(id_, platform_, clock_,
+              [this](const ProbeTarget& target) { probe_client_.Send(target); }),
       signals_(io_, SIGTERM, SIGINT),
-      tick_(io_),
-      short_tick_(io_),
+      second_timer_(io_),
+      short_timer_(io_),
       stop_timer_(io_) {
   context_.ids.prefix = seed;
+  dispatcher_.OnSlow([this](Ticket ticket) {
+    const auto it = context_.exchanges.find(ticket);
+    if (it != context_.exchanges.end()) it->second->OnSlow();
+  });
 }
 
 EntryVm::~EntryVm() = default;
@@ -76,6 +93,7 @@
 ForwardContext EntryVm::MakeContext() {
   ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, claims_};
   context.manifest = [this] { return manifest_; };
+  context.ready = [this] { return follower_ && follower_->Ready(); };
   context.lookup = [this](const std::string& caller_ip, const std::string& query) {
     return LookupJson(caller_ip, query);
   };
@@ -84,15 +102,14 @@
     dispatcher_.Poll();
   };
   context.observer = MakeObserver();
-  dispatcher_.OnSlow([this](Ticket ticket) {
-    const auto it = context_.exchanges.find(ticket);
-    if (it != context_.exchanges.end()) it->second->OnSlow();
-  });
   return context;
 }
 
 RequestObserver EntryVm::MakeObserver() {
   RequestObserver observer;
+  observer.on_started = [this](const RequestMeta& meta, WallTime started) {
+    return OnRequestStarted(meta, started);
+  };
   observer.on_ended = [this](const RequestEnd& end) { OnRequestEnded(end); };
   observer.on_bad_input = [this](const std::string& kind, const std::string& detail) {
     metrics_.OnBadInput(kind);
@@ -101,48 +118,21 @@
   return observer;
 }
 
-void EntryVm::OnRequestEnded(const RequestEnd& end) {
-  metrics_.OnRequestEnded(end);
-  const bool clean = end.whole && !end.late && end.outcome == Outcome::kRan;
-  const LogLevel level = clean ? LogLevel::kDebug : LogLevel::kInfo;
-  if (!log_.Writes(level)) return;
-  log_.Write(level, "request ended",
-             {{"request", end.id.Text()},
-              {"service", end.service.Text()},
-              {"tenant", end.tenant.Text()},
-              {"class", std::string(NameOf(end.request_class))},
-              {"backend_server", end.server.Text()},
-              {"status", int64_t{end.status}},
-              {"outcome", std::string(NameOf(end.outcome))},
-              {"whole", end.whole},
-              {"late", end.late},
-              {"caller_gone", end.caller_gone},
-              {"attempts", int64_t{end.attempts}},
-              {"took_ms", Millis(end.took)},
-              {"detail", end.detail}});
-}
-
 int EntryVm::Run() {
   if (settings_.platform.kind == PlatformKind::kMemory) {
     log_.Write(LogLevel::kWarning, "platform kind is memory",
                {{"detail", std::string("NOTHING OUTLIVES THIS PROCESS: manifest, claims and "
                                        "records are lost when it ends")}});
   }
-  if (!LoadInitialManifest()) return 1;
-  AddRoutes();
-  std::string error = edge_.Listen(settings_.edge.listen);
-  if (error.empty()) error = admin_.Start();
+  const std::string error = Listen();
   if (!error.empty()) {
     log_.Write(LogLevel::kError, "can't listen", {{"detail", error}});
     return 1;
   }
-  log_.Write(LogLevel::kInfo, "serving",
-             {{"entry_vm", id_.Text()},
-              {"edge", edge_.LocalEndpoint().ToString()},
-              {"admin", Endpoint{settings_.admin.listen.ip, admin_.Port()}.ToString()}});
+  SubmitInitialManifest();
   AwaitSignal();
-  EveryTick();
   EveryShortTick();
+  EverySecond();
   io_.run();
   admin_.Stop();
   DrainLoop();
@@ -150,138 +140,225 @@
   return exit_code_;
 }
 
-void EntryVm::DrainLoop() {
-  // Handlers that are still queued hold connections that use the slices: run them out while the
-  // slices are there.
-  edge_.AbortAll();
-  pool_.CloseAll();
-  io_.restart();
-  io_.poll();
+std::string EntryVm::Listen() {
+  std::string error = edge_.Listen(settings_.edge.listen);
+  if (!error.empty()) return error;
+  const auto peer = peers_.Listen();
+  if (!Ok(peer)) {
+    return "peer.listen: " + ErrorOf(peer).endpoint.ToString() + ": " + ErrorOf(peer).detail;
+  }
+  const auto advertised = [](const Endpoint& wanted, const Endpoint& bound) {
+    return wanted.port != 0 ? wanted : bound;
+  };
+  edge_address_ = advertised(settings_.edge.advertise, edge_.LocalEndpoint());
+  settings_.peer.advertise = advertised(settings_.peer.advertise, ValueOf(peer));
+  BuildRest();
+  AddRoutes();
+  error = admin_.Start();
+  if (!error.empty()) return error;
+  log_.Write(LogLevel::kInfo, "serving",
+             {{"entry_vm", id_.Text()},
+              {"edge", edge_.LocalEndpoint().ToString()},
+              {"peer", ValueOf(peer).ToString()},
+              {"admin", Endpoint{settings_.admin.listen.ip, admin_.Port()}.ToString()}});
+  return "";
 }
 
-bool EntryVm::LoadInitialManifest() {
-  if (settings_.manifest_file.empty()) return true;
+void EntryVm::BuildRest() {
+  const Member self{id_,
+                    edge_address_,
+                    settings_.peer.advertise,
+                    settings_.place,
+                    settings_.region,
+                    MemberState::kAlive};
+  MembershipConfig membership;
+  membership.seeds = settings_.peer.seeds;
+  MembersOptions members_options;
+  members_options.seed = seed_;
+  members_.emplace(io_, clock_, peers_, platform_, membership, self, members_options);
+  TrackerOptions tracker;
+  tracker.id = id_;
+  tracker.place = settings_.place;
+  tracker.head_poll = settings_.platform.poll_interval;
+  tracker.seed = seed_;
+  follower_.emplace(platform_, platform_, peers_, on_loop_, on_worker_, clock_, tracker,
+                    [this] { return members_->Live(); });
+  follower_->Subscribe([this](const ManifestPtr& manifest) { OnManifest(manifest); });
+  keeper_.emplace(platform_, platform_, on_loop_, on_worker_, clock_, *follower_);
+  records_.emplace(peers_, platform_, clock_, seed_, id_, settings_.place);
+  members_->Subscribe([this](const MemberChange&) { OnMembers(); });
+  OnMembers();
+}
+
+void EntryVm::SubmitInitialManifest() {
+  if (settings_.manifest_file.empty()) return;
   std::ifstream in(settings_.manifest_file, std::ios::binary);
-  const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
-  const ManifestResult result = ParseManifest(text, settings_.manifest_file);
-  if (!Ok(result)) {
-    for (const Issue& issue : ErrorOf(result)) {
-      log_.Write(LogLevel::kError, "manifest refused", {{"detail", issue.ToString()}});
+  Submission submission;
+  submission.id = "start";
+  submission.text.assign(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+  submission.author.team = TeamId("settings");
+  submission.note = "manifest_file of the settings";
+  keeper_->Submit(submission, [this](const SubmissionAnswer& answer) {
+    if (std::holds_alternative<Accepted>(answer)) return;
+    std::string detail = "not accepted";
+    if (const auto* refused = std::get_if<Refused>(&answer)) {
+      for (const Issue& issue : refused->issues) {
+        log_.Write(LogLevel::kError, "manifest refused",
+                   {{"file", settings_.manifest_file}, {"detail", issue.ToString()}});
+      }
+      detail = "refused";
     }
-    return false;
-  }
-  auto manifest = std::make_shared<Manifest>(ValueOf(result));
-  manifest->revision = 1;
-  PutInForce(std::move(manifest));
-  return true;
+    log_.Write(LogLevel::kError, "manifest_file is not in force", {{"detail", detail}});
+    exit_code_ = 1;
+    io_.stop();
+  });
 }
 
-void EntryVm::PutInForce(std::shared_ptr<const Manifest> manifest) {
-  manifest_ = std::move(manifest);
+// ---- 2. Events between slices ------------------------------------------------------------------
+
+void EntryVm::OnManifest(const ManifestPtr& manifest) {
+  manifest_ = manifest;
   chooser_.Apply(*manifest_, clock_.Now());
+  prober_.Apply(*manifest_);
   dispatcher_.Poll();
   log_.Write(LogLevel::kInfo, "manifest in force",
              {{"revision", static_cast<int64_t>(manifest_->revision)}});
 }
 
-void EntryVm::AddRoutes() {
-  const auto reply_ok = [](const std::string& body) { return AdminAnswer{200, body}; };
-  admin_.Add({"GET", "/healthz", false, [reply_ok](const AdminRequest&, const AdminReply& reply) {
-                reply(reply_ok("{\"healthy\":true}\n"));
-              }});
-  admin_.Add({"GET", "/readyz", false, [this](const AdminRequest&, const AdminReply& reply) {
-                const bool ready = manifest_->revision > 0 && !stopping_;
-                reply({ready ? 200 : 503, ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"});
-              }});
-  admin_.Add({"GET", "/metrics", false, [this](const AdminRequest&, const AdminReply& reply) {
-                reply({200, metrics_.Serialize(), "text/plain; version=0.0.4"});
-              }});
-  admin_.Add(
-      {"GET", "/v1/status", true, [this, reply_ok](const AdminRequest&, const AdminReply& reply) {
-         reply(reply_ok(StatusJson()));
-       }});
-  admin_.Add(
-      {"GET", "/v1/explain", true, [this](const AdminRequest& request, const AdminReply& reply) {
-         reply(ExplainAnswer(request.Parameter("service")));
-       }});
-  admin_.Add(
-      {"GET", "/v1/drain", true, [this](const AdminRequest& request, const AdminReply& reply) {
-         reply(DrainAnswer(request.Parameter("backend_server")));
-       }});
+void EntryVm::OnMembers() {
+  const std::vector<Member>& live = members_->Live();
+  records_->OnMembers(live);
+  std::vector<EntryVmId> ids = {id_};
+  for (const Member& member : live) {
+    if (member.state == MemberState::kAlive) ids.push_back(member.id);
+  }
+  prober_.SetMembers(std::move(ids));
 }
 
-std::string EntryVm::LookupJson(const std::string& caller_ip, const std::string& query) const {
-  const Endpoint self =
-      settings_.edge.advertise.port != 0 ? settings_.edge.advertise : edge_.LocalEndpoint();
-  json answer = {{"entries", json::array()},
-                 {"lifetime_ms", manifest_->entry.lookup_lifetime.count()}};
-  if (!stopping_) answer["entries"].push_back(self.ToString());
-  return answer.dump() + "\n";
+uint64_t EntryVm::OnRequestStarted(const RequestMeta& meta, WallTime started) {
+  RequestRecord record;
+  record.request = meta.id;
+  record.tenant = meta.tenant;
+  record.service = meta.service->id;
+  record.request_class = meta.request_class;
+  record.entry_vm = id_;
+  record.started = started;
+  record.deadline = meta.timeout;
+  return records_->Started(record);
 }
 
-std::string EntryVm::StatusJson() const {
-  json status = {{"entry_vm", id_.Text()},
-                 {"place", settings_.place.Text()},
-                 {"manifest_revision", manifest_->revision},
-                 {"stopping", stopping_},
-                 {"open_requests", context_.open_requests},
-                 {"open_caller_connections", edge_.OpenConnections()},
-                 {"backend_servers", json::array()}};
-  for (const ServerView& view : chooser_.View(clock_.Now())) {
-    status["backend_servers"].push_back(ServerJson(view));
+void EntryVm::OnRequestEnded(const RequestEnd& end) {
+  metrics_.OnRequestEnded(end);
+  if (end.record != 0) {
+    RequestRecord record;
+    record.request = end.id;
+    record.tenant = end.tenant;
+    record.service = end.service;
+    record.request_class = end.request_class;
+    record.entry_vm = id_;
+    record.backend_server = end.server;
+    record.started = end.started;
+    record.ended = clock_.WallNow();
+    record.deadline = end.deadline;
+    record.outcome = end.outcome;
+    record.cause = CauseOf(end);
+    record.detail = end.detail.substr(0, kMostDetailLength);
+    records_->Ended(end.record, std::move(record));
   }
-  return status.dump(2) + "\n";
+  const bool clean = end.whole && !end.late && end.outcome == Outcome::kRan;
+  const LogLevel level = clean ? LogLevel::kDebug : LogLevel::kInfo;
+  if (!log_.Writes(level)) return;
+  log_.Write(level, "request ended",
+             {{"request", end.id.Text()},
+              {"service", end.service.Text()},
+              {"tenant", end.tenant.Text()},
+              {"class", std::string(NameOf(end.request_class))},
+              {"backend_server", end.server.Text()},
+              {"status", int64_t{end.status}},
+              {"outcome", std::string(NameOf(end.outcome))},
+              {"whole", end.whole},
+              {"late", end.late},
+              {"caller_gone", end.caller_gone},
+              {"attempts", int64_t{end.attempts}},
+              {"took_ms", std::chrono::duration<double, std::milli>(end.took).count()},
+              {"detail", end.detail}});
 }
 
-AdminAnswer EntryVm::ExplainAnswer(const std::string& service) const {
-  json answer = {{"service", service}, {"decisions", json::array()}};
-  for (const Decision& decision : chooser_.Recent(ServiceId(service))) {
-    answer["decisions"].push_back(
-        {{"ticket", decision.ticket}, {"chosen", decision.chosen}, {"reason", decision.reason}});
-  }
-  return {200, answer.dump(2) + "\n"};
+void EntryVm::OnProbed(const ProbeTarget& target, const std::optional<Report>& report) {
+  if (!report) return;
+  chooser_.OnReport(target.server, *report, clock_.Now());
+  dispatcher_.Poll();
 }
 
-AdminAnswer EntryVm::DrainAnswer(const std::string& server) const {
-  for (const ServerView& view : chooser_.View(clock_.Now())) {
-    if (view.server.Text() != server) continue;
-    const bool free = view.leaving && view.in_flight == 0;
-    const json answer = {{"backend_server", server},
-                         {"leaving", view.leaving},
-                         {"in_flight", view.in_flight},
-                         {"free", free}};
-    return {200, answer.dump() + "\n"};
-  }
-  return AdminError(404, "backend_server: found \"" + server +
-                             "\"; allowed: a backend server of the manifest in force");
+std::string EntryVm::LookupJson(const std::string& caller_ip, const std::string& query) const {
+  LookupQuery lookup;
+  lookup.caller = QueryValue(query, "caller");
+  if (lookup.caller.empty()) lookup.caller = caller_ip;
+  lookup.place = PlaceId(QueryValue(query, "place"));
+  lookup.region = RegionId(QueryValue(query, "region"));
+  const LookupAnswer answer = members_->Lookup(lookup, manifest_->entry.lookup_lifetime);
+  nlohmann::json message = {{"entries", nlohmann::json::array()},
+                            {"lifetime_ms", answer.lifetime.count()}};
+  for (const Endpoint& entry : answer.entries) message["entries"].push_back(entry.ToString());
+  return message.dump() + "\n";
 }
 
+// ---- 3. Timers ---------------------------------------------------------------------------------
+
 void EntryVm::EveryShortTick() {
   claims_.Tick();
-  short_tick_.expires_after(kShortTick);
-  short_tick_.async_wait([this](std::error_code ec) {
+  follower_->Tick();
+  records_->Tick();
+  if (follower_->Ready() && !stopping_) prober_.Tick();
+  short_timer_.expires_after(kShortTick);
+  short_timer_.async_wait([this](std::error_code ec) {
     if (!ec) EveryShortTick();
   });
 }
 
-void EntryVm::EveryTick() {
+void EntryVm::EverySecond() {
   pool_.CloseIdle();
-  metrics_.Set("cowsliphill_open_requests", "Requests in flight",
-               static_cast<double>(context_.open_requests));
-  metrics_.Set("cowsliphill_caller_connections", "Open connections of callers",
-               static_cast<double>(edge_.OpenConnections()));
-  metrics_.Set("cowsliphill_backend_connections", "Open connections to backend servers",
-               static_cast<double>(pool_.OpenConnections()));
-  metrics_.Set("cowsliphill_log_lines_dropped", "Log lines lost to a full queue",
-               static_cast<double>(log_.Dropped()));
-  metrics_.Set("cowsliphill_manifest_revision", "Revision in force",
-               static_cast<double>(manifest_->revision));
-  tick_.expires_after(kTick);
-  tick_.async_wait([this](std::error_code ec) {
-    if (!ec) EveryTick();
+  SetGauges();
+  second_timer_.expires_after(kSecond);
+  second_timer_.async_wait([this](std::error_code ec) {
+    if (!ec) EverySecond();
   });
 }
 
+void EntryVm::SetGauges() {
+  const auto set = [this](const char* name, const char* help, auto value) {
+    metrics_.Set(name, help, static_cast<double>(value));
+  };
+  const PeerStats peer = peers_.Stats();
+  const PlatformCounts platform = platform_.Counts();
+  const ProbeCounts& probes = probe_client_.Counts();
+  set("cowsliphill_open_requests", "Requests in flight", context_.open_requests);
+  set("cowsliphill_caller_connections", "Open connections of callers", edge_.OpenConnections());
+  set("cowsliphill_refused_connections", "Connections over the limit", edge_.RefusedConnections());
+  set("cowsliphill_backend_connections", "Open connections to backend servers",
+      pool_.OpenConnections());
+  set("cowsliphill_log_lines_dropped", "Log lines lost to a full queue", log_.Dropped());
+  set("cowsliphill_manifest_revision", "Revision in force", manifest_->revision);
+  set("cowsliphill_ready", "1 when it takes requests", follower_->Ready() ? 1 : 0);
+  set("cowsliphill_members", "Other entry VMs known", members_->Live().size());
+  set("cowsliphill_peer_bytes_in", "Bytes from other entry VMs", peer.bytes_in);
+  set("cowsliphill_peer_bytes_out", "Bytes to other entry VMs", peer.bytes_out);
+  set("cowsliphill_platform_reads", "Reads of the platform", platform.reads);
+  set("cowsliphill_platform_writes", "Writes to the platform", platform.writes);
+  set("cowsliphill_platform_unavailable", "Calls without effect", platform.unavailable);
+  set("cowsliphill_platform_unknown", "Calls of unknown effect", platform.unknown);
+  set("cowsliphill_probes_sent", "Probes paid for", probes.sent);
+  set("cowsliphill_probes_failed", "Probes without a report", probes.failed);
+  set("cowsliphill_claims_held", "Claims of open requests", claims_.Held());
+  set("cowsliphill_claims_settling", "Claims whose end is not yet written", claims_.Settling());
+  set("cowsliphill_records_waiting", "Records not yet stored", records_->Live());
+  size_t lagging = 0;
+  for (const PlaceLag& place : follower_->View().places) lagging += place.alarm ? 1 : 0;
+  set("cowsliphill_places_lagging", "Places behind our manifest for too long", lagging);
+}
+
+// ---- 4. The graceful stop ----------------------------------------------------------------------
+
 void EntryVm::AwaitSignal() {
   signals_.async_wait([this](std::error_code ec, int signal) {
     if (ec) return;
@@ -297,11 +374,12 @@
 }
 
 void EntryVm::StartStopping() {
-  stopping_ = true;  // From now on no lookup answer names this entry VM.
-  context_.leaving = true;
+  stopping_ = true;
   stop_started_ = clock_.Now();
+  members_->SetLeaving();  // From now on no lookup answer names this entry VM.
+  context_.leaving = true;
   // Callers may keep an answer for its lifetime, so new connections are taken until then.
-  stop_timer_.expires_after(manifest_->entry.lookup_lifetime);
+  stop_timer_.expires_after(LeaveDelay(manifest_->entry.lookup_lifetime));
   stop_timer_.async_wait([this](std::error_code ec) {
     if (ec) return;
     edge_.StopAccepting();
@@ -309,11 +387,23 @@
   });
 }
 
+bool EntryVm::HasWorkLeft() const {
+  if (context_.open_requests > 0) return true;
+  return claims_.Held() > 0 || claims_.Settling() > 0 || !records_->Drained();
+}
+
 void EntryVm::StopWhenIdle() {
-  const bool late = clock_.Now() - stop_started_ > settings_.stop_timeout;
-  if (context_.open_requests == 0 || late) {
-    if (late) log_.Write(LogLevel::kError, "stop_timeout_ms passed with requests open", {});
-    return io_.stop();
+  const Duration waited = clock_.Now() - stop_started_;
+  const bool requests_open = context_.open_requests > 0;
+  const Duration limit = settings_.stop_timeout + (requests_open ? Duration{} : kHandOffLimit);
+  if (!requests_open) records_->Stop();
+  if (!HasWorkLeft()) return Depart();
+  if (waited > limit) {
+    log_.Write(LogLevel::kError, "stopping with work left",
+               {{"open_requests", static_cast<int64_t>(context_.open_requests)},
+                {"claims", static_cast<int64_t>(claims_.Settling())},
+                {"records", static_cast<int64_t>(records_->Live())}});
+    return Depart();
   }
   stop_timer_.expires_after(kStopPollInterval);
   stop_timer_.async_wait([this](std::error_code ec) {
@@ -321,4 +411,23 @@
   });
 }
 
+void EntryVm::Depart() {
+  members_->Depart();
+  stop_timer_.expires_after(kFarewell);
+  stop_timer_.async_wait([this](std::error_code ec) {
+    if (!ec) io_.stop();
+  });
+}
+
+void EntryVm::DrainLoop() {
+  // Handlers that are still queued hold connections that use the slices: run them out while the
+  // slices are there.
+  edge_.AbortAll();
+  pool_.CloseAll();
+  probe_client_.CloseAll();
+  worker_.join();
+  io_.restart();
+  io_.poll();
+}
+
 }  // namespace cowsliphill
--- a/src/cli/entry_vm.h
+++ b/src/cli/entry_vm.h
@@ -1,4 +1,11 @@
 // One entry VM: builds every slice, wires them, runs the loop until it is told to stop.
+//
+// Sections of entry_vm.cc:
+//   1. Build: slices that need no address, then, after listening, those that do
+//   2. Events between slices
+//   3. Timers
+//   4. The graceful stop
+// The administration API's routes are in entry_routes.cc.
 
 #ifndef COWSLIPHILL_CLI_ENTRY_VM_H_
 #define COWSLIPHILL_CLI_ENTRY_VM_H_
@@ -6,7 +13,9 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/thread_pool.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/admin/admin_server.h"
@@ -17,14 +26,22 @@
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
 #include "src/forward/edge_server.h"
-#include "src/manifest/manifest.h"
+#include "src/forward/probe_client.h"
+#include "src/manifest/manifest_follower.h"
+#include "src/manifest/manifest_keeper.h"
+#include "src/measure/prober.h"
+#include "src/members/members.h"
+#include "src/members/peer_transport.h"
 #include "src/platform/any_platform.h"
+#include "src/records/record_keeper.h"
+#include "src/records/record_reader.h"
 #include "src/settings/settings.h"
 
 namespace cowsliphill {
 
 class EntryVm {
  public:
+  // `seed` differs between processes.
   EntryVm(Settings settings, const Clock& clock, uint64_t seed);
   ~EntryVm();
 
@@ -32,32 +49,60 @@
   int Run();
 
  private:
+  using EntryMembers = Members<PeerNode, AnyPlatform>;
+  using EntryFollower = ManifestFollower<AnyPlatform, AnyPlatform, PeerNode>;
+  using EntryKeeper = ManifestKeeper<AnyPlatform, AnyPlatform, EntryFollower>;
+  using EntryRecords = RecordKeeper<PeerNode, AnyPlatform>;
+
+  // 1. Build
   ForwardContext MakeContext();
   RequestObserver MakeObserver();
-  void AddRoutes();
-  bool LoadInitialManifest();
-  void PutInForce(std::shared_ptr<const Manifest> manifest);
+  std::string Listen();
+  void BuildRest();
+  void SubmitInitialManifest();
+
+  // 2. Events between slices
+  void OnManifest(const ManifestPtr& manifest);
+  void OnMembers();
+  uint64_t OnRequestStarted(const RequestMeta& meta, WallTime started);
+  void OnRequestEnded(const RequestEnd& end);
+  void OnProbed(const ProbeTarget& target, const std::optional<Report>& report);
+  std::string LookupJson(const std::string& caller_ip, const std::string& query) const;
+
+  // 3. Timers
+  void EveryShortTick();
+  void EverySecond();
+  void SetGauges();
+
+  // 4. The graceful stop
   void AwaitSignal();
   void StartStopping();
   void StopWhenIdle();
-  void EveryTick();
-  void EveryShortTick();
+  bool HasWorkLeft() const;
+  void Depart();
   void DrainLoop();
-  std::string LookupJson(const std::string& caller_ip, const std::string& query) const;
-  std::string StatusJson() const;
-  AdminAnswer ExplainAnswer(const std::string& service) const;
-  AdminAnswer DrainAnswer(const std::string& server) const;
-  void OnRequestEnded(const RequestEnd& end);
+
+  // Administration, in entry_routes.cc.
+  void AddRoutes();
+  AdminAnswer Status() const;
+  AdminAnswer Drain(const std::string& server) const;
+  void SubmitManifest(const AdminRequest& request, const AdminReply& reply);
+  void ReadHistory(const AdminRequest& request, const AdminReply& reply);
+  void CompareRevisions(const AdminRequest& request, const AdminReply& reply);
+  void ReadRecords(const AdminRequest& request, const AdminReply& reply);
 
   Settings settings_;
   const Clock& clock_;
+  uint64_t seed_;
   asio::io_context io_;
-  Executor on_loop_;  // Posts to io_.
-  EntryVmId id_;      // New at each start.
+  asio::thread_pool worker_;  // One thread for what would stall the loop.
+  Executor on_loop_;          // Posts to io_.
+  Executor on_worker_;        // Posts to worker_.
+  EntryVmId id_;              // New at each start.
   Log log_;
   Metrics metrics_;
   AnyPlatform platform_;
-  std::shared_ptr<const Manifest> manifest_;  // In force; never null.
+  ManifestPtr manifest_;  // In force; never null, revision 0 until there is one.
   Chooser chooser_;
   Dispatcher dispatcher_;
   BackendPool pool_;
@@ -65,9 +110,18 @@
   ForwardContext context_;
   EdgeServer edge_;
   AdminServer admin_;
+  PeerNode peers_;
+  Endpoint edge_address_;  // As told to callers.
+  std::optional<EntryMembers> members_;
+  std::optional<EntryFollower> follower_;
+  std::optional<EntryKeeper> keeper_;
+  std::optional<EntryRecords> records_;
+  RecordReader<AnyPlatform> record_reader_;
+  ProbeClient probe_client_;
+  Prober<AnyPlatform> prober_;
   asio::signal_set signals_;
-  asio::steady_timer tick_;        // Housekeeping.
-  asio::steady_timer short_tick_;  // Timers of the slices.
+  asio::steady_timer second_timer_;
+  asio::steady_timer short_timer_;
   asio::steady_timer stop_timer_;  // Steps of a graceful stop.
   MonotonicTime stop_started_{};
   bool stopping_ = false;
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -96,6 +96,11 @@
 
 void Exchange::Start() {
   end_.started = context_.clock.WallNow();
+  if (!context_.ready()) {
+    meta_.id = ReadRequestId(head_, context_.ids);
+    return AnswerVerdict({503, Outcome::kNotRun, milliseconds(1000), "proxy_configuration_error",
+                          "this entry VM does not know the manifest in force yet"});
+  }
   auto result = ReadRequestMeta(head_, *manifest_, context_.ids);
   if (!Ok(result)) {
     const BadRequest bad = ErrorOf(result);
@@ -111,7 +116,7 @@
   }
   ticket_ = context_.next_ticket++;
   context_.exchanges[ticket_] = this;
-  if (context_.observer.on_started) context_.observer.on_started(meta_.id, meta_);
+  end_.record = context_.observer.on_started(meta_, end_.started);
   Arm(TimerUse::kDeadline, deadline_ - started_);
   const bool wants_continue = head_.Find("expect").value_or("") == "100-continue";
   if (!wants_continue) return ReadFirstPart();
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -25,6 +25,7 @@
 // How one request ended, for metrics, logs and records.
 struct RequestEnd {
   RequestId id;
+  uint64_t record = 0;  // As on_started gave it; 0 if it was refused before.
   ServiceId service;
   TenantId tenant;
   RequestClass request_class = RequestClass::kRoutine;
@@ -45,7 +46,8 @@
 
 // Who is told about requests. All run on the loop's thread and return at once.
 struct RequestObserver {
-  std::function<void(const RequestId&, const RequestMeta&)> on_started;
+  // Gives the number that RequestEnd::record carries.
+  std::function<uint64_t(const RequestMeta&, WallTime started)> on_started;
   std::function<void(const RequestEnd&)> on_ended;
   std::function<void(const std::string& kind, const std::string& detail)> on_bad_input;
 };
@@ -61,6 +63,7 @@
   BackendPool& pool;
   EntryClaims& claims;
   std::function<std::shared_ptr<const Manifest>()> manifest = {};  // In force now.
+  std::function<bool()> ready = {};  // Whether requests may be decided yet.
   std::function<std::string(const std::string& caller_ip, const std::string& query)> lookup = {};
   std::function<void(const BackendServerId&, const Report&)> on_report = {};  // Seen on an answer.
   RequestObserver observer = {};
