Peer transport: authenticated HTTP/2 streams between entry VMs

Cause: members, manifest, records and measure talk to other entry VMs; the messages must be authenticated, bounded, and survive connections that go silent for good. Ruled out: a time stamp or a table of seen sequence numbers against replay (clocks jump; the table grows and is lost at a restart). Taken: both ends give a nonce in the first exchange and every authenticator covers both and the stream's number, which never repeats on a connection. Conclusion: PeerNode satisfies PeerTransport; Members runs over it.

--- a/src/members/members.h
+++ b/src/members/members.h
@@ -59,8 +59,7 @@
         ticker_(loop, options.tick, [this] { Tick(); }) {
     ranked_.push_back(self);
     transport_.Handle(MessageKind::kMembership,
-                      [this, alive = std::weak_ptr<bool>(alive_)](const EntryVmId& from,
-                                                                  const std::string& payload) {
+                      [this, alive = Alive()](const EntryVmId& from, const std::string& payload) {
                         if (alive.expired()) return std::string();
                         std::string reply = membership_.Receive(clock_.Now(), from, payload);
                         Act();
@@ -98,6 +97,9 @@
   const MembershipStats& Stats() const { return membership_.Stats(); }
 
  private:
+  // Callbacks hold this and do nothing once the object is gone.
+  std::weak_ptr<bool> Alive() const { return alive_; }
+
   void Tick() {
     const MonotonicTime now = clock_.Now();
     if (now >= next_vm_list_) {
@@ -111,7 +113,7 @@
   void ReadVmList() {
     if (reading_vm_list_) return;
     reading_vm_list_ = true;
-    vm_list_.ListVms([this, alive = std::weak_ptr<bool>(alive_)](const VmListResult& result) {
+    vm_list_.ListVms([this, alive = Alive()](const VmListResult& result) {
       if (alive.expired()) return;
       reading_vm_list_ = false;
       if (!Ok(result)) return;  // The last list still serves as a hint.
@@ -133,17 +135,17 @@
   }
 
   void SendRequest(SendGossip send) {
-    transport_.Request(send.to, MessageKind::kMembership, std::move(send.payload),
-                       [this, tag = send.tag, alive = std::weak_ptr<bool>(alive_)](
-                           const Result<std::string, PeerError>& result) {
-                         if (alive.expired()) return;
-                         if (Ok(result)) {
-                           membership_.Replied(clock_.Now(), tag, ValueOf(result));
-                         } else {
-                           membership_.Failed(tag);
-                         }
-                         Act();
-                       });
+    transport_.Request(
+        send.to, MessageKind::kMembership, std::move(send.payload),
+        [this, tag = send.tag, alive = Alive()](const Result<std::string, PeerError>& result) {
+          if (alive.expired()) return;
+          if (Ok(result)) {
+            membership_.Replied(clock_.Now(), tag, ValueOf(result));
+          } else {
+            membership_.Failed(tag);
+          }
+          Act();
+        });
   }
 
   void Refresh() {
--- /dev/null
+++ b/src/members/peer_transport_test.cc
@@ -0,0 +1,381 @@
+#include "src/members/peer_transport.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <optional>
+
+#include "src/members/members.h"
+#include "src/members/peer_auth.h"
+#include "src/members/peer_wire.h"
+#include "src/platform/memory_platform.h"
+
+namespace cowsliphill {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Outcome = std::optional<Result<std::string, PeerError>>;
+
+constexpr MessageKind kKind = MessageKind::kManifestHead;
+
+class PeerTransportTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerTransportTest);
+  CPPUNIT_TEST(Request_BetweenTwoNodes_IsAnswered);
+  CPPUNIT_TEST(Request_WithLargePayload_ArrivesWhole);
+  CPPUNIT_TEST(Requests_MoreThanStreams_AreAllAnswered);
+  CPPUNIT_TEST(Requests_BeyondTheQueue_AreRefusedAtOnce);
+  CPPUNIT_TEST(Request_WithWrongKey_IsRefusedAndCounted);
+  CPPUNIT_TEST(Request_OfUnknownKind_IsRefusedAndCounted);
+  CPPUNIT_TEST(Request_TooLargeForTheServer_IsRefusedAndTheNextWorks);
+  CPPUNIT_TEST(Request_TooLargeForTheClient_IsNotSent);
+  CPPUNIT_TEST(Request_ToNobody_IsUnreachable);
+  CPPUNIT_TEST(Request_ToAListenerThatNeverSpeaks_IsUnreachable);
+  CPPUNIT_TEST(Request_OnASilentConnection_TimesOutAndTheNextReconnects);
+  CPPUNIT_TEST(Request_AfterTheServerRestarted_Reconnects);
+  CPPUNIT_TEST(Reply_FromAServerWithoutTheKey_IsRefused);
+  CPPUNIT_TEST(Server_GivenGarbage_ClosesAndServesOthers);
+  CPPUNIT_TEST(Server_GivenAnotherVersion_RefusesAndCounts);
+  CPPUNIT_TEST(Connection_Idle_IsClosed);
+  CPPUNIT_TEST(Authenticator_WithAnyFieldChanged_Differs);
+  CPPUNIT_TEST(Members_OverRealSockets_FindEachOtherAndNoticeDeath);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Request_BetweenTwoNodes_IsAnswered() {
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client");
+    CPPUNIT_ASSERT(Ask(*client, at, "hello") == Outcome("client:hello"));
+    CPPUNIT_ASSERT(Ask(*client, at, "") == Outcome("client:"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, client->Stats().connections_out);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, server->Stats().requests_in);
+    CPPUNIT_ASSERT_EQUAL(client->Stats().bytes_out, server->Stats().bytes_in);
+  }
+
+  void Request_WithLargePayload_ArrivesWhole() {
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client");
+    const std::string payload(500000, 'x');
+    CPPUNIT_ASSERT(Ask(*client, at, payload) == Outcome("client:" + payload));
+  }
+
+  void Requests_MoreThanStreams_AreAllAnswered() {
+    PeerLimits limits;
+    limits.max_streams = 2;
+    auto server = Node("server", limits);
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client", limits);
+    size_t answered = 0;
+    for (int i = 0; i < 20; ++i) {
+      client->Request(at, kKind, "x", [&answered](const auto& result) {
+        if (Ok(result)) ++answered;
+      });
+    }
+    CPPUNIT_ASSERT(RunUntil([&answered] { return answered == 20; }));
+  }
+
+  void Requests_BeyondTheQueue_AreRefusedAtOnce() {
+    PeerLimits limits;
+    limits.max_queue = 3;
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client", limits);
+    size_t answered = 0;
+    size_t unreachable = 0;
+    for (int i = 0; i < 5; ++i) {
+      client->Request(at, kKind, "x",
+                      [&](const auto& result) { ++(Ok(result) ? answered : unreachable); });
+    }
+    CPPUNIT_ASSERT(RunUntil([&] { return answered + unreachable == 5; }));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, unreachable);
+  }
+
+  void Request_WithWrongKey_IsRefusedAndCounted() {
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client", {}, "another key of some length");
+    CPPUNIT_ASSERT(Ask(*client, at, "hello") == Outcome(PeerError::kRefused));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, server->Stats().refused_authenticator);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, server->Stats().requests_in);
+  }
+
+  void Request_OfUnknownKind_IsRefusedAndCounted() {
+    auto server = Node("server");
+    const Endpoint at = ValueOf(server->Listen());
+    auto client = Node("client");
+    CPPUNIT_ASSERT(Ask(*client, at, "hello") == Outcome(PeerError::kRefused));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, server->Stats().refused_kind);
+  }
+
+  void Request_TooLargeForTheServer_IsRefusedAndTheNextWorks() {
+    PeerLimits small;
+    small.max_payload_bytes = 1000;
+    auto server = Node("server", small);
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client");
+    CPPUNIT_ASSERT(Ask(*client, at, std::string(300000, 'x')) == Outcome(PeerError::kRefused));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, server->Stats().refused_size);
+    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome("client:x"));
+  }
+
+  void Request_TooLargeForTheClient_IsNotSent() {
+    PeerLimits small;
+    small.max_payload_bytes = 10;
+    auto client = Node("client", small);
+    CPPUNIT_ASSERT(Ask(*client, {"127.0.0.1", 1}, std::string(11, 'x')) ==
+                   Outcome(PeerError::kRefused));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, client->Stats().requests_out);
+  }
+
+  void Request_ToNobody_IsUnreachable() {
+    auto client = Node("client");
+    CPPUNIT_ASSERT(Ask(*client, UnusedEndpoint(), "x") == Outcome(PeerError::kUnreachable));
+    CPPUNIT_ASSERT(Ask(*client, {"not a number", 1}, "x") == Outcome(PeerError::kUnreachable));
+  }
+
+  void Request_ToAListenerThatNeverSpeaks_IsUnreachable() {
+    tcp::acceptor acceptor(loop_, {asio::ip::make_address("127.0.0.1"), 0});
+    auto client = Node("client", Impatient());
+    const Endpoint at{"127.0.0.1", acceptor.local_endpoint().port()};
+    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome(PeerError::kUnreachable));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{0}, client->Stats().requests_out);
+  }
+
+  void Request_OnASilentConnection_TimesOutAndTheNextReconnects() {
+    asio::io_context server_loop;
+    PeerNode server(server_loop, clock_, EntryVmId("server"), Settings("a key that all share"));
+    const Endpoint at = ListenAndEcho(server);
+    auto client = Node("client", Impatient());
+    bool serving = true;
+    const auto run_server = [&] {
+      if (serving) server_loop.poll();
+    };
+    CPPUNIT_ASSERT(Ask(*client, at, "1", run_server) == Outcome("client:1"));
+    serving = false;
+    CPPUNIT_ASSERT(Ask(*client, at, "2", run_server) == Outcome(PeerError::kTimeout));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, client->Stats().silent_connections);
+    serving = true;
+    CPPUNIT_ASSERT(Ask(*client, at, "3", run_server) == Outcome("client:3"));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, client->Stats().connections_out);
+  }
+
+  void Request_AfterTheServerRestarted_Reconnects() {
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client");
+    CPPUNIT_ASSERT(Ask(*client, at, "1") == Outcome("client:1"));
+    server.reset();
+    CPPUNIT_ASSERT(!Ok(*Ask(*client, at, "2")));
+    server = Node("server-2", {}, "a key that all share", at);
+    ListenAndEcho(*server);
+    Outcome outcome;
+    const auto answered = [&] {
+      outcome = Ask(*client, at, "3");
+      return Ok(*outcome);
+    };
+    CPPUNIT_ASSERT(RunUntil(answered));
+  }
+
+  void Reply_FromAServerWithoutTheKey_IsRefused() {
+    tcp::acceptor acceptor(loop_, {asio::ip::make_address("127.0.0.1"), 0});
+    TrafficStats traffic;
+    std::shared_ptr<Http2Connection> impostor;
+    acceptor.async_accept([&](std::error_code ec, tcp::socket socket) {
+      impostor = std::make_shared<Http2Connection>(
+          std::move(socket), Http2Connection::Role::kServer, Http2Limits(), traffic);
+      Http2Connection::Events events;
+      events.on_message = [&](int32_t stream, const Http2Message&) {
+        Http2Message answer;
+        answer.status = kStatusOk;
+        answer.sender = "impostor";
+        answer.nonce = std::string(kNonceLength, '0');
+        answer.authenticator = std::string(kNonceLength, '0');
+        impostor->SendAnswer(stream, answer);
+      };
+      events.on_reset = [](int32_t) {};
+      impostor->Start(std::move(events));
+    });
+    auto client = Node("client");
+    const Endpoint at{"127.0.0.1", acceptor.local_endpoint().port()};
+    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome(PeerError::kRefused));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, client->Stats().refused_authenticator);
+    impostor->Close();
+  }
+
+  void Server_GivenGarbage_ClosesAndServesOthers() {
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    tcp::socket socket(loop_);
+    socket.connect({asio::ip::make_address(at.ip), at.port});
+    asio::write(socket, asio::buffer(std::string(1000, '\xff')));
+    CPPUNIT_ASSERT(RunUntil([&] { return server->Stats().connections_in == 1; }));
+    CPPUNIT_ASSERT(RunUntil([&] { return server->OpenConnections() == 0; }));
+    auto client = Node("client");
+    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome("client:x"));
+  }
+
+  void Server_GivenAnotherVersion_RefusesAndCounts() {
+    auto server = Node("server");
+    const Endpoint at = ListenAndEcho(*server);
+    tcp::socket socket(loop_);
+    socket.connect({asio::ip::make_address(at.ip), at.port});
+    TrafficStats traffic;
+    const auto raw = std::make_shared<Http2Connection>(
+        std::move(socket), Http2Connection::Role::kClient, Http2Limits(), traffic);
+    int status = 0;
+    Http2Connection::Events events;
+    events.on_message = [&status](int32_t, const Http2Message& answer) { status = answer.status; };
+    events.on_reset = [](int32_t) {};
+    raw->Start(std::move(events));
+    Http2Message hello;
+    hello.path = kHelloPath;
+    hello.version = "2";
+    hello.sender = "raw";
+    hello.nonce = MakeNonce();
+    raw->SendRequest(hello);
+    CPPUNIT_ASSERT(RunUntil([&status] { return status != 0; }));
+    CPPUNIT_ASSERT_EQUAL(kStatusWrongVersion, status);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, server->Stats().refused_version);
+    raw->Close();
+  }
+
+  void Connection_Idle_IsClosed() {
+    PeerLimits limits;
+    limits.idle_timeout = milliseconds(150);
+    auto server = Node("server", limits);
+    const Endpoint at = ListenAndEcho(*server);
+    auto client = Node("client", limits);
+    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome("client:x"));
+    CPPUNIT_ASSERT(RunUntil([&] { return client->OpenConnections() == 0; }));
+    CPPUNIT_ASSERT(RunUntil([&] { return server->OpenConnections() == 0; }));
+    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome("client:x"));
+  }
+
+  void Authenticator_WithAnyFieldChanged_Differs() {
+    const PeerAuthenticator right("a key that all share");
+    const PeerMessageIdentity identity{PeerDirection::kRequest, "11", "22",
+                                       EntryVmId("vm"),         3,    "/peer/1"};
+    const std::string signature = right.Sign(identity, "payload");
+    CPPUNIT_ASSERT(right.Verify(identity, "payload", signature));
+    CPPUNIT_ASSERT(!right.Verify(identity, "payloae", signature));
+    CPPUNIT_ASSERT(!right.Verify(identity, "payload", signature.substr(1)));
+    CPPUNIT_ASSERT(!right.Verify(identity, "payload", ""));
+    CPPUNIT_ASSERT(!PeerAuthenticator("").Verify(identity, "payload", signature));
+    std::vector<PeerMessageIdentity> others(6, identity);
+    others[0].direction = PeerDirection::kReply;
+    others[1].client_nonce = "1";
+    others[2].server_nonce = "222";
+    others[3].sender = EntryVmId("vn");
+    others[4].stream = 5;
+    others[5].path = "/peer/2";
+    for (const auto& other : others) CPPUNIT_ASSERT(!right.Verify(other, "payload", signature));
+  }
+
+  void Members_OverRealSockets_FindEachOtherAndNoticeDeath() {
+    MemoryPlatform platform([this](std::function<void()> task) { asio::post(loop_, task); });
+    std::vector<std::unique_ptr<PeerNode>> nodes;
+    std::vector<std::unique_ptr<Members<PeerNode, MemoryPlatform>>> members;
+    MembershipConfig config;
+    config.probe_period = milliseconds(100);
+    config.direct_timeout = milliseconds(40);
+    config.suspicion_timeout = milliseconds(300);
+    for (int i = 0; i < 3; ++i) {
+      Member self;
+      self.id = EntryVmId("vm-" + std::to_string(i));
+      self.edge = {"127.0.0.1", static_cast<uint16_t>(1000 + i)};
+      nodes.push_back(Node(self.id.Text()));
+      self.peer = ValueOf(nodes.back()->Listen());
+      if (i == 0) config.seeds = {self.peer};
+      MembersOptions options;
+      options.tick = milliseconds(10);
+      options.seed = static_cast<uint64_t>(i);
+      members.push_back(std::make_unique<Members<PeerNode, MemoryPlatform>>(
+          loop_, clock_, *nodes.back(), platform, config, self, options));
+    }
+    const auto all_see = [&members](size_t n) {
+      for (const auto& it : members) {
+        if (it->Live().size() != n) return false;
+      }
+      return true;
+    };
+    CPPUNIT_ASSERT(RunUntil([&] { return all_see(2); }));
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, members[0]->Lookup({"c", {}, {}}, seconds(5)).entries.size());
+    members.pop_back();
+    nodes.pop_back();
+    CPPUNIT_ASSERT(RunUntil([&] { return all_see(1); }));
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, members[0]->Lookup({"c", {}, {}}, seconds(5)).entries.size());
+  }
+
+ private:
+  static constexpr seconds kPatience{20};
+
+  static PeerSettings Settings(const std::string& key, Endpoint listen = {"127.0.0.1", 0}) {
+    PeerSettings settings;
+    settings.listen = listen;
+    settings.key = key;
+    return settings;
+  }
+
+  static PeerLimits Impatient() {
+    PeerLimits limits;
+    limits.request_timeout = milliseconds(200);
+    return limits;
+  }
+
+  std::unique_ptr<PeerNode> Node(const std::string& id, PeerLimits limits = {},
+                                 const std::string& key = "a key that all share",
+                                 Endpoint listen = {"127.0.0.1", 0}) {
+    return std::make_unique<PeerNode>(loop_, clock_, EntryVmId(id), Settings(key, listen), limits);
+  }
+
+  static Endpoint ListenAndEcho(PeerNode& node) {
+    node.Handle(kKind, [](const EntryVmId& from, const std::string& payload) {
+      return from.Text() + ":" + payload;
+    });
+    const auto at = node.Listen();
+    CPPUNIT_ASSERT(Ok(at));
+    return ValueOf(at);
+  }
+
+  // A port that was free a moment ago.
+  Endpoint UnusedEndpoint() {
+    tcp::acceptor acceptor(loop_, {asio::ip::make_address("127.0.0.1"), 0});
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+
+  Outcome Ask(PeerNode& client, const Endpoint& to, const std::string& payload,
+              const std::function<void()>& meanwhile = nullptr) {
+    Outcome outcome;
+    client.Request(to, kKind, payload, [&outcome](auto result) { outcome = std::move(result); });
+    const bool ended = RunUntil([&] {
+      if (meanwhile) meanwhile();
+      return outcome.has_value();
+    });
+    CPPUNIT_ASSERT(ended);
+    return outcome;
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > end) return false;
+      loop_.restart();
+      loop_.run_one_for(milliseconds(5));
+    }
+    return true;
+  }
+
+  asio::io_context loop_;
+  SystemClock clock_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTransportTest);
+
+}  // namespace
+}  // namespace cowsliphill
