--- a/src/claims/claim_keeper_test.cc
+++ b/src/claims/claim_keeper_test.cc
@@ -4,6 +4,8 @@
 
 #include <deque>
 
+#include "src/claims/claim_sweeper.h"
+#include "src/claims/grouped_table.h"
 #include "src/platform/memory_platform.h"
 
 namespace cowsliphill {
@@ -17,6 +19,10 @@
   CPPUNIT_TEST(Key_RunningPastItsDeadline_IsUnknown);
   CPPUNIT_TEST(DatedKey_PastItsLifetimeAndSwept_IsExpired);
   CPPUNIT_TEST(Row_OfUnknownBytes_IsRefusedAndCounted);
+  CPPUNIT_TEST(Circuit_AfterFailures_RefusesAtOnceAndRecovers);
+  CPPUNIT_TEST(Queue_WithoutRoom_DropsBodiesFirst);
+  CPPUNIT_TEST(Sweep_PastTheLifetime_DeletesOldRowsOnly);
+  CPPUNIT_TEST(Group_WithOneConflict_CommitsTheOthers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,6 +69,63 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, keeper_.Counters().malformed_rows);
   }
 
+  void Circuit_AfterFailures_RefusesAtOnceAndRecovers() {
+    TableCircuit circuit{ClaimSettings{}};
+    for (int i = 0; i < 3; ++i) circuit.OnFailed(clock_.Now());
+    CPPUNIT_ASSERT(!circuit.Allow(clock_.Now()));
+    clock_.Advance(std::chrono::milliseconds(500));
+    CPPUNIT_ASSERT(circuit.Allow(clock_.Now()));
+    CPPUNIT_ASSERT(!circuit.Allow(clock_.Now()));
+    circuit.OnAnswered();
+    CPPUNIT_ASSERT(circuit.Allow(clock_.Now()));
+  }
+
+  void Queue_WithoutRoom_DropsBodiesFirst() {
+    ClaimSettings settings;
+    settings.settle_limit_bytes = 2000;
+    SettleQueue queue(settings, 1);
+    Settlement settlement;
+    settlement.row.answer.body = std::string(kKeptBodyBytes, 'x');
+    CPPUNIT_ASSERT(queue.Add(settlement));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, queue.BodiesDropped());
+    while (queue.Add(settlement)) CPPUNIT_ASSERT(queue.Bytes() <= 2000);
+    CPPUNIT_ASSERT(!queue.TakeDue(clock_.Now())->row.answer.body_kept);
+  }
+
+  void Sweep_PastTheLifetime_DeletesOldRowsOnly() {
+    ClaimSweeper<MemoryPlatform> sweeper(platform_, clock_, 1);
+    Begin("old");
+    clock_.Advance(std::chrono::hours(25));
+    Begin("young");
+    for (int i = 0; i < 10; ++i) {
+      clock_.Advance(std::chrono::minutes(2));
+      sweeper.Tick();
+      Drain();
+    }
+    const std::vector<Row> rows = platform_.Store().Scan(kClaimPrefix, "", 10);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, rows.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("r2"), ClaimRowFromBytes(rows[0].value)->request.Text());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, sweeper.Deleted());
+  }
+
+  void Group_WithOneConflict_CommitsTheOthers() {
+    GroupedTable<MemoryPlatform> table(platform_, GroupSettings{1, 16});
+    platform_.Store().Commit({{"k5", 0, "taken"}});
+    int committed = 0;
+    int conflicts = 0;
+    for (int i = 0; i < 10; ++i) {
+      table.Commit({{"k" + std::to_string(i), 0, "v"}}, [&](const CommitResult& result) {
+        if (std::holds_alternative<Committed>(result)) ++committed;
+        const auto* conflict = std::get_if<Conflict>(&result);
+        if (conflict != nullptr && conflict->current[0].value == "taken") ++conflicts;
+      });
+    }
+    Drain();
+    CPPUNIT_ASSERT_EQUAL(9, committed);
+    CPPUNIT_ASSERT_EQUAL(1, conflicts);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{10}, table.Commits());  // One alone, one of nine, eight again.
+  }
+
  private:
   ClaimAnswer Begin(const std::string& key, const std::string& fingerprint = "f") {
     std::optional<ClaimAnswer> answer;
--- /dev/null
+++ b/src/claims/claim_sweeper.h
@@ -0,0 +1,79 @@
+// Deletes claims past their lifetime: the thin shell that joins ClaimSweep to the table. Call Tick
+// at NextWake, or every few seconds.
+
+#ifndef COWSLIPHILL_CLAIMS_CLAIM_SWEEPER_H_
+#define COWSLIPHILL_CLAIMS_CLAIM_SWEEPER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "src/claims/claim_sweep.h"
+#include "src/platform/platform.h"
+
+namespace cowsliphill {
+
+template <TableClient Table>
+class ClaimSweeper {
+ public:
+  ClaimSweeper(Table& table, const Clock& clock, uint64_t seed, const ClaimSettings& claims = {},
+               const SweepSettings& settings = {})
+      : table_(table), clock_(clock), sweep_(claims, settings, seed) {}
+  ClaimSweeper(const ClaimSweeper&) = delete;
+  ClaimSweeper& operator=(const ClaimSweeper&) = delete;
+
+  void Tick() {
+    if (busy_ || clock_.Now() < sweep_.NextAt()) return;
+    busy_ = true;
+    PageRequest page = sweep_.Page();
+    table_.Scan(std::move(page.prefix), std::move(page.after), page.most,
+                [this, alive = Alive()](const ScanResult& result) {
+                  if (!alive.expired()) OnPage(result);
+                });
+  }
+
+  std::optional<MonotonicTime> NextWake() const {
+    if (busy_) return std::nullopt;
+    return sweep_.NextAt();
+  }
+
+  uint64_t Deleted() const { return deleted_; }
+  uint64_t MalformedRows() const { return sweep_.MalformedRows(); }
+
+ private:
+  void OnPage(const ScanResult& result) {
+    if (!Ok(result)) {
+      sweep_.OnFailed(clock_.Now());
+      busy_ = false;
+      return;
+    }
+    const ClaimTime at{clock_.Now(), clock_.WallNow()};
+    std::vector<ConditionalWrite> deletes = sweep_.OnPage(ValueOf(result), at);
+    if (deletes.empty()) {
+      busy_ = false;
+      return;
+    }
+    const size_t n = deletes.size();
+    table_.Commit(std::move(deletes), [this, n, alive = Alive()](const CommitResult& result) {
+      if (alive.expired()) return;
+      if (std::holds_alternative<Committed>(result)) deleted_ += n;
+      busy_ =
+          false;  // A conflict means that another sweeper was here; the next lap finds the rest.
+    });
+  }
+
+  std::weak_ptr<bool> Alive() const { return alive_; }
+
+  Table& table_;
+  const Clock& clock_;
+  ClaimSweep sweep_;
+  bool busy_ = false;  // A call has no answer yet.
+  uint64_t deleted_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Expires with this object.
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_CLAIMS_CLAIM_SWEEPER_H_
