--- a/src/manifest/acceptance.cc
+++ b/src/manifest/acceptance.cc
@@ -153,9 +153,8 @@
   return prepared;
 }
 
-std::optional<SubmissionAnswer> AfterTransaction(const Submission& submission,
-                                                 const PreparedAcceptance& prepared,
-                                                 const CommitResult& result) {
+std::optional<SubmissionAnswer> AcceptanceRules::AfterTransaction(
+    const Submission& submission, const PreparedAcceptance& prepared, const CommitResult& result) {
   if (std::holds_alternative<Committed>(result)) {
     return Accepted{prepared.next.head.accepted, false, prepared.difference};
   }
--- a/src/manifest/acceptance.h
+++ b/src/manifest/acceptance.h
@@ -98,10 +98,13 @@
 };
 std::variant<PreparedAcceptance, SubmissionAnswer> PrepareAcceptance(const AcceptanceInput& input);
 
-// The answer after the transaction, or nullopt if it must be repeated to know.
-std::optional<SubmissionAnswer> AfterTransaction(const Submission& submission,
-                                                 const PreparedAcceptance& prepared,
-                                                 const CommitResult& result);
+// The answer after the transaction, or nullopt if it must be repeated to know. A struct, so that
+// tests can show what other rules lead to.
+struct AcceptanceRules {
+  static std::optional<SubmissionAnswer> AfterTransaction(const Submission& submission,
+                                                          const PreparedAcceptance& prepared,
+                                                          const CommitResult& result);
+};
 
 }  // namespace cowsliphill
 
--- a/src/manifest/faulty_peers.h
+++ b/src/manifest/faulty_peers.h
@@ -20,7 +20,9 @@
 enum class PeerFault {
   kNone,
   kKillPeer,    // The asked process dies before it answers.
-  kPausePeer,   // It stands still: its answer comes too late to be taken.
+  kKillAsker,   // The asking process dies after it has sent the question.
+  kPausePeer,   // The asked process stands still: its answer would come too late.
+  kPauseAsker,  // The asking process stands still after it has sent the question.
   kCut,         // The question never arrives.
   kSlow,        // Answered just within the time.
   kLostAnswer,  // The answer is lost.
@@ -37,67 +39,62 @@
   // The ends by address.
   using Net = std::map<Endpoint, FaultyPeers*>;
 
-  FaultyPeers(VirtualLoop& loop, Net& net, EntryVmId id, Endpoint own)
-      : loop_(loop), net_(net), id_(std::move(id)), own_(std::move(own)) {
+  // Dies and stands still together with `process`.
+  FaultyPeers(VirtualLoop& loop, Net& net, FaultyPlatform& process, EntryVmId id, Endpoint own)
+      : loop_(loop), net_(net), process_(process), id_(std::move(id)), own_(std::move(own)) {
     net_[own_] = this;
   }
 
   void Always(PeerFault fault) { always_ = fault; }
   // The next question of this kind fails like this, if there is one.
   void AtNext(MessageKind kind, PeerFault fault) { faults_[kind] = fault; }
-  // Runs before the next question of this kind is sent.
-  void RunBeforeNext(MessageKind kind, std::function<void()> task) { before_[kind] = task; }
+  // Runs as the next question of this kind is sent.
+  void RunAtNext(MessageKind kind, std::function<void()> task) { tasks_[kind] = std::move(task); }
   // No message passes between this end and any other.
   void Isolate(bool isolated) { isolated_ = isolated; }
-  // How an asked process dies.
-  void OnKill(std::function<void()> kill) { kill_ = std::move(kill); }
-  void Kill() { *dead_ = true; }
-  // Questions of this kind that this end has sent.
-  int Asked(MessageKind kind) const {
-    const auto it = asked_.find(kind);
-    return it == asked_.end() ? 0 : it->second;
-  }
-
   void Handle(MessageKind kind, Handler handler) { handlers_[kind] = std::move(handler); }
 
   void Request(Endpoint to, MessageKind kind, std::string payload,
                std::function<void(Reply)> done) {
-    ++asked_[kind];
-    const auto before = before_.extract(kind);
-    if (!before.empty()) before.mapped()();
+    const auto task = tasks_.extract(kind);
+    if (!task.empty()) task.mapped()();
     const auto node = faults_.extract(kind);
     const PeerFault fault = node.empty() ? always_ : node.mapped();
     const auto it = net_.find(to);
     FaultyPeers* peer = it == net_.end() ? nullptr : it->second;
-    if (peer != nullptr && fault == PeerFault::kKillPeer) peer->kill_();
-    const bool arrives = peer != nullptr && !*peer->dead_ && !peer->isolated_ && !isolated_ &&
-                         fault != PeerFault::kCut;
+    if (fault == PeerFault::kKillAsker) process_.Kill();
+    if (fault == PeerFault::kPauseAsker) process_.Pause();
+    if (peer != nullptr && fault == PeerFault::kKillPeer) peer->process_.Kill();
+    if (peer != nullptr && fault == PeerFault::kPausePeer) peer->process_.Pause();
+    const bool arrives =
+        peer != nullptr && !peer->Silent() && !isolated_ && fault != PeerFault::kCut;
     if (!arrives) return Answer(kTimeout, done, PeerError::kTimeout);
     const std::string answer = peer->handlers_[kind](id_, payload);
-    const bool lost = fault == PeerFault::kLostAnswer || fault == PeerFault::kPausePeer;
-    if (lost) return Answer(kTimeout, done, PeerError::kTimeout);
+    if (fault == PeerFault::kLostAnswer) return Answer(kTimeout, done, PeerError::kTimeout);
     Answer(fault == PeerFault::kSlow ? kSlowLatency : kLatency, done, answer);
   }
 
  private:
+  bool Silent() const { return process_.Dead() || process_.Paused() || isolated_; }
+
   void Answer(Duration delay, std::function<void(Reply)> done, Reply reply) {
-    loop_.After(delay, [dead = dead_, done = std::move(done), reply = std::move(reply)] {
-      if (!*dead) done(reply);
+    loop_.After(delay, [this, done = std::move(done), reply = std::move(reply)] {
+      if (process_.Dead()) return;
+      if (!process_.Paused()) return done(reply);
+      Answer(process_.PausedUntil() - loop_.Time().Now(), done, reply);
     });
   }
 
   VirtualLoop& loop_;
   Net& net_;
+  FaultyPlatform& process_;
   EntryVmId id_;
   Endpoint own_;
-  std::shared_ptr<bool> dead_ = std::make_shared<bool>(false);
   bool isolated_ = false;
   PeerFault always_ = PeerFault::kNone;
   std::map<MessageKind, PeerFault> faults_;
-  std::map<MessageKind, std::function<void()>> before_;
+  std::map<MessageKind, std::function<void()>> tasks_;
   std::map<MessageKind, Handler> handlers_;
-  std::map<MessageKind, int> asked_;
-  std::function<void()> kill_;
 };
 
 static_assert(PeerTransport<FaultyPeers>);
--- a/src/manifest/faulty_platform.h
+++ b/src/manifest/faulty_platform.h
@@ -4,6 +4,7 @@
 #ifndef COWSLIPHILL_MANIFEST_FAULTY_PLATFORM_H_
 #define COWSLIPHILL_MANIFEST_FAULTY_PLATFORM_H_
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -44,6 +45,16 @@
   std::multimap<MonotonicTime, std::function<void()>> tasks_;
 };
 
+enum class PlatformCall {
+  kGet,
+  kScan,
+  kLook,    // A transaction that writes nothing, to read what can't be old.
+  kCommit,  // Any other transaction.
+  kGetObject,
+  kPutObject,
+  kListObjects,
+};
+
 enum class PlatformFault {
   kNone,
   kKillBefore,   // The process dies before the call is sent.
@@ -70,78 +81,97 @@
 
   // From now on every call fails like this; kNone ends it.
   void Always(PlatformFault fault) { always_ = fault; }
-  // The call with this number, counted from 1 since now, fails like this.
-  void At(int call, PlatformFault fault) { faults_[calls_ + call] = fault; }
-  // Runs before that call takes effect.
-  void RunBefore(int call, std::function<void()> task) { before_[calls_ + call] = std::move(task); }
+  // The next call of this kind fails like this, if there is one.
+  void AtNext(PlatformCall call, PlatformFault fault) { faults_[call] = fault; }
+  // Runs as the next call of this kind is made.
+  void RunAtNext(PlatformCall call, std::function<void()> task) { tasks_[call] = std::move(task); }
   // Old reads see the store as it is now.
   void KeepOldState() { old_ = store_; }
-  int Calls() const { return calls_; }
+  void KeepOldState(PlatformStore old) { old_ = std::move(old); }
   bool Dead() const { return *dead_; }
   void Kill() { *dead_ = true; }
+  // The process stands still for kPause; answers that come meanwhile are taken afterwards.
+  void Pause() { paused_until_ = loop_.Time().Now() + kPause; }
+  bool Paused() const { return loop_.Time().Now() < paused_until_; }
+  MonotonicTime PausedUntil() const { return paused_until_; }
 
   void Get(std::string key, std::function<void(GetResult)> done) {
-    Call<GetResult>([key](PlatformStore& store) { return GetResult(store.Get(key)); }, done);
+    Call<GetResult>(
+        PlatformCall::kGet, [key](PlatformStore& store) { return GetResult(store.Get(key)); },
+        done);
   }
   void Scan(std::string prefix, std::string after, size_t most,
             std::function<void(ScanResult)> done) {
     Call<ScanResult>(
+        PlatformCall::kScan,
         [=](PlatformStore& store) { return ScanResult(store.Scan(prefix, after, most)); }, done);
   }
   void Commit(std::vector<ConditionalWrite> writes, std::function<void(CommitResult)> done) {
+    const bool writes_nothing = std::all_of(writes.begin(), writes.end(), [](const auto& it) {
+      return it.expected_version == 0 && !it.value;
+    });
     Call<CommitResult>(
+        writes_nothing ? PlatformCall::kLook : PlatformCall::kCommit,
         [writes](PlatformStore& store) {
           return std::visit([](auto outcome) { return CommitResult(std::move(outcome)); },
                             store.Commit(writes));
         },
-        done, true);
+        done);
   }
   void GetObject(std::string name, std::function<void(ObjectResult)> done) {
-    Call<ObjectResult>([name](PlatformStore& store) { return ObjectResult(store.GetObject(name)); },
-                       done);
+    Call<ObjectResult>(
+        PlatformCall::kGetObject,
+        [name](PlatformStore& store) { return ObjectResult(store.GetObject(name)); }, done);
   }
   void PutIfAbsent(std::string name, std::string bytes, std::function<void(PutObjectResult)> done) {
     Call<PutObjectResult>(
-        [=](PlatformStore& store) { return PutObjectResult(store.PutIfAbsent(name, bytes)); }, done,
-        true);
+        PlatformCall::kPutObject,
+        [=](PlatformStore& store) { return PutObjectResult(store.PutIfAbsent(name, bytes)); },
+        done);
   }
   void ListObjects(std::string prefix, std::string after, size_t most,
                    std::function<void(ListResult)> done) {
     Call<ListResult>(
+        PlatformCall::kListObjects,
         [=](PlatformStore& store) { return ListResult(store.ListObjects(prefix, after, most)); },
         done);
   }
 
  private:
-  PlatformFault TakeFault() {
-    ++calls_;
-    const auto before = before_.find(calls_);
-    if (before != before_.end()) before->second();
-    const auto it = faults_.find(calls_);
-    return it == faults_.end() ? always_ : it->second;
+  PlatformFault TakeFault(PlatformCall call) {
+    const auto task = tasks_.extract(call);
+    if (!task.empty()) task.mapped()();
+    const auto fault = faults_.extract(call);
+    return fault.empty() ? always_ : fault.mapped();
   }
 
   template <typename Answer>
   void Reply(Duration delay, std::function<void(Answer)> done, Answer answer) {
-    loop_.After(delay, [dead = dead_, done, answer = std::move(answer)] {
-      if (!*dead) done(answer);
+    loop_.After(delay, [this, done, answer = std::move(answer)] {
+      if (*dead_) return;
+      if (!Paused()) return done(answer);
+      Reply(paused_until_ - loop_.Time().Now(), done, answer);
     });
   }
 
   template <typename Answer>
-  void Call(std::function<Answer(PlatformStore&)> effect, std::function<void(Answer)> done,
-            bool write = false) {
+  void Call(PlatformCall call, std::function<Answer(PlatformStore&)> effect,
+            std::function<void(Answer)> done) {
     using Kind = PlatformError::Kind;
-    switch (TakeFault()) {
+    const bool read = call == PlatformCall::kGet || call == PlatformCall::kScan ||
+                      call == PlatformCall::kGetObject;
+    switch (TakeFault(call)) {
       case PlatformFault::kKillBefore:
         return Kill();
       case PlatformFault::kKillAfter:
         effect(store_);
         return Kill();
       case PlatformFault::kPauseBefore:
+        Pause();
         return loop_.After(kPause, [this, effect, done] { Reply(kLatency, done, effect(store_)); });
       case PlatformFault::kPauseAfter:
-        return Reply(kPause, done, effect(store_));
+        Pause();
+        return Reply(kLatency, done, effect(store_));
       case PlatformFault::kCut:
         return Reply(kTimeout, done, Answer(PlatformError{Kind::kUnknown, "cut"}));
       case PlatformFault::kSlow:
@@ -155,7 +185,7 @@
         loop_.After(kLateArrival, [this, effect] { effect(store_); });
         return Reply(kTimeout, done, Answer(PlatformError{Kind::kUnknown, "late"}));
       case PlatformFault::kOldRead:
-        return Reply(kLatency, done, effect(old_ && !write ? *old_ : store_));
+        return Reply(kLatency, done, effect(old_ && read ? *old_ : store_));
       case PlatformFault::kNone:
         return Reply(kLatency, done, effect(store_));
     }
@@ -166,9 +196,9 @@
   std::optional<PlatformStore> old_;
   std::shared_ptr<bool> dead_ = std::make_shared<bool>(false);
   PlatformFault always_ = PlatformFault::kNone;
-  std::map<int, PlatformFault> faults_;
-  std::map<int, std::function<void()>> before_;
-  int calls_ = 0;
+  std::map<PlatformCall, PlatformFault> faults_;
+  std::map<PlatformCall, std::function<void()>> tasks_;
+  MonotonicTime paused_until_;
 };
 
 static_assert(TableClient<FaultyPlatform> && ObjectClient<FaultyPlatform>);
--- a/src/manifest/manifest_follower_test.cc
+++ b/src/manifest/manifest_follower_test.cc
@@ -112,8 +112,8 @@
     world_->loop.RunFor(seconds(20));
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, Vm(2).Revision());
     CPPUNIT_ASSERT_EQUAL(uint64_t{2}, Vm(2).follower.View().highest_known);
-    world_->Kill(Vm(0));
-    world_->Kill(Vm(1));
+    Vm(0).platform.Kill();
+    Vm(1).platform.Kill();
     Vm(2).peers.Always(PeerFault::kNone);
     for (size_t i = 3; i < 6; ++i) Vm(i).peers.Isolate(false);
     World::EntryVm& vm = StartWithoutPlatform("riga-centrs");
--- a/src/manifest/manifest_keeper.h
+++ b/src/manifest/manifest_keeper.h
@@ -42,7 +42,8 @@
   in_force.Adopt(loaded);
 };
 
-template <TableClient Table, ObjectClient Objects, ManifestInForce InForce>
+template <TableClient Table, ObjectClient Objects, ManifestInForce InForce,
+          typename Rules = AcceptanceRules>
 class ManifestKeeper {
  public:
   using Done = std::function<void(SubmissionAnswer)>;
@@ -205,7 +206,7 @@
   void SendTransaction(AttemptPtr attempt) {
     ++attempt->tries;
     table_.Commit(attempt->prepared.writes, [this, attempt](CommitResult result) {
-      auto answer = AfterTransaction(attempt->input.submission, attempt->prepared, result);
+      auto answer = Rules::AfterTransaction(attempt->input.submission, attempt->prepared, result);
       if (answer) return Answer(attempt, *std::move(answer));
       if (attempt->tries < kTransactionTries) return SendTransaction(attempt);
       attempt->done(NotSettled{"the platform's answer was lost"});
--- a/src/manifest/manifest_world.h
+++ b/src/manifest/manifest_world.h
@@ -21,7 +21,7 @@
 
 namespace cowsliphill {
 
-template <typename Tracker = RevisionTracker>
+template <typename Tracker = RevisionTracker, typename Rules = AcceptanceRules>
 class ManifestWorld {
  public:
   using Follower = ManifestFollower<FaultyPlatform, FaultyPlatform, FaultyPeers, Tracker>;
@@ -32,7 +32,7 @@
     EntryVm(ManifestWorld& world, Member own, uint64_t seed)
         : self(own),
           platform(world.loop, world.store),
-          peers(world.loop, world.net, own.id, own.peer),
+          peers(world.loop, world.net, platform, own.id, own.peer),
           follower(platform, platform, peers, world.loop.Post(), world.loop.Post(),
                    world.loop.Time(), Options(own, seed), [&world] { return world.members; }),
           keeper(platform, platform, world.loop.Post(), world.loop.Post(), world.loop.Time(),
@@ -51,7 +51,7 @@
     FaultyPlatform platform;
     FaultyPeers peers;
     Follower follower;
-    ManifestKeeper<FaultyPlatform, FaultyPlatform, Follower> keeper;
+    ManifestKeeper<FaultyPlatform, FaultyPlatform, Follower, Rules> keeper;
     uint64_t place_had = 0;  // Highest revision in force in its place when it started.
     bool was_ready = false;
   };
@@ -66,19 +66,12 @@
     vms.push_back(std::make_unique<EntryVm>(*this, member, vms.size() + 1));
     EntryVm& vm = *vms.back();
     vm.place_had = place_high[member.place];
-    vm.peers.OnKill([this, &vm] { Kill(vm); });
     vm.follower.Subscribe([this, &vm](const ManifestPtr& manifest) { OnSwitch(vm, *manifest); });
     members.push_back(member);
     loop.After(Duration(0), [this, &vm] { Tick(vm); });
     return vm;
   }
 
-  void Kill(EntryVm& vm) {
-    vm.platform.Kill();
-    vm.peers.Kill();
-    loop.After(kMemberLifetime, [this, id = vm.self.id] { Unlist(id); });
-  }
-
   void Unlist(const EntryVmId& id) {
     std::erase_if(members, [&](const Member& it) { return it.id == id; });
   }
@@ -149,13 +142,17 @@
 
  private:
   void Tick(EntryVm& vm) {
-    if (vm.platform.Dead()) return;
+    if (vm.platform.Dead()) {
+      loop.After(kMemberLifetime, [this, id = vm.self.id] { Unlist(id); });
+      return;
+    }
+    loop.After(kTick, [this, &vm] { Tick(vm); });
+    if (vm.platform.Paused()) return;
     vm.follower.Tick();
     if (vm.follower.Ready() && !vm.was_ready) {
       vm.was_ready = true;
       if (vm.Revision() < vm.place_had) broken.insert("ready with less than its place had");
     }
-    loop.After(kTick, [this, &vm] { Tick(vm); });
   }
 
   void OnSwitch(EntryVm& vm, const Manifest& manifest) {
