--- a/src/manifest/faulty_peers.h
+++ b/src/manifest/faulty_peers.h
@@ -52,6 +52,9 @@
   void RunAtNext(MessageKind kind, std::function<void()> task) { tasks_[kind] = std::move(task); }
   // No message passes between this end and any other.
   void Isolate(bool isolated) { isolated_ = isolated; }
+  // Payload bytes sent and received by this end.
+  size_t PayloadBytes() const { return payload_bytes_; }
+
   void Handle(MessageKind kind, Handler handler) { handlers_[kind] = std::move(handler); }
 
   void Request(Endpoint to, MessageKind kind, std::string payload,
@@ -70,6 +73,8 @@
         peer != nullptr && !peer->Silent() && !isolated_ && fault != PeerFault::kCut;
     if (!arrives) return Answer(kTimeout, done, PeerError::kTimeout);
     const std::string answer = peer->handlers_[kind](id_, payload);
+    payload_bytes_ += payload.size() + answer.size();
+    peer->payload_bytes_ += payload.size() + answer.size();
     if (fault == PeerFault::kLostAnswer) return Answer(kTimeout, done, PeerError::kTimeout);
     Answer(fault == PeerFault::kSlow ? kSlowLatency : kLatency, done, answer);
   }
@@ -90,6 +95,7 @@
   FaultyPlatform& process_;
   EntryVmId id_;
   Endpoint own_;
+  size_t payload_bytes_ = 0;
   bool isolated_ = false;
   PeerFault always_ = PeerFault::kNone;
   std::map<MessageKind, PeerFault> faults_;
