--- a/src/manifest/manifest_format_test.cc
+++ b/src/manifest/manifest_format_test.cc
@@ -2,6 +2,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
+#include "src/settings/settings.h"
+
 namespace cowsliphill {
 namespace {
 
@@ -47,6 +54,7 @@
   CPPUNIT_TEST(Manifest_WithProbeBudgetsAboveTheLimit_IsRefused);
   CPPUNIT_TEST(Manifest_WithDeadlineAboveMost_IsRefused);
   CPPUNIT_TEST(Manifest_WithUnknownKey_IsRefused);
+  CPPUNIT_TEST(Examples_OfTheRepository_AreValid);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -113,7 +121,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("place[0].zone"), issue.key);
   }
 
+  void Examples_OfTheRepository_AreValid() {
+    const auto examples =
+        std::filesystem::path(__FILE__).parent_path().parent_path().parent_path() / "examples";
+    CPPUNIT_ASSERT_EQUAL(size_t{3},
+                         Parsed(ReadFile(examples / "local/manifest.toml")).backend_servers.size());
+    for (const char* name : {"buvpabeigumu", "koperasi"}) {
+      const Manifest manifest = Parsed(ReadFile(examples / name / "manifest.toml"));
+      CPPUNIT_ASSERT_EQUAL(size_t{35}, manifest.backend_servers.size());
+      const SettingsResult settings = LoadSettings(examples / name / "entry.toml");
+      CPPUNIT_ASSERT_MESSAGE(Ok(settings) ? "" : ErrorOf(settings).front().ToString(),
+                             Ok(settings));
+      const auto known =
+          std::find_if(manifest.places.begin(), manifest.places.end(),
+                       [&](const Place& place) { return place.id == ValueOf(settings).place; });
+      CPPUNIT_ASSERT(known != manifest.places.end());
+    }
+  }
+
  private:
+  static std::string ReadFile(const std::filesystem::path& path) {
+    std::ifstream in(path, std::ios::binary);
+    CPPUNIT_ASSERT_MESSAGE("can't read " + path.string(), in.good());
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  }
+
   static Manifest Parsed(const std::string& text) {
     const ManifestResult result = ParseManifest(text, "m.toml");
     CPPUNIT_ASSERT_MESSAGE(Ok(result) ? "" : ErrorOf(result).front().ToString(), Ok(result));
