Let the window follow mean reported load, and keep emergencies at reserved servers

Emergencies left their reserved server for a shared one as soon as it had no free slot: p99 36 ms against 21 ms unloaded.

Ruled out: other thresholds and steps for single reports (8 pairs; best 73 ms, but 260 to 300 ms with reports 50 ms old). Changed: the window follows the mean of reports, a request waits only if the expected wait is half its time, no hedges while the window is full, a shared server must be 1.5x better to get an emergency.

--- a/src/choose/admission.h
+++ b/src/choose/admission.h
@@ -17,15 +17,18 @@
 
 namespace cowsliphill {
 
-// Limit on our own open requests. Grows while backend servers report free slots and shrinks
-// while they report queues: additive up, multiplicative down, so that entry VMs that share the
-// servers without one view come to fair shares. Emergency requests pass over it.
+// Limit on our own open requests. Shrinks while the backend servers report long queues on
+// average, else grows when it is used up: additive up, multiplicative down, so that entry VMs that
+// share the servers without one view come to fair shares. It follows the mean over many reports,
+// which stays right when each report is stale. Emergency requests pass over it.
 class ConcurrencyWindow {
  public:
   static constexpr double kLeast = 1.0;
-  static constexpr double kStep = 0.5;           // Growth per answer while the window limits us.
-  static constexpr double kShrink = 0.03;        // Share taken away per answer and slot of queue.
-  static constexpr double kQueuePerSlot = 0.34;  // Queue at the server that is tolerated.
+  static constexpr double kStep = 0.25;          // Growth per answer while the window limits us.
+  static constexpr double kShrink = 0.01;        // Share taken away per answer and load too much.
+  static constexpr double kTolerated = 2.0;      // Mean requests per slot at the servers.
+  static constexpr double kLoadWeight = 0.05;    // Of the newest report in the mean.
+  static constexpr double kOverloadShare = 0.1;  // Taken away by a shed or timed out request.
 
   explicit ConcurrencyWindow(double most) : size_(std::max(4.0, most / 8)), most_(most) {}
 
@@ -36,9 +39,10 @@
 
   bool Allows(uint32_t in_flight) const { return in_flight + 1.0 <= size_ + kRounding; }
 
-  // `load`: reported requests per slot.
+  // `load`: reported requests per slot of one server.
   void OnReport(double load, uint32_t in_flight) {
-    const double excess = load - 1.0 - kQueuePerSlot;
+    load_ += kLoadWeight * (std::min(load, kMostLoad) - load_);
+    const double excess = load_ - kTolerated;
     if (excess > 0) {
       size_ *= 1.0 - kShrink * std::min(excess, 2.0);
     } else if (in_flight + 2.0 > size_) {
@@ -47,15 +51,17 @@
     size_ = std::clamp(size_, kLeast, std::max(kLeast, most_));
   }
   // An answer that says overload without a report: a time-out or a shed request.
-  void OnOverload() { size_ = std::max(kLeast, size_ * (1.0 - 3 * kShrink)); }
+  void OnOverload() { size_ = std::max(kLeast, size_ * (1.0 - kOverloadShare)); }
 
   double Size() const { return size_; }
 
  private:
   static constexpr double kRounding = 0.001;
+  static constexpr double kMostLoad = 10.0;
 
   double size_;
-  double most_;  // All slots of the service.
+  double most_;        // All slots of the service.
+  double load_ = 0.0;  // Mean reported requests per slot.
 };
 
 // Waiting requests of one service: strict order of classes, first in first out within one.
--- a/src/choose/candidates.cc
+++ b/src/choose/candidates.cc
@@ -9,6 +9,9 @@
 
 // Weight of load below the number of slots: prefers the emptier of two servers with a free slot.
 constexpr double kIdlePreference = 0.2;
+// For an emergency a server that others share must be better by this than a reserved one, as what
+// is known of its queue is stale.
+constexpr float kSharedPenalty = 1.5F;
 // Ratios up to this are taken for noise of the samples.
 constexpr double kRatioNoise = 1.5;
 // A server that fails part of its requests must not attract work by being quick.
@@ -130,9 +133,13 @@
   PickResult result;
   const bool emergency = request.request_class == RequestClass::kEmergency;
   if (emergency) Draw(lists.reserved, 2, request, now, random, result);
+  const size_t reserved = result.count;
   if (!HasFreeSlot(result)) {
     Draw(lists.general, emergency ? 2 : kDraws, request, now, random, result);
   }
+  if (reserved > 0) {
+    for (size_t i = reserved; i < result.count; ++i) result.considered[i].score *= kSharedPenalty;
+  }
   if (result.count == 0 && lists.general.empty()) {
     Draw(lists.reserved, kDraws, request, now, random, result);
   }
--- a/src/choose/chooser.cc
+++ b/src/choose/chooser.cc
@@ -20,6 +20,9 @@
 constexpr double kShedTooMuch = 0.1;
 // Remaining time, in mean latencies, below which an answer in time can't be expected.
 constexpr double kHopeless = 0.5;
+// A request waits here only if the expected wait is within this share of its remaining time: the
+// estimate may be wrong by as much again.
+constexpr double kWaitShare = 0.5;
 // A waiting request is refused when this many mean latencies are left.
 constexpr double kWorthSending = 1.0;
 // Bulk requests may use this share of the window, for they hold their slots long.
@@ -267,7 +270,7 @@
   const auto ahead = static_cast<double>(service.queue.Ahead(request.request_class));
   const Duration wait = Times(mean, (ahead + 1) / service.window.Size());
   const MonotonicTime latest = request.deadline - Times(mean, kWorthSending);
-  if (now + wait >= latest) {
+  if (now + wait >= latest || wait >= Times(request.deadline - now, kWaitShare)) {
     return Refused(ticket, request, service, RefusalCause::kOverload, now);
   }
   const bool was_empty = service.queue.Empty();
@@ -408,8 +411,9 @@
   if (it == requests_.end()) return std::nullopt;
   Request& request = it->second;
   ServiceState& service = *services_[request.service];
+  const bool spare = service.queue.Empty() && MaySend(service, request.request_class);
   const bool allowed = request.repeatable && !request.finished && request.attempts.size() == 1 &&
-                       service.listed && service.shed_share <= kShedTooMuch;
+                       service.listed && service.shed_share <= kShedTooMuch && spare;
   if (!allowed || !service.budget.Affordable()) return std::nullopt;
   if (RefuseHopeless(ticket, request, service, now)) return std::nullopt;
   const PickResult pick = Pick(request, service, now);
