--- a/standins/caller.cc
+++ b/standins/caller.cc
@@ -87,6 +87,8 @@
 
 Caller::~Caller() = default;
 
+void Caller::Disconnect() { connection_.reset(); }
+
 bool Caller::Lookup(const Endpoint& at) {
   httplib::Client client(at.ip, at.port);
   client.set_connection_timeout(kConnectTimeout);
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -60,6 +60,8 @@
   ~Caller();
 
   CallerView Send(const CallerRequest& request);
+  // Closes the connection that is kept open.
+  void Disconnect();
   // Entry VMs of the last lookup answer, asked again once its lifetime has passed.
   std::vector<Endpoint> Entries();
 
