--- a/src/cli/entry_routes.cc
+++ b/src/cli/entry_routes.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr size_t kMostHistory = 100;                   // Revisions in one answer.
-constexpr uint64_t kMostRecordMinutes = 60 * 24 * 30;  // Of one question.
+constexpr size_t kMostHistory = 100;  // Revisions in one answer.
+constexpr std::chrono::minutes kMostRecordSpan = std::chrono::hours(720);  // Of one question.
 
 std::optional<uint64_t> Number(const std::string& text) {
   uint64_t n = 0;
@@ -131,7 +131,8 @@
   RecordQuery query;
   const std::string minutes = request.Parameter("minutes");
   const std::optional<uint64_t> span = Number(minutes.empty() ? "60" : minutes);
-  if (!span || *span > kMostRecordMinutes) return reply(BadParameter("minutes", minutes));
+  if (!span || std::chrono::minutes(*span) > kMostRecordSpan)
+    return reply(BadParameter("minutes", minutes));
   query.to = clock_.WallNow();
   query.from = query.to - std::chrono::minutes(*span);
   query.tenant = TenantId(request.Parameter("tenant"));
--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -13,6 +13,16 @@
 
 constexpr uint64_t kNoLength = std::numeric_limits<uint64_t>::max();  // As http_parser has it.
 
+// Debian's http_parser is built without strict mode and takes a space into a header's name, which
+// hides the header from the parser and shows it to the next server (request smuggling).
+bool IsHeaderName(std::string_view name) {
+  constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+  return !name.empty() && std::all_of(name.begin(), name.end(), [others](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
+           others.find(c) != std::string_view::npos;
+  });
+}
+
 char Lower(char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); }
 
 }  // namespace
@@ -80,8 +90,13 @@
   static int OnHeaders(http_parser* parser) {
     State& state = Of(parser);
     state.FinishHead();
-    state.event = std::move(state.head);
     Pause(parser);
+    for (const HttpHeader& header : state.head.headers) {
+      if (IsHeaderName(header.name)) continue;
+      state.event = HttpError{HttpErrorKind::kMalformed, "a header's name is not a token"};
+      return 0;
+    }
+    state.event = std::move(state.head);
     return state.no_body ? 1 : 0;  // 1 tells http_parser that no body follows.
   }
   static int OnBody(http_parser* parser, const char* at, size_t n) {
--- a/src/forward/http_reader.h
+++ b/src/forward/http_reader.h
@@ -1,5 +1,5 @@
-// Reads HTTP/1.1 messages from bytes, one event at a time. Wraps http_parser in strict mode, which
-// refuses conflicting lengths, broken chunks and the usual request smuggling tries.
+// Reads HTTP/1.1 messages from bytes, one event at a time. Wraps http_parser, which
+// refuses conflicting lengths and broken chunks, and refuses header names that are no tokens.
 
 #ifndef COWSLIPHILL_FORWARD_HTTP_READER_H_
 #define COWSLIPHILL_FORWARD_HTTP_READER_H_
--- a/src/forward/request_headers.cc
+++ b/src/forward/request_headers.cc
@@ -34,6 +34,19 @@
 constexpr std::array<std::string_view, 3> kRewrittenAnswerHeaders = {
     "x-request-id", "cowsliphill-outcome", "proxy-status"};
 
+// Whether a comma-separated list holds the name.
+bool IsListed(std::string_view name, std::string_view list) {
+  while (!list.empty()) {
+    const size_t comma = std::min(list.find(','), list.size());
+    std::string_view item = list.substr(0, comma);
+    while (!item.empty() && item.front() == ' ') item.remove_prefix(1);
+    while (!item.empty() && item.back() == ' ') item.remove_suffix(1);
+    if (HeaderNameIs(name, item)) return true;
+    list.remove_prefix(std::min(comma + 1, list.size()));
+  }
+  return false;
+}
+
 template <size_t N>
 bool IsAnyOf(std::string_view name, const std::array<std::string_view, N>& names) {
   return std::any_of(names.begin(), names.end(),
@@ -109,11 +122,13 @@
   return "u=3";
 }
 
+// A manifest's services stand in the order of their ids.
 const Service* FindService(const Manifest& manifest, const std::string& name) {
-  const auto it =
-      std::find_if(manifest.services.begin(), manifest.services.end(),
-                   [&name](const Service& service) { return service.id.Text() == name; });
-  return it == manifest.services.end() ? nullptr : &*it;
+  const auto& services = manifest.services;
+  const auto it = std::lower_bound(
+      services.begin(), services.end(), name,
+      [](const Service& service, const std::string& wanted) { return service.id.Text() < wanted; });
+  return it == services.end() || it->id.Text() != name ? nullptr : &*it;
 }
 
 bool MaySendEmergencies(const Service& service, const TenantId& tenant) {
@@ -242,10 +257,12 @@
                                 milliseconds time_left, const Endpoint& server, bool with_range) {
   std::string out = head.method + " " + head.target + " HTTP/1.1\r\n";
   AppendHeader(out, "Host", server.ToString());
+  const std::string of_this_hop = head.Find("connection").value_or("");
   for (const HttpHeader& header : head.headers) {
     if (IsAnyOf(header.name, kHopHeaders) || IsAnyOf(header.name, kRewrittenRequestHeaders)) {
       continue;
     }
+    if (IsListed(header.name, of_this_hop)) continue;
     const bool range = HeaderNameIs(header.name, "range") || HeaderNameIs(header.name, "if-range");
     if (range && !with_range) continue;
     AppendHeader(out, header.name, header.value);
