Leaving notices among entry VMs, and a bench of what membership costs

Cause: a backend server that begins to leave is seen by one entry VM's answer or probe; the others must stop giving it new work within about 2 s. Ruled out: random repeats after the first wave, at 500 ms and at 200 ms between repeats: with half of the messages lost one of 19 was still not told after 2 s (failing test, 1 of 19 missing). Taken: the first wave to three random members, then rounds around a ring whose width is the age of the notice, so everyone is told once a round. Conclusion: LeavingNotices is pure; it needs the other members in order of id, as Live() gives them.

--- /dev/null
+++ b/bench/members_bench.cc
@@ -0,0 +1,300 @@
+// What the membership protocol costs a node as members grow, and how fast it is.
+//
+//   build/members_bench virtual            3 to 120 nodes on virtual time: payload bytes, messages,
+//                                          processor time, detection of a kill, spread of a leave
+//   build/members_bench sockets N SECONDS  N nodes in this process over loopback: bytes on sockets,
+//                                          processor time, memory; all of them per node
+//
+// Bytes on sockets are without TCP and IP headers.
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/members/members.h"
+#include "src/members/peer_transport.h"
+#include "src/platform/memory_platform.h"
+#include "tests/virtual_network.h"
+
+namespace cowsliphill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr size_t kSizes[] = {3, 9, 19, 60, 120};
+constexpr seconds kJoined{240};  // Until the news of a common start have spread.
+constexpr seconds kMeasured{120};
+constexpr size_t kTrials = 9;
+constexpr double kPageKilobytes = 4;
+
+double CpuSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto seconds_of = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+  };
+  return seconds_of(usage.ru_utime) + seconds_of(usage.ru_stime);
+}
+
+double ResidentKilobytes() {
+  std::ifstream statm("/proc/self/statm");
+  double size = 0;
+  double resident = 0;
+  statm >> size >> resident;
+  return resident * kPageKilobytes;
+}
+
+// Least squares of y over x: what one more member costs.
+double Slope(const std::vector<double>& x, const std::vector<double>& y) {
+  double sum_x = 0;
+  double sum_y = 0;
+  double sum_xy = 0;
+  double sum_xx = 0;
+  for (size_t i = 0; i < x.size(); ++i) {
+    sum_x += x[i];
+    sum_y += y[i];
+    sum_xy += x[i] * y[i];
+    sum_xx += x[i] * x[i];
+  }
+  const auto n = static_cast<double>(x.size());
+  return (n * sum_xy - sum_x * sum_y) / (n * sum_xx - sum_x * sum_x);
+}
+
+double Seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+// Time until every other node has seen a change of node `i`, after `since`.
+std::optional<double> SeenByAll(VirtualNetwork& net, size_t i, MonotonicTime since,
+                                bool (*wanted)(const MemberChange&)) {
+  double slowest = 0;
+  for (size_t j = 0; j < net.Size(); ++j) {
+    if (j == i || !net.At(j).up) continue;
+    std::optional<double> seen;
+    for (const auto& [time, change] : net.At(j).changes) {
+      const bool match = time >= since && change.member.id == net.At(i).self.id && wanted(change);
+      if (match && !seen) seen = Seconds(time - since);
+    }
+    if (!seen) return std::nullopt;
+    slowest = std::max(slowest, *seen);
+  }
+  return slowest;
+}
+
+struct Spread {
+  double median = 0;
+  double most = 0;
+  size_t missed = 0;
+};
+
+Spread SpreadOf(std::vector<std::optional<double>> trials) {
+  std::vector<double> seen;
+  for (const auto& it : trials) {
+    if (it) seen.push_back(*it);
+  }
+  std::sort(seen.begin(), seen.end());
+  if (seen.empty()) return {0, 0, trials.size()};
+  return {seen[seen.size() / 2], seen.back(), trials.size() - seen.size()};
+}
+
+std::unique_ptr<VirtualNetwork> Settled(size_t n, uint64_t seed) {
+  auto net = std::make_unique<VirtualNetwork>(seed);
+  net->AddMany(n, {}, 3, 1);
+  net->Run(seconds(60));
+  if (!net->Agreed()) std::printf("NOT SETTLED: %zu nodes, seed %lu\n", n, seed);
+  return net;
+}
+
+Spread Detection(size_t n) {
+  std::vector<std::optional<double>> trials;
+  for (uint64_t seed = 1; seed <= kTrials; ++seed) {
+    const auto net = Settled(n, seed);
+    const MonotonicTime killed = net->Now();
+    net->Kill(1);
+    net->Run(seconds(30));
+    trials.push_back(
+        SeenByAll(*net, 1, killed, [](const MemberChange& change) { return change.gone; }));
+  }
+  return SpreadOf(trials);
+}
+
+Spread LeaveSpread(size_t n) {
+  std::vector<std::optional<double>> trials;
+  for (uint64_t seed = 1; seed <= kTrials; ++seed) {
+    const auto net = Settled(n, seed);
+    const MonotonicTime left = net->Now();
+    net->At(1).machine->SetLeaving();
+    net->Act(1);
+    net->Run(seconds(30));
+    trials.push_back(SeenByAll(*net, 1, left, [](const MemberChange& change) {
+      return change.member.state == MemberState::kLeaving;
+    }));
+  }
+  return SpreadOf(trials);
+}
+
+void RunVirtual() {
+  std::printf(
+      "nodes  payload sent B/s  messages/s  cpu %%core  gone s: median max missed"
+      "  leave s: median max missed\n");
+  std::vector<double> sizes;
+  std::vector<double> bytes;
+  std::vector<double> cpu;
+  for (const size_t n : kSizes) {
+    const auto net = Settled(n, 1);
+    net->Run(kJoined);
+    uint64_t bytes_before = 0;
+    uint64_t messages_before = 0;
+    for (size_t i = 0; i < n; ++i) {
+      bytes_before += net->At(i).bytes_sent;
+      messages_before += net->At(i).messages_sent;
+    }
+    const double cpu_before = CpuSeconds();
+    net->Run(kMeasured);
+    const double node_seconds = Seconds(kMeasured) * static_cast<double>(n);
+    const double cpu_percent = (CpuSeconds() - cpu_before) / node_seconds * 100;
+    uint64_t bytes_after = 0;
+    uint64_t messages_after = 0;
+    for (size_t i = 0; i < n; ++i) {
+      bytes_after += net->At(i).bytes_sent;
+      messages_after += net->At(i).messages_sent;
+    }
+    const double rate = static_cast<double>(bytes_after - bytes_before) / node_seconds;
+    const double messages = static_cast<double>(messages_after - messages_before) / node_seconds;
+    const Spread gone = Detection(n);
+    const Spread leave = LeaveSpread(n);
+    std::printf("%5zu  %16.1f  %10.2f  %9.4f  %14.2f %5.2f %zu  %14.3f %6.3f %zu\n", n, rate,
+                messages, cpu_percent, gone.median, gone.most, gone.missed, leave.median,
+                leave.most, leave.missed);
+    std::fflush(stdout);
+    sizes.push_back(static_cast<double>(n));
+    bytes.push_back(rate);
+    cpu.push_back(cpu_percent);
+  }
+  std::printf("slope per member: %.4f payload B/s sent, %.6f %% of a core\n", Slope(sizes, bytes),
+              Slope(sizes, cpu));
+}
+
+// One entry VM's members slice, without the rest of it.
+struct SocketNode {
+  std::unique_ptr<PeerNode> peer;
+  std::unique_ptr<Members<PeerNode, MemoryPlatform>> members;
+};
+
+class SocketBench {
+ public:
+  explicit SocketBench(size_t n)
+      : platform_([this](std::function<void()> task) { asio::post(loop_, std::move(task)); }) {
+    for (size_t i = 0; i < n; ++i) Add(i);
+  }
+
+  void Run(seconds time) { loop_.run_for(time); }
+
+  size_t Disagreeing() const {
+    return static_cast<size_t>(std::count_if(nodes_.begin(), nodes_.end(), [this](const auto& it) {
+      return it.members->Live().size() + 1 != nodes_.size();
+    }));
+  }
+
+  PeerStats Total() const {
+    PeerStats total;
+    for (const SocketNode& node : nodes_) {
+      const PeerStats stats = node.peer->Stats();
+      total.bytes_in += stats.bytes_in;
+      total.bytes_out += stats.bytes_out;
+      total.requests_out += stats.requests_out;
+      total.connections_out += stats.connections_out;
+      total.timeouts += stats.timeouts;
+    }
+    return total;
+  }
+
+  size_t Connections() const {
+    size_t total = 0;
+    for (const SocketNode& node : nodes_) total += node.peer->OpenConnections();
+    return total;
+  }
+
+ private:
+  void Add(size_t i) {
+    Member self;
+    self.id = EntryVmId("vm-" + std::to_string(i) + "-0123456789");
+    self.edge = {"127.0.0.1", static_cast<uint16_t>(10000 + i)};
+    self.place = PlaceId("place-" + std::to_string(i % 3));
+    self.region = RegionId("region");
+    PeerSettings settings;
+    settings.listen = {"127.0.0.1", 0};
+    settings.key = "a key of the measurement";
+    SocketNode node;
+    node.peer = std::make_unique<PeerNode>(loop_, clock_, self.id, settings);
+    const auto at = node.peer->Listen();
+    if (!Ok(at)) {
+      std::fprintf(stderr, "can't listen: %s\n", ErrorOf(at).detail.c_str());
+      std::exit(1);
+    }
+    self.peer = ValueOf(at);
+    if (i == 0) config_.seeds = {self.peer};
+    MembersOptions options;
+    options.seed = i + 1;
+    node.members = std::make_unique<Members<PeerNode, MemoryPlatform>>(
+        loop_, clock_, *node.peer, platform_, config_, self, options);
+    nodes_.push_back(std::move(node));
+  }
+
+  asio::io_context loop_;
+  SystemClock clock_;
+  MemoryPlatform platform_;
+  MembershipConfig config_;
+  std::vector<SocketNode> nodes_;
+};
+
+void RunSockets(size_t n, seconds time) {
+  const double memory_before = ResidentKilobytes();
+  SocketBench bench(n);
+  bench.Run(time);  // Join, and open the connections that the measured time uses.
+  const PeerStats before = bench.Total();
+  const double cpu_before = CpuSeconds();
+  bench.Run(time);
+  const PeerStats after = bench.Total();
+  const double node_seconds = static_cast<double>(n) * Seconds(time);
+  const auto per_node = [node_seconds](uint64_t late, uint64_t early) {
+    return static_cast<double>(late - early) / node_seconds;
+  };
+  std::printf(
+      "nodes %zu  in B/s %.1f  out B/s %.1f  requests/s %.2f  connects/s %.3f  "
+      "cpu %%core %.4f  memory KB %.1f  connections %.1f  timeouts %lu  disagreeing %zu\n",
+      n, per_node(after.bytes_in, before.bytes_in), per_node(after.bytes_out, before.bytes_out),
+      per_node(after.requests_out, before.requests_out),
+      per_node(after.connections_out, before.connections_out),
+      (CpuSeconds() - cpu_before) / node_seconds * 100,
+      (ResidentKilobytes() - memory_before) / static_cast<double>(n),
+      static_cast<double>(bench.Connections()) / static_cast<double>(n),
+      after.timeouts - before.timeouts, bench.Disagreeing());
+}
+
+}  // namespace
+}  // namespace cowsliphill
+
+int main(int argc, char** argv) {
+  const std::string mode = argc > 1 ? argv[1] : "";
+  if (mode == "virtual") {
+    cowsliphill::RunVirtual();
+    return 0;
+  }
+  if (mode == "sockets" && argc == 4) {
+    cowsliphill::RunSockets(std::strtoul(argv[2], nullptr, 10),
+                            std::chrono::seconds(std::strtoul(argv[3], nullptr, 10)));
+    return 0;
+  }
+  std::fprintf(stderr, "usage: members_bench virtual | members_bench sockets N SECONDS\n");
+  return 2;
+}
--- /dev/null
+++ b/src/members/leaving_notices.cc
@@ -0,0 +1,163 @@
+#include "src/members/leaving_notices.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <optional>
+
+namespace cowsliphill {
+namespace {
+
+using nlohmann::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr int kNoticesVersion = 1;
+constexpr size_t kMaxNoticesBytes = 8192;
+constexpr size_t kMaxIdLength = 128;
+constexpr size_t kMessageFields = 2;
+constexpr size_t kNoticeFields = 3;
+
+bool IsId(const json& field) {
+  return field.is_string() && !field.get_ref<const std::string&>().empty() &&
+         field.get_ref<const std::string&>().size() <= kMaxIdLength;
+}
+
+std::optional<LeavingNotice> NoticeFromJson(const json& item) {
+  const bool good = item.is_array() && item.size() == kNoticeFields && IsId(item[0]) &&
+                    IsId(item[1]) && item[2].is_number_unsigned() &&
+                    item[2].get<uint64_t>() <= UINT32_MAX;
+  if (!good) return std::nullopt;
+  return LeavingNotice{ServiceId(item[0].get<std::string>()),
+                       BackendServerId(item[1].get<std::string>()),
+                       milliseconds(item[2].get<uint32_t>())};
+}
+
+std::optional<std::vector<LeavingNotice>> Decode(const std::string& payload, size_t most) {
+  if (payload.size() > kMaxNoticesBytes) return std::nullopt;
+  const json message = json::from_msgpack(payload, true, false);
+  const bool good = message.is_array() && message.size() == kMessageFields &&
+                    message[0] == kNoticesVersion && message[1].is_array() &&
+                    message[1].size() <= most;
+  if (!good) return std::nullopt;
+  std::vector<LeavingNotice> notices;
+  for (const json& item : message[1]) {
+    const std::optional<LeavingNotice> notice = NoticeFromJson(item);
+    if (!notice) return std::nullopt;
+    notices.push_back(*notice);
+  }
+  return notices;
+}
+
+}  // namespace
+
+void LeavingNotices::Seen(MonotonicTime now, const ServiceId& service,
+                          const BackendServerId& server, const std::vector<Member>& members) {
+  if (!Add(now, {service, server})) return;
+  TellSome(now, members);
+}
+
+std::vector<LeavingNotice> LeavingNotices::Receive(MonotonicTime now, const std::string& payload,
+                                                   const std::vector<Member>& members) {
+  const auto notices = Decode(payload, config_.notices_per_message);
+  if (!notices) {
+    ++bad_messages_;
+    return {};
+  }
+  std::vector<LeavingNotice> fresh;
+  for (const LeavingNotice& notice : *notices) {
+    if (notice.age >= config_.lifetime) continue;
+    if (Add(now - notice.age, {notice.service, notice.server})) fresh.push_back(notice);
+  }
+  if (!fresh.empty()) TellSome(now, members);
+  return fresh;
+}
+
+void LeavingNotices::Tick(MonotonicTime now, const std::vector<Member>& members) {
+  std::erase_if(notices_, [&](const auto& it) { return now - it.second >= config_.lifetime; });
+  if (now < next_repeat_) return;
+  next_repeat_ = now + config_.repeat_interval;
+  if (notices_.empty()) return;
+  const auto freshest =
+      std::max_element(notices_.begin(), notices_.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  const Duration age = now - freshest->second;
+  if (age >= config_.repeat_time) return;
+  TellNextOnRing(now, static_cast<size_t>(age / config_.repeat_interval), members);
+}
+
+bool LeavingNotices::IsLeaving(const ServiceId& service, const BackendServerId& server) const {
+  return notices_.contains({service, server});
+}
+
+// Keeps the earliest sight, so that a notice that goes round does not live on for ever.
+bool LeavingNotices::Add(MonotonicTime seen, const Key& key) {
+  const auto [it, added] = notices_.emplace(key, seen);
+  if (!added) {
+    it->second = std::min(it->second, seen);
+    return false;
+  }
+  if (notices_.size() <= config_.max_notices) return true;
+  const auto oldest =
+      std::min_element(notices_.begin(), notices_.end(),
+                       [](const auto& a, const auto& b) { return a.second < b.second; });
+  const bool kept = oldest->first != key;
+  notices_.erase(oldest);
+  return kept;
+}
+
+void LeavingNotices::TellSome(MonotonicTime now, const std::vector<Member>& members) {
+  RefillBudget(now);
+  const std::string payload = Encode(now);
+  std::vector<size_t> order(members.size());
+  std::iota(order.begin(), order.end(), 0);
+  for (size_t i = 0; i < order.size() && i < config_.fanout; ++i) {
+    std::uniform_int_distribution<size_t> pick(i, order.size() - 1);
+    std::swap(order[i], order[pick(random_)]);
+    Tell(members[order[i]], payload);
+  }
+}
+
+// The age of a notice is the same everywhere, and so is the round.
+void LeavingNotices::TellNextOnRing(MonotonicTime now, size_t round,
+                                    const std::vector<Member>& members) {
+  if (members.empty()) return;
+  RefillBudget(now);
+  const auto after_self = std::find_if(members.begin(), members.end(),
+                                       [this](const Member& member) { return member.id > self_; });
+  const auto position = static_cast<size_t>(after_self - members.begin());
+  Tell(members[(position + round) % members.size()], Encode(now));
+}
+
+void LeavingNotices::Tell(const Member& member, const std::string& payload) {
+  if (budget_ < 1) return;
+  budget_ -= 1;
+  sends_.push_back({member.peer, payload});
+}
+
+std::string LeavingNotices::Encode(MonotonicTime now) const {
+  std::vector<std::pair<MonotonicTime, const Key*>> freshest;
+  for (const auto& [key, seen] : notices_) freshest.emplace_back(seen, &key);
+  const size_t n = std::min<size_t>(freshest.size(), config_.notices_per_message);
+  std::partial_sort(freshest.begin(), freshest.begin() + static_cast<std::ptrdiff_t>(n),
+                    freshest.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+  json notices = json::array();
+  for (size_t i = 0; i < n; ++i) {
+    const auto age = duration_cast<milliseconds>(now - freshest[i].first).count();
+    notices.push_back(
+        json::array({freshest[i].second->first.Text(), freshest[i].second->second.Text(),
+                     static_cast<uint32_t>(std::max<int64_t>(age, 0))}));
+  }
+  std::string payload;
+  json::to_msgpack(json::array({kNoticesVersion, std::move(notices)}), payload);
+  return payload;
+}
+
+void LeavingNotices::RefillBudget(MonotonicTime now) {
+  const double elapsed = std::chrono::duration<double>(now - last_refill_).count();
+  budget_ =
+      std::min<double>(config_.sends_per_second, budget_ + elapsed * config_.sends_per_second);
+  last_refill_ = now;
+}
+
+}  // namespace cowsliphill
