Scale hedges by the weight of tail latency, and measure the curve

One setting, tail_weight, now scales both costs: probes (share of the agreed budget) and hedges (share of the retry budget). The model sends probes and can withhold reports on answers.

--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -2,6 +2,7 @@
 //
 //   policy_bench            every scenario
 //   policy_bench NAME...    only those scenarios
+//   policy_bench weights    only the curve over the weight of tail latency
 //   policy_bench decisions  only the time per decision
 //   SEED=N policy_bench     another seed (default 1)
 
@@ -41,6 +42,10 @@
   add("steady-70", [](ModelOptions& o) { o.load = 0.70; });
   add("steady-85", [](ModelOptions& o) { o.load = 0.85; });
   add("steady-95", [](ModelOptions& o) { o.load = 0.95; });
+  add("unreserved-95", [](ModelOptions& o) {
+    o.load = 0.95;
+    o.reserve = false;
+  });
   add("overload-3x", [](ModelOptions& o) { o.load = 3.0; });
   add("swings-85", [](ModelOptions& o) { o.swings = true; });
   add("stragglers-85", [](ModelOptions& o) { o.stragglers = 2; });
@@ -123,6 +128,32 @@
   RunChooser(scenario);
 }
 
+// The curve between the two users' weights: what probes and hedges cost and what they give.
+void MeasureWeights(uint64_t seed) {
+  std::printf("\nweight  probes/s/server  reports from   ro p50    p99  p99.9  amplification\n");
+  for (const bool on_answers : {true, false}) {
+    for (const double weight : {0.0, 0.25, 0.5, 0.7, 1.0}) {
+      ModelOptions options;
+      options.seed = seed;
+      options.stragglers = 2;
+      options.swings = true;
+      options.tail_weight = weight;
+      options.probe_budget = 1.0;
+      options.reports_on_answers = on_answers;
+      PolicyModel<Chooser> model(options, [](uint64_t decider_seed) {
+        return std::make_unique<Chooser>(PlaceId("place"), decider_seed);
+      });
+      Figures figures = model.Run();
+      ClassFigures& routine = figures.Of(RequestClass::kRoutine);
+      const double length = std::chrono::duration<double>(options.length).count();
+      const double probes = static_cast<double>(figures.probes) / length / options.servers;
+      std::printf("%6.2f %16.2f  %-13s %7.1f %6.1f %6.1f %14.3f\n", weight, probes,
+                  on_answers ? "answers too" : "probes only", routine.Percentile(0.5),
+                  routine.Percentile(0.99), routine.Percentile(0.999), figures.Amplification());
+    }
+  }
+}
+
 // Real time per request and per decision, with `servers` backend servers in `services` services
 // and up to `most_open` requests out at a time.
 void MeasureDecisions(uint32_t services, uint32_t servers, size_t most_open) {
@@ -197,6 +228,7 @@
   for (const Scenario& scenario : Scenarios(seed)) {
     if (is_wanted(scenario.name)) Run(scenario);
   }
+  if (is_wanted("weights")) MeasureWeights(seed);
   if (is_wanted("decisions")) MeasureDecisionsAtSizes();
   return 0;
 }
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -44,9 +44,12 @@
   double bulk_share = 0.02;              // Of the other requests.
   double repeatable_share = 0.8;         // Of the routine requests.
   Duration report_period{};              // Age that a report may have when it is sent.
-  double tail_weight = 0.7;
-  bool swings = false;       // The rate changes by 2x every 50 ms.
-  uint32_t stragglers = 0;   // Servers that are 10x slower, from 1 s on.
+  double tail_weight = 0.7;              // Of the service; scales probes and hedges.
+  double probe_budget = 0.0;             // Probes per second and server; told to every entry VM.
+  bool reports_on_answers = true;        // Else only probes tell.
+  bool reserve = true;                   // The service has emergency tenants.
+  bool swings = false;                   // The rate changes by 2x every 50 ms.
+  uint32_t stragglers = 0;               // Servers that are 10x slower, from 1 s on.
   bool noisy = false;        // A third of the servers is halved for 20 to 200 ms at a time.
   bool fast_failer = false;  // One server fails at once, from 1 s on.
   bool drain = false;        // One server drains, from 5 s on.
@@ -75,6 +78,7 @@
   double goodput = 0.0;   // Work of whole answers in time, in shares of all slots.
   uint64_t attempts = 0;  // Sent to backend servers.
   uint64_t first_attempts = 0;
+  uint64_t probes = 0;            // Sent while counted.
   uint64_t sent_after_drain = 0;  // Attempts that reached the draining server, from 1 s after.
 
   ClassFigures& Of(RequestClass request_class) {
@@ -98,7 +102,7 @@
   manifest.revision = servers;
   Service service;
   service.id = ServiceId("register");
-  service.emergency_tenants = {TenantId("crew")};
+  if (options.reserve) service.emergency_tenants = {TenantId("crew")};
   service.tail_weight = options.tail_weight;
   manifest.services.push_back(service);
   for (uint32_t i = 0; i < servers; ++i) {
@@ -131,6 +135,7 @@
 
   Figures Run() {
     ScheduleFaults();
+    ScheduleProbes();
     ScheduleArrival(RequestClass::kEmergency);
     if (!options_.emergency_only) ScheduleArrival(RequestClass::kRoutine);
     const MonotonicTime end = start_ + options_.warm_up + options_.length;
@@ -188,6 +193,7 @@
     std::vector<Attempt> attempts;
   };
 
+  static constexpr milliseconds kProbeTime{5};
   static constexpr double kMeanWork = 0.010;       // Seconds, routine: exponential.
   static constexpr double kEmergencyWork = 0.010;  // Seconds, log-normal.
   static constexpr double kBulkWork = 0.040;       // Seconds, exponential.
@@ -225,6 +231,25 @@
     for (auto& decider : deciders_) decider->Apply(ModelManifest(options_, options_.servers), now_);
   }
 
+  // One prober keeps the budget; its results reach every entry VM kProbeTime after it was sent.
+  void ScheduleProbes() {
+    const double rate = options_.probe_budget * options_.tail_weight;
+    if (rate <= 0.0) return;
+    const Duration interval(static_cast<int64_t>(1e9 / rate));
+    for (uint32_t i = 0; i < options_.servers; ++i) {
+      After(interval * i / options_.servers, [this, i, interval] { Probe(i, interval); });
+    }
+  }
+
+  void Probe(uint32_t i, Duration interval) {
+    if (now_ >= start_ + options_.warm_up) ++figures_.probes;
+    const Report report = ReportOf(servers_[i]);
+    After(kProbeTime, [this, i, report] {
+      for (auto& decider : deciders_) decider->OnReport(ModelServerId(i), report, now_);
+    });
+    After(interval, [this, i, interval] { Probe(i, interval); });
+  }
+
   // --- Callers
 
   double Rate(RequestClass request_class) const {
@@ -355,7 +380,7 @@
     AttemptResult result;
     result.end = end;
     result.latency = now_ - attempt.sent;
-    result.report = report;
+    if (options_.reports_on_answers || report.draining) result.report = report;
     const uint32_t decider = request.decider;
     deciders_[decider]->OnEnded(job.ticket, ModelServerId(attempt.server), result, now_);
     if (end == AttemptEnd::kAnswered) {
@@ -497,6 +522,7 @@
   void OnEnded(Ticket, const BackendServerId& server, const AttemptResult&, MonotonicTime) {
     --in_flight_[ModelServerIndex(server)];
   }
+  void OnReport(const BackendServerId&, const Report&, MonotonicTime) {}
   void Finish(Ticket ticket, MonotonicTime) { retried_.erase(ticket); }
   std::vector<Ready> TakeReady(MonotonicTime) { return {}; }
   std::vector<Ticket> HedgeDue(MonotonicTime) { return {}; }
--- a/src/choose/chooser.cc
+++ b/src/choose/chooser.cc
@@ -90,7 +90,8 @@
   ServerLists lists;
   ConcurrencyWindow window;
   AdmissionQueue queue;
-  RetryBudget budget;
+  RetryBudget budget;        // Of retries and hedges together.
+  RetryBudget hedge_budget;  // Of hedges: the part of it that the weight of tail latency gives.
   std::array<ClassLatency, kRequestClassCount> latency;
   std::array<uint32_t, kRequestClassCount> open{};  // Our open attempts.
   ReportTrust trust;
@@ -100,6 +101,12 @@
   double shed_share = 0.0;      // Of the newest answers.
   DecisionRing recent;
 
+  void OnFirstAttempt(uint32_t depth) {
+    budget.OnFirstAttempt(config.retry_budget, depth);
+    hedge_budget.OnFirstAttempt(config.retry_budget * config.tail_weight, depth);
+  }
+  bool HedgeAffordable() const { return budget.Affordable() && hedge_budget.Affordable(); }
+
   ClassLatency& Latency(RequestClass request_class) {
     return latency[static_cast<size_t>(request_class)];
   }
@@ -244,7 +251,7 @@
   const bool first = service.queue.Ahead(request.request_class) == 0;
   if (first && MaySend(service, request.request_class)) {
     if (auto send = Send(ticket, request, service, DecisionKind::kSend, now)) {
-      service.budget.OnFirstAttempt(service.config.retry_budget, request.depth);
+      service.OnFirstAttempt(request.depth);
       return *send;
     }
   }
@@ -430,11 +437,12 @@
   const bool spare = service.queue.Empty() && MaySend(service, request.request_class);
   const bool allowed = request.repeatable && !request.finished && request.attempts.size() == 1 &&
                        service.listed && service.shed_share <= kShedTooMuch && spare;
-  if (!allowed || !service.budget.Affordable()) return std::nullopt;
+  if (!allowed || !service.HedgeAffordable()) return std::nullopt;
   if (RefuseHopeless(ticket, request, service, now)) return std::nullopt;
   const PickResult pick = Pick(request, service, now);
   if (!pick.server || *pick.server == request.attempts.front().server) return std::nullopt;
   service.budget.Take();
+  service.hedge_budget.Take();
   return Record(ticket, request, service, DecisionKind::kHedge, *pick.server, pick, now);
 }
 
@@ -474,7 +482,7 @@
     if (!MaySend(service, request.request_class)) return;
     const auto send = Send(ticket, request, service, DecisionKind::kSend, now);
     if (!send) return;
-    service.budget.OnFirstAttempt(service.config.retry_budget, request.depth);
+    service.OnFirstAttempt(request.depth);
     request.waiting = false;
     service.queue.PopFront();
     ready.emplace_back(*send);
