--- a/standins/caller.cc
+++ b/standins/caller.cc
@@ -86,6 +86,7 @@
     : clock_(clock), options_(std::move(options)) {}
 
 Caller::~Caller() = default;
+Caller::Caller(Caller&&) noexcept = default;
 
 void Caller::Disconnect() { connection_.reset(); }
 
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -58,6 +58,7 @@
  public:
   Caller(const Clock& clock, CallerOptions options);
   ~Caller();
+  Caller(Caller&&) noexcept;
 
   CallerView Send(const CallerRequest& request);
   // Closes the connection that is kept open.
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -22,7 +22,7 @@
 
   std::chrono::milliseconds delay{0};  // Each piece of bytes is held back this long; "delay_ms".
   uint64_t cut_after = 0;              // Connections are reset after this many bytes; 0: never.
-  bool silent = false;                 // Nothing is forwarded on connections that are open.
+  bool silent = false;                 // Connections open now never forward again; later ones do.
   bool pause = false;                  // Nothing is forwarded until this is taken back.
   bool drop_new = false;               // New connections are closed at once.
 
--- a/standins/proxy.cc
+++ b/standins/proxy.cc
@@ -22,20 +22,22 @@
 struct Shared {
   Faults faults;
   FaultDice dice{1};
+  uint64_t silences = 0;  // Times that "silent" was set.
   uint64_t connections = 0;
   uint64_t dropped = 0;
   uint64_t cut = 0;
 };
 
 // One caller connection and its counterpart. `silent` is for good: a connection that was open
-// while it was set never forwards again, though both ends stay connected.
+// when it was set never forwards again, though both ends stay connected; later ones work.
 class Link : public std::enable_shared_from_this<Link> {
  public:
   Link(tcp::socket from, const asio::any_io_executor& executor, std::shared_ptr<Shared> shared)
       : sockets_{std::move(from), tcp::socket(executor)},
         timers_{asio::steady_timer(executor), asio::steady_timer(executor)},
         shared_(std::move(shared)),
-        chosen_(shared_->dice.Hits(shared_->faults.probability)) {}
+        chosen_(shared_->dice.Hits(shared_->faults.probability)),
+        silences_at_start_(shared_->silences) {}
 
   void Start(const Endpoint& to) {
     const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
@@ -49,6 +51,7 @@
 
  private:
   const Faults& Spoil() const { return shared_->faults; }
+  bool IsSilent() const { return chosen_ && shared_->silences > silences_at_start_; }
 
   void Read(size_t from) {
     sockets_[from].async_read_some(asio::buffer(buffers_[from]),
@@ -60,13 +63,12 @@
 
   // A closed end closes the other, unless this link has gone silent.
   void EndOf(size_t from) {
-    if (silent_) return;
+    if (IsSilent()) return;
     Close();
   }
 
   void Take(size_t from, size_t n) {
-    if (chosen_ && Spoil().silent) silent_ = true;
-    if (silent_) return Read(from);
+    if (IsSilent()) return Read(from);
     if (chosen_ && Spoil().pause) return Wait(from, n, kPauseCheck, &Link::Take);
     if (chosen_ && Spoil().delay.count() > 0) return Wait(from, n, Spoil().delay, &Link::Forward);
     Forward(from, n);
@@ -109,9 +111,9 @@
   std::array<asio::steady_timer, kDirections> timers_;
   std::array<std::array<char, kPieceBytes>, kDirections> buffers_{};
   std::shared_ptr<Shared> shared_;
-  bool chosen_;             // Hit by the faults that are set per connection.
-  bool silent_ = false;     // For good.
-  uint64_t forwarded_ = 0;  // Bytes, both ways.
+  bool chosen_;                 // Hit by the faults that are set per connection.
+  uint64_t silences_at_start_;  // Of the shared count.
+  uint64_t forwarded_ = 0;      // Bytes, both ways.
 };
 
 }  // namespace
@@ -149,6 +151,7 @@
     const std::optional<Faults> parsed = ParseFaults(exchange.Request().body);
     if (!parsed) return exchange.Answer({400, {}, "not the JSON of faults.h\n", {}});
     shared->faults = *parsed;
+    if (parsed->silent) ++shared->silences;
     shared->dice = FaultDice(parsed->seed);
     exchange.Answer({200, {}, "ok\n", {}});
   }
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -286,6 +286,12 @@
   return all;
 }
 
+std::vector<JournalLine> Stage::JournalsOfRunning() const {
+  std::vector<JournalLine> lines = Journals();
+  std::erase_if(lines, [](const JournalLine& it) { return it.ended; });
+  return lines;
+}
+
 size_t Stage::RunsOf(const std::string& key) const {
   size_t n = 0;
   for (const JournalLine& it : Journals()) n += it.key == key ? 1 : 0;
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -88,6 +88,7 @@
   RunningEntry& Entry(size_t i) { return entries_.at(i); }
   RunningBackend& Backend(size_t i) { return backends_.at(i); }
   RunningBackend& Backend(const std::string& name);
+  const Endpoint& BackendAt(size_t i) const { return backends_.at(i).address; }
   const Endpoint& EdgeOf(size_t entry) const { return entries_.at(entry).edge; }
   size_t Backends() const { return backends_.size(); }
   const Endpoint& Platform() const { return platform_address_; }
@@ -103,6 +104,8 @@
 
   std::vector<JournalLine> Journal(size_t backend) const;
   std::vector<JournalLine> Journals() const;
+  // Of requests that have not ended.
+  std::vector<JournalLine> JournalsOfRunning() const;
   // How often work under this key started, over all backend servers.
   size_t RunsOf(const std::string& key) const;
   // A counter of the stand-in's GET /stats.
