An answer is forwarded once: polls of the chooser run by themselves

Cause: a report on an answer's head polled the chooser inside the handler; the poll started a hedge between the drop of other attempts and the forwarding of the head, so both answers went to the caller and every later answer on that connection belonged to the request before. Ruled out: the parser and the stand-in (a system call trace shows the second request sent after the first answer's head). Conclusion: PollSoon posts; Poll is private. Connections returned unused no longer count as proven.

--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -99,7 +99,7 @@
   };
   context.on_report = [this](const BackendServerId& server, const Report& report) {
     chooser_.OnReport(server, report, clock_.Now());
-    dispatcher_.Poll();
+    dispatcher_.PollSoon();
   };
   context.observer = MakeObserver();
   return context;
@@ -220,7 +220,7 @@
   manifest_ = manifest;
   chooser_.Apply(*manifest_, clock_.Now());
   prober_.Apply(*manifest_);
-  dispatcher_.Poll();
+  dispatcher_.PollSoon();
   log_.Write(LogLevel::kInfo, "manifest in force",
              {{"revision", static_cast<int64_t>(manifest_->revision)}});
 }
@@ -287,7 +287,7 @@
 void EntryVm::OnProbed(const ProbeTarget& target, const std::optional<Report>& report) {
   if (!report) return;
   chooser_.OnReport(target.server, *report, clock_.Now());
-  dispatcher_.Poll();
+  dispatcher_.PollSoon();
 }
 
 std::string EntryVm::LookupJson(const std::string& caller_ip, const std::string& query) const {
--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -29,7 +29,7 @@
 
 void Attempt::OnConnected(PooledConnection connection, std::string bytes, bool head_request) {
   if (closed_) {
-    pool_.Release(target_.endpoint, request_class_, std::move(connection));
+    pool_.ReturnUnused(target_.endpoint, request_class_, std::move(connection));
     return;
   }
   connection_ = std::move(connection);
--- a/src/forward/backend_pool.cc
+++ b/src/forward/backend_pool.cc
@@ -92,13 +92,18 @@
 
 void BackendPool::Release(const Endpoint& server, RequestClass request_class,
                           PooledConnection connection) {
-  const GroupKey key(server, request_class);
   connection.proven = clock_.Now();
-  WatchIdle(key, connection.stream);
+  ReturnUnused(server, request_class, std::move(connection));
+}
+
+void BackendPool::ReturnUnused(const Endpoint& server, RequestClass request_class,
+                               PooledConnection connection) {
+  const GroupKey key(server, request_class);
+  WatchIdle(connection.stream);
   groups_[key].idle.push_back(std::move(connection));
 }
 
-void BackendPool::WatchIdle(const GroupKey& key, const std::shared_ptr<HttpStream>& stream) {
+void BackendPool::WatchIdle(const std::shared_ptr<HttpStream>& stream) {
   // A closed stream stays in the idle list until TakeIdle or CloseIdle drops it.
   stream->WatchClose([weak = std::weak_ptr<HttpStream>(stream)] {
     if (const auto closed = weak.lock()) closed->Close();
--- a/src/forward/backend_pool.h
+++ b/src/forward/backend_pool.h
@@ -44,6 +44,9 @@
                AcquireCallback done);
   // Takes a connection back after a whole answer that kept it open.
   void Release(const Endpoint& server, RequestClass request_class, PooledConnection connection);
+  // Takes a connection back on which nothing was sent: it proved nothing anew.
+  void ReturnUnused(const Endpoint& server, RequestClass request_class,
+                    PooledConnection connection);
   // Counts a connection that won't come back. Closes it.
   void Discard(const Endpoint& server, RequestClass request_class, PooledConnection& connection);
   // Closes connections idle for longer than the settings allow.
@@ -62,7 +65,7 @@
 
   std::optional<PooledConnection> TakeIdle(Group& group, bool must_be_proven);
   void Connect(const GroupKey& key, AcquireCallback done);
-  void WatchIdle(const GroupKey& key, const std::shared_ptr<HttpStream>& stream);
+  static void WatchIdle(const std::shared_ptr<HttpStream>& stream);
   void ForgetOne(const GroupKey& key);
 
   asio::io_context& io_;
--- a/src/forward/dispatcher.h
+++ b/src/forward/dispatcher.h
@@ -31,12 +31,13 @@
   void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result);
   // The request is over; a wait of it is forgotten.
   void Finish(Ticket ticket);
-  // Call after changing the chooser by other ways (manifest, reports, leaving).
-  void Poll();
+  // Call after changing the chooser by other ways (manifest, reports, leaving). Posted, never run
+  // inside the call: a poll may start or end attempts of the request whose event is being handled.
+  void PollSoon();
 
  private:
   void Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done);
-  void PollSoon();
+  void Poll();
   void ArmTimer();
 
   asio::io_context& io_;
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cassert>
 #include <cinttypes>
 #include <cstdio>
 #include <utility>
@@ -365,6 +366,7 @@
 
 void Exchange::OnAnswerHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& answer) {
   if (resuming_) return OnResumedHead(answer);
+  assert(!answering_ && "Exchange: drop every other attempt before an answer's head is forwarded");
   const std::optional<Report> report = ReportOn(answer, meta_.service->report_format);
   if (const std::optional<AttemptEnd> refused = RefusalOf(answer, report)) {
     ReportEnd(attempt, *refused, report);
