--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -53,6 +53,17 @@
     o.stragglers = 2;
     o.swings = true;
   });
+  // 85% of all slots, those of the stragglers included: 93% of what is there.
+  add("stragglers-all-85", [](ModelOptions& o) {
+    o.stragglers = 2;
+    o.swings = true;
+    o.load = 0.934;
+  });
+  add("emergency-5-only", [](ModelOptions& o) {
+    o.emergency_only = true;
+    o.emergency_load = 0.05;
+  });
+  add("emergency-5-85", [](ModelOptions& o) { o.emergency_load = 0.05; });
   add("noisy-70", [](ModelOptions& o) {
     o.noisy = true;
     o.load = 0.70;
