Reserve more servers while emergencies alone fill the reserved one

Cause: with emergencies at 5% of capacity (the one reserved server's whole) they queued there even while all others were idle: p99 49.9 ms where local least in flight has 20.3. The load of reserved servers was also estimated from the average of shared ones.

Changed: own average for reserved servers; the first reserved server's reported load, which every entry VM sees alike, decides how many are reserved, up to a quarter. Ruled out: a larger penalty for shared servers (2.0, 3.0: no change) and a quick threshold (0.55 of the slots: entry VMs disagreed on the second server and emergencies met routine work there, p99 24 to 27 ms at 2%).

--- a/src/choose/candidates.cc
+++ b/src/choose/candidates.cc
@@ -40,7 +40,8 @@
 
 }  // namespace
 
-ServerLists CandidatePicker::Split(std::span<const Handle> members, bool reserve) const {
+ServerLists CandidatePicker::Split(std::span<const Handle> members, bool reserve,
+                                   size_t more) const {
   ServerLists lists;
   size_t usable = 0;
   for (const Handle handle : members) {
@@ -49,7 +50,10 @@
   }
   size_t to_reserve = 0;
   if (reserve && usable >= kReserveFrom) {
-    to_reserve = std::max<size_t>(1, std::lround(kReservedShare * static_cast<double>(usable)));
+    const auto n = static_cast<double>(usable);
+    const size_t least = std::max<size_t>(1, std::lround(kReservedShare * n));
+    const auto most = static_cast<size_t>(kMostReserved * n);
+    to_reserve = std::min(least + more, std::max(least, most));
   }
   for (const Handle handle : members) {
     const ServerState& server = servers_[handle];
--- a/src/choose/candidates.h
+++ b/src/choose/candidates.h
@@ -72,6 +72,7 @@
   RequestClass request_class = RequestClass::kRoutine;
   std::span<const Handle> tried;  // Not picked again while others are usable.
   double typical_others = 0.0;    // What other entry VMs have at a server on average.
+  double typical_reserved = 0.0;  // The same for reserved servers.
   Duration half_life{};           // Of what a report says about others.
   double report_trust = 1.0;      // How far reports have told the truth, 0 to 1.
   std::span<const Handle> hot;    // Servers that have just reported a free slot.
@@ -85,13 +86,15 @@
   static constexpr std::chrono::seconds kRamp{10};  // From cold to full share.
   static constexpr double kRampFloor = 0.1;         // Share of a server that has just started.
   static constexpr double kReservedShare = 0.05;    // Of a service's servers, for emergencies.
+  static constexpr double kMostReserved = 0.25;     // Of a service's servers, for emergencies.
   static constexpr size_t kReserveFrom = 8;         // Services with fewer keep a slot instead.
   static constexpr double kEjectedShare = 0.34;     // Most servers ejected at once.
 
   explicit CandidatePicker(const std::vector<ServerState>& servers) : servers_(servers) {}
 
   // Splits `members`, which are in order of reservation.
-  ServerLists Split(std::span<const Handle> members, bool reserve) const;
+  // `more`: servers to reserve beyond kReservedShare.
+  ServerLists Split(std::span<const Handle> members, bool reserve, size_t more) const;
 
   PickResult Pick(const ServerLists& lists, const PickRequest& request, MonotonicTime now,
                   Random& random) const;
--- a/src/choose/chooser.cc
+++ b/src/choose/chooser.cc
@@ -15,11 +15,18 @@
 constexpr size_t kMostAttempts = 3;
 // Servers remembered for having just reported a free slot.
 constexpr size_t kHotServers = 3;
+// Mean load per slot of the first reserved server at which more are reserved, or fewer, and the
+// least time since the last change.
+constexpr double kReserveMoreAt = 0.8;
+constexpr double kReserveFewerAt = 0.15;
+constexpr std::chrono::milliseconds kReserveMoreAfter{1000};
+constexpr std::chrono::seconds kReserveFewerAfter{10};
 // Trust in reports from which they are preferred.
 constexpr double kHotTrust = 0.5;
 // Shares of the newest sample in the moving averages of a service.
 constexpr double kOthersWeight = 0.05;
 constexpr double kShedWeight = 0.05;
+constexpr double kReserveWeight = 0.02;
 // Share of shed answers above which retries make it worse.
 constexpr double kShedTooMuch = 0.1;
 // Remaining time, in mean latencies, below which an answer in time can't be expected.
@@ -97,8 +104,12 @@
   ReportTrust trust;
   std::array<Handle, kHotServers> hot{};  // That reported a free slot, newest last.
   size_t hot_count = 0;
-  double typical_others = 0.0;  // Requests of other entry VMs at a server, on average.
-  double shed_share = 0.0;      // Of the newest answers.
+  double typical_others = 0.0;    // Requests of other entry VMs at a server, on average.
+  double typical_reserved = 0.0;  // The same for reserved servers.
+  double reserved_load = 0.0;     // Reported requests per slot at the first reserved server.
+  size_t more_reserved = 0;       // Servers reserved beyond the fixed share.
+  MonotonicTime reserve_changed;  // When more_reserved changed.
+  double shed_share = 0.0;        // Of the newest answers.
   DecisionRing recent;
 
   void OnFirstAttempt(uint32_t depth) {
@@ -219,7 +230,8 @@
 void Chooser::Rebuild(ServiceState& service) {
   std::sort(service.members.begin(), service.members.end(),
             [this](Handle a, Handle b) { return servers_[a].order < servers_[b].order; });
-  service.lists = picker_.Split(service.members, !service.config.emergency_tenants.empty());
+  service.lists = picker_.Split(service.members, !service.config.emergency_tenants.empty(),
+                                service.more_reserved);
   service.hot_count = 0;
   for (const Handle handle : service.members) servers_[handle].reserved = false;
   for (const Handle handle : service.lists.reserved) servers_[handle].reserved = true;
@@ -342,6 +354,7 @@
   pick.tried = std::span<const Handle>(tried.data(), n);
   pick.typical_others = service.typical_others;
   pick.half_life = service.latency[static_cast<size_t>(request.request_class)].Mean();
+  pick.typical_reserved = service.typical_reserved;
   pick.report_trust = service.trust.Value();
   if (pick.report_trust >= kHotTrust) {
     pick.hot = std::span<const Handle>(service.hot.data(), service.hot_count);
@@ -361,7 +374,8 @@
   const bool trial = kind == DecisionKind::kTrial;
   if (trial) server.circuit.OnTrialSent();
   const Duration half_life = service.Latency(request.request_class).Mean();
-  const double excess = server.load.ReportedExcess(now, service.typical_others, half_life);
+  const double typical = server.reserved ? service.typical_reserved : service.typical_others;
+  const double excess = server.load.ReportedExcess(now, typical, half_life);
   request.attempts.push_back(Attempt{handle, now, static_cast<float>(excess), true, trial});
   const ClassLatency& latency = service.Latency(request.request_class);
   const bool hedgeable = request.repeatable && request.request_class != RequestClass::kBulk;
@@ -607,9 +621,12 @@
   server.reported = now;
   if (report.in_flight) {
     server.load.OnReport(*report.in_flight, now);
-    service.typical_others += kOthersWeight * (server.load.Others() - service.typical_others);
     const double slots = std::max(1U, report.slots.value_or(server.config.slots));
-    service.window.OnReport(*report.in_flight / slots, service.OpenInWindow());
+    const double load = *report.in_flight / slots;
+    double& typical = server.reserved ? service.typical_reserved : service.typical_others;
+    typical += kOthersWeight * (server.load.Others() - typical);
+    if (!server.reserved) service.window.OnReport(load, service.OpenInWindow());
+    AdaptReserve(service, handle, load, now);
   }
   if (source == LeavingSource::kAnswer) NoteHot(service, handle, report);
   if (report.shedding) server.shed.OnShed(now);
@@ -621,6 +638,25 @@
   }
 }
 
+// Reserves more servers while emergencies alone fill the first reserved one, fewer once they don't.
+// Only the first is looked at: it is reserved at every entry VM, so its load is emergencies alone,
+// and all come to about the same number without a word between them.
+void Chooser::AdaptReserve(ServiceState& service, Handle handle, double load, MonotonicTime now) {
+  const std::vector<Handle>& reserved = service.lists.reserved;
+  if (reserved.empty() || reserved.front() != handle) return;
+  service.reserved_load += kReserveWeight * (load - service.reserved_load);
+  const bool more =
+      service.reserved_load > kReserveMoreAt && now - service.reserve_changed > kReserveMoreAfter;
+  const bool fewer = service.reserved_load < kReserveFewerAt && service.more_reserved > 0 &&
+                     now - service.reserve_changed > kReserveFewerAfter;
+  if (!more && !fewer) return;
+  const size_t before = reserved.size();
+  service.more_reserved += more ? 1 : -1;
+  service.reserve_changed = now;
+  Rebuild(service);
+  if (more && service.lists.reserved.size() == before) --service.more_reserved;  // No more to take.
+}
+
 // Keeps the newest servers that reported a free slot, for a pick soon after: the freshest report
 // that there is comes on our own answers.
 void Chooser::NoteHot(ServiceState& service, Handle handle, const Report& report) {
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -192,6 +192,7 @@
   void DrainQueue(ServiceState& service, MonotonicTime now, std::vector<Ready>& ready);
 
   void ApplyReport(Handle handle, const Report& report, LeavingSource source, MonotonicTime now);
+  void AdaptReserve(ServiceState& service, Handle handle, double load, MonotonicTime now);
   void NoteHot(ServiceState& service, Handle handle, const Report& report);
   void MarkLeaving(Handle handle, LeavingSource source, MonotonicTime now);
   void Judge(const Attempt& attempt, const Request& request, const AttemptResult& result,
--- a/src/choose/chooser_test.cc
+++ b/src/choose/chooser_test.cc
@@ -4,7 +4,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <map>
+#include <set>
 
 namespace cowsliphill {
 namespace {
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(Choose_RoutineSaturated_EmergencySentAtOnceToReservedServer);
   CPPUNIT_TEST(Choose_RoutineOnly_NeverUsesReservedServer);
   CPPUNIT_TEST(Choose_ReservedServerLeaving_NextOneTakesOver);
+  CPPUNIT_TEST(OnReport_ReservedServerFull_MoreReserved);
   CPPUNIT_TEST(TakeReady_SlotFreed_StrictClassOrder);
   CPPUNIT_TEST(TakeReady_WaitedTooLong_RefusedBeforeDeadline);
   CPPUNIT_TEST(OnLeaving_AnySource_NoNewWorkAndStays);
@@ -103,6 +104,25 @@
     }
   }
 
+  void OnReport_ReservedServerFull_MoreReserved() {
+    const BackendServerId first = ReservedServer();
+    Report full;
+    full.in_flight = 6;
+    for (int i = 0; i < 100; ++i) chooser_->OnReport(first, full, now_ += milliseconds(20));
+    std::set<std::string> reserved;
+    for (int i = 0; i < 100; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kEmergency));
+      reserved.insert(sent.server.Text());
+      End(sent, AttemptEnd::kAnswered);
+    }
+    for (int i = 0; i < 500; ++i) {
+      const auto sent = std::get<SendTo>(Choose(RequestClass::kRoutine));
+      reserved.erase(sent.server.Text());
+      End(sent, AttemptEnd::kAnswered);
+    }
+    CPPUNIT_ASSERT(reserved.size() >= 2 && reserved.size() <= 5);
+  }
+
   void TakeReady_SlotFreed_StrictClassOrder() {
     Warm();
     const std::vector<SendTo> sent = Saturate();
