Claims: measured on a modelled table; fewer open tries, slower settling

Cause of a collapse it showed: with 4096 open tries and 50 settling writes a second a node, tries beyond the table's rate time out, and settling each costs another write. Kept: 16, and 5 settling writes a second.

Where the table is rated by rows, grouping gains nothing.

--- a/src/claims/claim_protocol.h
+++ b/src/claims/claim_protocol.h
@@ -36,9 +36,9 @@
   std::chrono::milliseconds claim_timeout{2000};   // Longest wait for a claim.
   std::chrono::milliseconds retry_after{1000};     // Told when the platform can't be asked.
   bool dated_keys_only = false;         // Refuse keys that carry no time (see docs/CLAIMS.md).
-  size_t open_limit = 4096;             // Tries waiting for the table; more are refused.
+  size_t open_limit = 16;               // Tries waiting for the table; more are refused at once.
   size_t settle_limit_bytes = 4 << 20;  // Rows waiting to be settled; more are dropped, counted.
-  uint32_t settle_rate = 50;            // Settling writes a second of this entry VM.
+  uint32_t settle_rate = 5;             // Settling writes a second of this entry VM.
   uint32_t failures_to_open = 3;        // Failed table calls in a row that open the circuit.
   std::chrono::milliseconds circuit_interval{500};  // Between tries while the circuit is open.
 };
--- a/src/claims/grouped_table.h
+++ b/src/claims/grouped_table.h
@@ -25,7 +25,7 @@
 namespace cowsliphill {
 
 struct GroupSettings {
-  size_t most_in_flight = 4;  // Commits; more writes wait and share the next one.
+  size_t most_in_flight = 2;  // Commits; more writes wait and share the next one.
   size_t most_writes = 16;    // In one commit.
 };
 
