--- a/bench/members_bench.cc
+++ b/bench/members_bench.cc
@@ -2,8 +2,11 @@
 //
 //   build/members_bench virtual            3 to 120 nodes on virtual time: payload bytes, messages,
 //                                          processor time, detection of a kill, spread of a leave
-//   build/members_bench sockets N SECONDS  N nodes in this process over loopback: bytes on sockets,
-//                                          processor time, memory; all of them per node
+//   build/members_bench sockets N SECONDS [IDLE_MS]
+//                                          N nodes in this process over loopback: bytes on sockets,
+//                                          processor time, memory; all of them per node. A short
+//                                          IDLE_MS makes every ping open a connection, as it does
+//                                          with more members than idle_timeout has seconds.
 //
 // Bytes on sockets are without TCP and IP headers.
 
@@ -192,8 +195,9 @@
 
 class SocketBench {
  public:
-  explicit SocketBench(size_t n)
-      : platform_([this](std::function<void()> task) { asio::post(loop_, std::move(task)); }) {
+  SocketBench(size_t n, const PeerLimits& limits)
+      : limits_(limits),
+        platform_([this](std::function<void()> task) { asio::post(loop_, std::move(task)); }) {
     for (size_t i = 0; i < n; ++i) Add(i);
   }
 
@@ -235,7 +239,7 @@
     settings.listen = {"127.0.0.1", 0};
     settings.key = "a key of the measurement";
     SocketNode node;
-    node.peer = std::make_unique<PeerNode>(loop_, clock_, self.id, settings);
+    node.peer = std::make_unique<PeerNode>(loop_, clock_, self.id, settings, limits_);
     const auto at = node.peer->Listen();
     if (!Ok(at)) {
       std::fprintf(stderr, "can't listen: %s\n", ErrorOf(at).detail.c_str());
@@ -250,6 +254,7 @@
     nodes_.push_back(std::move(node));
   }
 
+  PeerLimits limits_;
   asio::io_context loop_;
   SystemClock clock_;
   MemoryPlatform platform_;
@@ -257,9 +262,9 @@
   std::vector<SocketNode> nodes_;
 };
 
-void RunSockets(size_t n, seconds time) {
+void RunSockets(size_t n, seconds time, const PeerLimits& limits) {
   const double memory_before = ResidentKilobytes();
-  SocketBench bench(n);
+  SocketBench bench(n, limits);
   bench.Run(time);  // Join, and open the connections that the measured time uses.
   const PeerStats before = bench.Total();
   const double cpu_before = CpuSeconds();
@@ -290,11 +295,16 @@
     cowsliphill::RunVirtual();
     return 0;
   }
-  if (mode == "sockets" && argc == 4) {
+  if (mode == "sockets" && (argc == 4 || argc == 5)) {
+    cowsliphill::PeerLimits limits;
+    if (argc == 5) {
+      limits.idle_timeout = std::chrono::milliseconds(std::strtoul(argv[4], nullptr, 10));
+    }
     cowsliphill::RunSockets(std::strtoul(argv[2], nullptr, 10),
-                            std::chrono::seconds(std::strtoul(argv[3], nullptr, 10)));
+                            std::chrono::seconds(std::strtoul(argv[3], nullptr, 10)), limits);
     return 0;
   }
-  std::fprintf(stderr, "usage: members_bench virtual | members_bench sockets N SECONDS\n");
+  std::fprintf(stderr,
+               "usage: members_bench virtual | members_bench sockets N SECONDS [IDLE_MS]\n");
   return 2;
 }
--- a/src/members/peer_transport_test.cc
+++ b/src/members/peer_transport_test.cc
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 #include <optional>
 
+#include "src/members/leaving_spread.h"
 #include "src/members/members.h"
 #include "src/members/peer_auth.h"
 #include "src/members/peer_wire.h"
@@ -43,6 +44,7 @@
   CPPUNIT_TEST(Connection_Idle_IsClosed);
   CPPUNIT_TEST(Authenticator_WithAnyFieldChanged_Differs);
   CPPUNIT_TEST(Members_OverRealSockets_FindEachOtherAndNoticeDeath);
+  CPPUNIT_TEST(LeavingNotice_OverRealSockets_ReachesTheOther);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -312,9 +314,32 @@
     CPPUNIT_ASSERT_EQUAL(size_t{2}, members[0]->Lookup({"c", {}, {}}, seconds(5)).entries.size());
   }
 
+  void LeavingNotice_OverRealSockets_ReachesTheOther() {
+    auto server = Node("vm-1");
+    auto client = Node("vm-0");
+    const FixedMembers one{"vm-0", {{EntryVmId("vm-1"), {}, ValueOf(server->Listen()), {}, {}}}};
+    const FixedMembers other{"vm-1", {}};
+    std::vector<LeavingNotice> heard;
+    const auto listen = [&heard](const LeavingNotice& notice) { heard.push_back(notice); };
+    LeavingSpread<PeerNode, FixedMembers> to(loop_, clock_, *server, other, 1, listen);
+    LeavingSpread<PeerNode, FixedMembers> from(loop_, clock_, *client, one, 2, listen);
+    from.Report(ServiceId("permits"), BackendServerId("permit-7"));
+    CPPUNIT_ASSERT(RunUntil([&heard] { return !heard.empty(); }));
+    CPPUNIT_ASSERT(heard[0].server == BackendServerId("permit-7"));
+    CPPUNIT_ASSERT(to.Notices().IsLeaving(ServiceId("permits"), BackendServerId("permit-7")));
+  }
+
  private:
   static constexpr seconds kPatience{20};
 
+  struct FixedMembers {
+    std::string self;
+    std::vector<Member> live;
+
+    Member Self() const { return {EntryVmId(self), {}, {}, {}, {}}; }
+    const std::vector<Member>& Live() const { return live; }
+  };
+
   static PeerSettings Settings(const std::string& key, Endpoint listen = {"127.0.0.1", 0}) {
     PeerSettings settings;
     settings.listen = listen;
