--- a/src/members/membership_test.cc
+++ b/src/members/membership_test.cc
@@ -14,6 +14,8 @@
 class MembershipTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MembershipTest);
   CPPUNIT_TEST(Members_WithOneSeed_FindEachOther);
+  CPPUNIT_TEST(Member_JoiningASettledNetwork_KnowsAllAtOnce);
+  CPPUNIT_TEST(Member_PausedWhileAnotherJoined_LearnsOfIt);
   CPPUNIT_TEST(Member_Killed_IsGoneEverywhereWithinSeconds);
   CPPUNIT_TEST(Member_Leaving_IsKnownEverywhereWithinTheLeaveSpread);
   CPPUNIT_TEST(Member_Departing_IsGoneWithoutSuspicion);
@@ -38,6 +40,25 @@
     CPPUNIT_ASSERT(net.RunUntil([&net] { return net.Agreed(); }, seconds(10)));
   }
 
+  void Member_JoiningASettledNetwork_KnowsAllAtOnce() {
+    VirtualNetwork net(17);
+    Settle(net, 60);
+    net.AddMany(1);
+    const auto complete = [&net] { return net.At(60).machine->Live().size() == 60; };
+    CPPUNIT_ASSERT(net.RunUntil(complete, seconds(1)));
+  }
+
+  void Member_PausedWhileAnotherJoined_LearnsOfIt() {
+    VirtualNetwork net(18);
+    Settle(net, 19);
+    net.Pause(3);
+    net.Run(minutes(1));
+    net.AddMany(1);
+    net.Run(minutes(1));
+    net.Resume(3);
+    CPPUNIT_ASSERT(net.RunUntil([&net] { return net.Agreed(); }, seconds(10)));
+  }
+
   void Member_Killed_IsGoneEverywhereWithinSeconds() {
     VirtualNetwork net(2);
     Settle(net, 19);
