A place is alarmed on evidence, and members are looked at five times a second

The alarm compared our revision with what was last heard of the others, and that is older than lag_alarm for most of them: with 20 entry VMs that had all followed, Places_ThatFollowed_AreNoAlarm saw an alarm. Now only what a peer says lag_alarm after our switch counts as being behind, and a place of which none was heard for 60 s is an alarm of its own. Asking all members after each switch was ruled out, since its cost grows with their number.

--- a/src/manifest/manifest_follower.h
+++ b/src/manifest/manifest_follower.h
@@ -12,6 +12,7 @@
 #ifndef COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
 #define COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,6 +29,8 @@
 
 namespace cowsliphill {
 
+inline constexpr std::chrono::milliseconds kMemberRefresh{200};  // Between looks at the members.
+
 template <TableClient Table, ObjectClient Objects, PeerTransport Transport,
           typename Tracker = RevisionTracker>
 class ManifestFollower {
@@ -55,7 +58,11 @@
   }
 
   void Tick() {
-    Feed(MembersSeen{members_()});
+    const MonotonicTime now = clock_.Now();
+    if (now >= next_members_) {
+      next_members_ = now + kMemberRefresh;
+      Feed(MembersSeen{members_()});
+    }
     Feed(TimePassed{});
   }
 
@@ -248,6 +255,7 @@
   ManifestPtr current_;
   LoadedManifest adopted_;
   Staging staging_;
+  MonotonicTime next_members_;
   std::vector<Subscriber> subscribers_;
   uint64_t bad_messages_ = 0;
 };
--- a/src/manifest/revision_tracker.cc
+++ b/src/manifest/revision_tracker.cc
@@ -64,6 +64,7 @@
     if (member.id == options_.id) continue;
     const auto it = peers_.find(member.id);
     Peer peer = it == peers_.end() ? Peer() : std::move(it->second);
+    if (it == peers_.end()) peer.listed = now_;
     peer.member = member;
     next.emplace(member.id, std::move(peer));
   }
@@ -236,23 +237,38 @@
 TrackerView RevisionTracker::View(MonotonicTime now) const {
   TrackerView view{in_force_, highest_known_, ready_, ready_ ? "" : WaitingFor(now), {},
                    {},        counters_};
-  std::map<PlaceId, uint64_t> lowest;
+  std::map<PlaceId, PlaceLag> places;
   for (const auto& [id, peer] : peers_) {
     PeerRevision revision{id, peer.member.place, 0, std::nullopt};
     if (peer.head) {
       revision.revision = peer.head->in_force.revision;
       revision.heard_ago = now - peer.heard;
-      const auto it = lowest.emplace(revision.place, revision.revision).first;
-      it->second = std::min(it->second, revision.revision);
     }
+    AddToPlace(peer, now, places);
     view.peers.push_back(std::move(revision));
   }
-  const bool long_in_force = now - in_force_since_ > options_.lag_alarm;
-  for (const auto& [place, revision] : lowest) {
-    const bool behind = revision < in_force_.accepted.revision;
-    view.places.push_back({place, revision, behind && long_in_force});
+  for (auto& [place, lag] : places) {
+    lag.alarm = lag.alarm || lag.silent_for > options_.silence_alarm;
+    view.places.push_back(lag);
   }
   return view;
 }
 
+// What was heard of a peer before a switch here says nothing about whether it has followed, so only
+// what it says lag_alarm after the switch counts as being behind.
+void RevisionTracker::AddToPlace(const Peer& peer, MonotonicTime now,
+                                 std::map<PlaceId, PlaceLag>& places) const {
+  const MonotonicTime last = peer.head ? peer.heard : peer.listed;
+  const auto [it, added] =
+      places.emplace(peer.member.place,
+                     PlaceLag{peer.member.place, in_force_.accepted.revision, now - last, false});
+  PlaceLag& lag = it->second;
+  lag.silent_for = std::min(lag.silent_for, now - last);
+  if (!peer.head) return;
+  const uint64_t revision = peer.head->in_force.revision;
+  lag.lowest_revision = std::min(lag.lowest_revision, revision);
+  const bool followed = revision >= in_force_.accepted.revision;
+  if (!followed && peer.heard - in_force_since_ > options_.lag_alarm) lag.alarm = true;
+}
+
 }  // namespace cowsliphill
--- a/src/manifest/revision_tracker.h
+++ b/src/manifest/revision_tracker.h
@@ -39,10 +39,11 @@
   std::chrono::milliseconds fetch_retry{200};  // After a failed fetch.
   std::chrono::milliseconds settle{1000};      // From start until the list of members is trusted.
   std::chrono::milliseconds answer_age{3000};  // Age up to which a peer's answer makes ready.
-  std::chrono::milliseconds lag_alarm{5000};   // A place that is behind for longer is an alarm.
-  size_t fan_out = 4;                          // Entry VMs told at once of a new revision.
-  size_t start_fan_out = 8;                    // Entry VMs of other places asked until ready.
-  uint64_t seed = 1;                           // Of the random choice among entry VMs.
+  std::chrono::milliseconds lag_alarm{5000};   // Time to follow a switch, then it is an alarm.
+  std::chrono::milliseconds silence_alarm{60000};  // Of all entry VMs of a place.
+  size_t fan_out = 4;                              // Entry VMs told at once of a new revision.
+  size_t start_fan_out = 8;                        // Entry VMs of other places asked until ready.
+  uint64_t seed = 1;                               // Of the random choice among entry VMs.
 };
 
 // Events. Each ReadHead, AskPeer and Fetch action is answered by exactly one of them.
@@ -115,8 +116,10 @@
 
 struct PlaceLag {
   PlaceId place;
-  uint64_t lowest_revision = 0;  // Among its entry VMs that were heard.
-  bool alarm = false;            // It has been below ours for longer than lag_alarm.
+  uint64_t lowest_revision = 0;  // Among its entry VMs, as last heard; at most ours.
+  Duration silent_for{};         // Since any of its entry VMs was heard.
+  bool alarm = false;            // One said that it is behind, lag_alarm after our switch or later,
+                                 // or none was heard for silence_alarm.
 };
 
 struct TrackerView {
@@ -144,7 +147,8 @@
   struct Peer {
     Member member;
     std::optional<PeerHead> head;
-    MonotonicTime heard;
+    MonotonicTime heard;     // Time of `head`.
+    MonotonicTime listed;    // First seen among the members.
     bool asked = false;      // A question is open.
     MonotonicTime asked_at;  // Of the last question.
     bool may_fetch = true;   // False after a failed fetch, until it is heard again.
@@ -172,6 +176,7 @@
   std::string WaitingFor(MonotonicTime now) const;
   std::string PlaceSilence(MonotonicTime now) const;
   std::vector<Peer*> Shuffled(bool own_place);
+  void AddToPlace(const Peer& peer, MonotonicTime now, std::map<PlaceId, PlaceLag>& places) const;
 
   TrackerOptions options_;
   std::mt19937_64 random_;
