--- a/standins/caller.cc
+++ b/standins/caller.cc
@@ -109,6 +109,7 @@
 }
 
 std::vector<Endpoint> Caller::Entries() {
+  if (!options_.ask_lookup) return options_.entries;
   if (!entries_.empty() && clock_.Now() < valid_until_) return entries_;
   std::vector<Endpoint> known = entries_;
   known.insert(known.end(), options_.entries.begin(), options_.entries.end());
--- a/standins/caller.h
+++ b/standins/caller.h
@@ -20,6 +20,7 @@
   std::vector<Endpoint> entries;             // Asked for the lookup, the first that answers counts.
   std::chrono::milliseconds patience{1000};  // Waited beyond the deadline before giving up.
   std::chrono::milliseconds silence{10000};  // Longest silence within an answer.
+  bool ask_lookup = true;                    // False: `entries` are used as they are.
   uint32_t resumes = 0;                      // A cut download is continued this often by Range.
 };
 
@@ -47,6 +48,7 @@
   bool sent = false;         // It may have reached an entry VM.
   bool whole = false;        // The answer is complete, and its bytes are right where known.
   uint64_t bytes = 0;        // Of the answer's body.
+  bool ask_lookup = true;    // False: `entries` are used as they are.
   uint32_t resumes = 0;      // Times that the download was continued.
   std::string body;          // Except of archives.
   std::string error;         // Of the connection.
