--- a/standins/main.cc
+++ b/standins/main.cc
@@ -137,6 +137,7 @@
   for (const std::string& it : args["entry"].as<std::vector<std::string>>()) {
     plan.caller.entries.push_back(EndpointOf(it));
   }
+  plan.caller.ask_lookup = args.count("no-lookup") == 0;
   plan.caller.resumes = args["resumes"].as<uint32_t>();
   plan.request.method = args["method"].as<std::string>();
   plan.request.path = args["path"].as<std::string>();
@@ -190,8 +191,8 @@
       "body", "body", text(""))("deadline-ms", "deadline", cxxopts::value<int64_t>())(
       "count", "requests", cxxopts::value<uint32_t>()->default_value("1"))(
       "concurrency", "at the same time", cxxopts::value<uint32_t>()->default_value("1"))(
-      "resumes", "continue a cut download so often",
-      cxxopts::value<uint32_t>()->default_value("0"));
+      "no-lookup", "use the entry VMs as given")("resumes", "continue a cut download so often",
+                                                 cxxopts::value<uint32_t>()->default_value("0"));
   const auto args = options.parse(argc, argv);
   return SendAll(ReadPlan(args)) ? 0 : 1;
 }
