Peer transport tests on a clock that stands still

Cause: their timeouts ran on the machine's clock, so a busy machine could turn a verdict. Now time passes only where a test says so; the checks are the same. On that clock the test of the silent connection failed (0 counted, 1 expected): an answer at the very instant of the next request counted as heard after it. "Nothing since" now includes that instant.

--- a/src/members/peer_client.cc
+++ b/src/members/peer_client.cc
@@ -224,7 +224,7 @@
       ++it;
       continue;
     }
-    if (peer.last_heard < it->second.sent) silent = true;
+    if (peer.last_heard <= it->second.sent) silent = true;
     ++stats_.timeouts;
     Finish(std::move(it->second.done), PeerError::kTimeout);
     it = peer.open.erase(it);
--- a/src/members/peer_transport_test.cc
+++ b/src/members/peer_transport_test.cc
@@ -143,9 +143,15 @@
 
   void Request_ToAListenerThatNeverSpeaks_IsUnreachable() {
     tcp::acceptor acceptor(loop_, {asio::ip::make_address("127.0.0.1"), 0});
-    auto client = Node("client", Impatient());
+    auto client = Node("client");
     const Endpoint at{"127.0.0.1", acceptor.local_endpoint().port()};
-    CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome(PeerError::kUnreachable));
+    Outcome outcome;
+    client->Request(at, kKind, "x", [&outcome](auto result) { outcome = std::move(result); });
+    CPPUNIT_ASSERT(RunUntil([&] { return client->Stats().connections_out == 1; }));
+    CPPUNIT_ASSERT(!outcome);
+    clock_.Advance(seconds(2));
+    CPPUNIT_ASSERT(RunUntil([&outcome] { return outcome.has_value(); }));
+    CPPUNIT_ASSERT(outcome == Outcome(PeerError::kUnreachable));
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, client->Stats().requests_out);
   }
 
@@ -153,14 +159,18 @@
     asio::io_context server_loop;
     PeerNode server(server_loop, clock_, EntryVmId("server"), Settings("a key that all share"));
     const Endpoint at = ListenAndEcho(server);
-    auto client = Node("client", Impatient());
+    auto client = Node("client");
     bool serving = true;
     const auto run_server = [&] {
       if (serving) server_loop.poll();
     };
     CPPUNIT_ASSERT(Ask(*client, at, "1", run_server) == Outcome("client:1"));
     serving = false;
-    CPPUNIT_ASSERT(Ask(*client, at, "2", run_server) == Outcome(PeerError::kTimeout));
+    Outcome outcome;
+    client->Request(at, kKind, "2", [&outcome](auto result) { outcome = std::move(result); });
+    clock_.Advance(seconds(2));
+    CPPUNIT_ASSERT(RunUntil([&outcome] { return outcome.has_value(); }));
+    CPPUNIT_ASSERT(outcome == Outcome(PeerError::kTimeout));
     CPPUNIT_ASSERT_EQUAL(uint64_t{1}, client->Stats().silent_connections);
     serving = true;
     CPPUNIT_ASSERT(Ask(*client, at, "3", run_server) == Outcome("client:3"));
@@ -178,6 +188,7 @@
     ListenAndEcho(*server);
     Outcome outcome;
     const auto answered = [&] {
+      clock_.Advance(milliseconds(100));
       outcome = Ask(*client, at, "3");
       return Ok(*outcome);
     };
@@ -248,12 +259,12 @@
   }
 
   void Connection_Idle_IsClosed() {
-    PeerLimits limits;
-    limits.idle_timeout = milliseconds(150);
-    auto server = Node("server", limits);
+    const PeerLimits limits;
+    auto server = Node("server");
     const Endpoint at = ListenAndEcho(*server);
-    auto client = Node("client", limits);
+    auto client = Node("client");
     CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome("client:x"));
+    clock_.Advance(limits.idle_timeout + seconds(1));
     CPPUNIT_ASSERT(RunUntil([&] { return client->OpenConnections() == 0; }));
     CPPUNIT_ASSERT(RunUntil([&] { return server->OpenConnections() == 0; }));
     CPPUNIT_ASSERT(Ask(*client, at, "x") == Outcome("client:x"));
@@ -291,14 +302,15 @@
       Member self;
       self.id = EntryVmId("vm-" + std::to_string(i));
       self.edge = {"127.0.0.1", static_cast<uint16_t>(1000 + i)};
-      nodes.push_back(Node(self.id.Text()));
+      nodes.push_back(std::make_unique<PeerNode>(loop_, system_clock_, self.id,
+                                                 Settings("a key that all share")));
       self.peer = ValueOf(nodes.back()->Listen());
       if (i == 0) config.seeds = {self.peer};
       MembersOptions options;
       options.tick = milliseconds(10);
       options.seed = static_cast<uint64_t>(i);
       members.push_back(std::make_unique<Members<PeerNode, MemoryPlatform>>(
-          loop_, clock_, *nodes.back(), platform, config, self, options));
+          loop_, system_clock_, *nodes.back(), platform, config, self, options));
     }
     const auto all_see = [&members](size_t n) {
       for (const auto& it : members) {
@@ -347,12 +359,6 @@
     return settings;
   }
 
-  static PeerLimits Impatient() {
-    PeerLimits limits;
-    limits.request_timeout = milliseconds(200);
-    return limits;
-  }
-
   std::unique_ptr<PeerNode> Node(const std::string& id, PeerLimits limits = {},
                                  const std::string& key = "a key that all share",
                                  Endpoint listen = {"127.0.0.1", 0}) {
@@ -397,7 +403,8 @@
   }
 
   asio::io_context loop_;
-  SystemClock clock_;
+  ManualClock clock_;  // Stands still, so that no timeout depends on how busy the machine is.
+  SystemClock system_clock_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerTransportTest);
