--- a/src/claims/claim_row.cc
+++ b/src/claims/claim_row.cc
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "src/base/msgpack.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -99,6 +101,7 @@
 }
 
 std::optional<ClaimRow> ClaimRowFromBytes(const std::string& bytes) {
+  if (!IsShallowMsgpack(bytes)) return std::nullopt;
   try {
     const json doc = json::from_msgpack(bytes);
     if (doc.at("v").get<int>() != kRowVersion) return std::nullopt;
--- a/src/cli/entry_routes.cc
+++ b/src/cli/entry_routes.cc
@@ -131,8 +131,9 @@
   RecordQuery query;
   const std::string minutes = request.Parameter("minutes");
   const std::optional<uint64_t> span = Number(minutes.empty() ? "60" : minutes);
-  if (!span || std::chrono::minutes(*span) > kMostRecordSpan)
+  if (!span || std::chrono::minutes(*span) > kMostRecordSpan) {
     return reply(BadParameter("minutes", minutes));
+  }
   query.to = clock_.WallNow();
   query.from = query.to - std::chrono::minutes(*span);
   query.tenant = TenantId(request.Parameter("tenant"));
--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <csignal>
 #include <fstream>
@@ -17,6 +18,7 @@
 
 constexpr milliseconds kSecond{1000};
 constexpr milliseconds kShortTick{20};         // Between looks at the slices' timers.
+constexpr milliseconds kVmListInterval{2000};  // Between readings of the platform's VM list.
 constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request has ended.
 constexpr milliseconds kFarewell{300};         // For the last peer messages to go out.
 constexpr milliseconds kHandOffLimit{10000};   // For records and claims once requests have ended.
@@ -66,6 +68,7 @@
       pool_(io_, clock_, settings_.backend, settings_.edge.max_header_bytes,
             settings_.edge.buffer_bytes),
       claims_(platform_, clock_, seed, id_),
+      claim_sweeper_(platform_, clock_, seed),
       context_(MakeContext()),
       edge_(context_),
       admin_(settings_.admin, on_loop_),
@@ -176,6 +179,11 @@
   MembersOptions members_options;
   members_options.seed = seed_;
   members_.emplace(io_, clock_, peers_, platform_, membership, self, members_options);
+  leaving_spread_.emplace(io_, clock_, peers_, *members_, seed_,
+                          [this](const LeavingNotice& notice) {
+                            chooser_.OnLeaving(notice.server, LeavingSource::kPeer, clock_.Now());
+                            dispatcher_.PollSoon();
+                          });
   TrackerOptions tracker;
   tracker.id = id_;
   tracker.place = settings_.place;
@@ -235,6 +243,35 @@
   prober_.SetMembers(std::move(ids));
 }
 
+void EntryVm::TellLeaving() {
+  for (const BackendServerId& id : chooser_.TakeNewlyLeaving()) {
+    const auto& servers = manifest_->backend_servers;
+    const auto it =
+        std::lower_bound(servers.begin(), servers.end(), id,
+                         [](const BackendServer& server, const BackendServerId& wanted) {
+                           return server.id < wanted;
+                         });
+    if (it == servers.end() || it->id != id) continue;
+    leaving_spread_->Report(it->service, id);
+    log_.Write(LogLevel::kInfo, "backend server is leaving", {{"backend_server", id.Text()}});
+  }
+}
+
+void EntryVm::ReadVmList() {
+  next_vm_list_ = clock_.Now() + kVmListInterval;
+  platform_.ListVms([this](const VmListResult& result) {
+    if (!Ok(result)) return;
+    for (const ListedVm& vm : ValueOf(result)) {
+      if (!vm.leaving) continue;
+      for (const BackendServer& server : manifest_->backend_servers) {
+        if (server.endpoint != vm.edge) continue;
+        chooser_.OnLeaving(server.id, LeavingSource::kVmList, clock_.Now());
+      }
+    }
+    dispatcher_.PollSoon();
+  });
+}
+
 uint64_t EntryVm::OnRequestStarted(const RequestMeta& meta, WallTime started) {
   RequestRecord record;
   record.request = meta.id;
@@ -307,6 +344,8 @@
 
 void EntryVm::EveryShortTick() {
   claims_.Tick();
+  claim_sweeper_.Tick();
+  TellLeaving();
   follower_->Tick();
   records_->Tick();
   if (follower_->Ready() && !stopping_) prober_.Tick();
@@ -318,6 +357,7 @@
 
 void EntryVm::EverySecond() {
   pool_.CloseIdle();
+  if (clock_.Now() >= next_vm_list_) ReadVmList();
   SetGauges();
   second_timer_.expires_after(kSecond);
   second_timer_.async_wait([this](std::error_code ec) {
--- a/src/cli/entry_vm.h
+++ b/src/cli/entry_vm.h
@@ -23,6 +23,7 @@
 #include "src/admin/metrics.h"
 #include "src/base/clock.h"
 #include "src/choose/chooser.h"
+#include "src/claims/claim_sweeper.h"
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
 #include "src/forward/edge_server.h"
@@ -30,6 +31,7 @@
 #include "src/manifest/manifest_follower.h"
 #include "src/manifest/manifest_keeper.h"
 #include "src/measure/prober.h"
+#include "src/members/leaving_spread.h"
 #include "src/members/members.h"
 #include "src/members/peer_transport.h"
 #include "src/platform/any_platform.h"
@@ -64,6 +66,8 @@
   // 2. Events between slices
   void OnManifest(const ManifestPtr& manifest);
   void OnMembers();
+  void TellLeaving();
+  void ReadVmList();
   uint64_t OnRequestStarted(const RequestMeta& meta, WallTime started);
   void OnRequestEnded(const RequestEnd& end);
   void OnProbed(const ProbeTarget& target, const std::optional<Report>& report);
@@ -107,12 +111,14 @@
   Dispatcher dispatcher_;
   BackendPool pool_;
   EntryClaims claims_;
+  ClaimSweeper<AnyPlatform> claim_sweeper_;
   ForwardContext context_;
   EdgeServer edge_;
   AdminServer admin_;
   PeerNode peers_;
   Endpoint edge_address_;  // As told to callers.
   std::optional<EntryMembers> members_;
+  std::optional<LeavingSpread<PeerNode, EntryMembers>> leaving_spread_;
   std::optional<EntryFollower> follower_;
   std::optional<EntryKeeper> keeper_;
   std::optional<EntryRecords> records_;
@@ -124,6 +130,7 @@
   asio::steady_timer short_timer_;
   asio::steady_timer stop_timer_;  // Steps of a graceful stop.
   MonotonicTime stop_started_{};
+  MonotonicTime next_vm_list_{};  // Of ReadVmList.
   bool stopping_ = false;
   int exit_code_ = 0;
 };
--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -14,9 +14,10 @@
 
 Attempt::~Attempt() { Close(); }
 
-void Attempt::Start(std::string head_and_body, bool idempotent, bool head_request, Events events) {
+void Attempt::Start(std::string head_and_body, ConnectionNeed need, bool head_request,
+                    Events events) {
   events_ = std::move(events);
-  pool_.Acquire(target_.endpoint, request_class_, !idempotent,
+  pool_.Acquire(target_.endpoint, request_class_, need,
                 [self = shared_from_this(), bytes = std::move(head_and_body),
                  head_request](std::variant<PooledConnection, ConnectError> result) mutable {
                   if (std::holds_alternative<ConnectError>(result)) {
--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -26,8 +26,8 @@
   Attempt(BackendPool& pool, const Clock& clock, SendTo target, RequestClass request_class);
   ~Attempt();
 
-  // Connects and sends `head_and_body`. `idempotent` allows an unproven idle connection.
-  void Start(std::string head_and_body, bool idempotent, bool head_request, Events events);
+  // Connects and sends `head_and_body`.
+  void Start(std::string head_and_body, ConnectionNeed need, bool head_request, Events events);
   // Sends more of the request's body.
   void Send(std::string bytes, std::function<void(bool ok)> done);
   // Asks for the answer's next event, once the previous one was used.
--- a/src/forward/backend_pool.cc
+++ b/src/forward/backend_pool.cc
@@ -28,11 +28,11 @@
       max_header_bytes_(max_header_bytes),
       buffer_bytes_(buffer_bytes) {}
 
-void BackendPool::Acquire(const Endpoint& server, RequestClass request_class, bool must_be_proven,
+void BackendPool::Acquire(const Endpoint& server, RequestClass request_class, ConnectionNeed need,
                           AcquireCallback done) {
   const GroupKey key(server, request_class);
   Group& group = groups_[key];
-  if (std::optional<PooledConnection> idle = TakeIdle(group, must_be_proven)) {
+  if (std::optional<PooledConnection> idle = TakeIdle(group, need)) {
     asio::post(io_, [idle = *idle, done = std::move(done)] { done(idle); });
     return;
   }
@@ -44,7 +44,8 @@
   Connect(key, std::move(done));
 }
 
-std::optional<PooledConnection> BackendPool::TakeIdle(Group& group, bool must_be_proven) {
+std::optional<PooledConnection> BackendPool::TakeIdle(Group& group, ConnectionNeed need) {
+  if (need == ConnectionNeed::kFresh) return std::nullopt;
   // The last used first: it is the best proven.
   while (!group.idle.empty()) {
     PooledConnection connection = group.idle.back();
@@ -54,7 +55,7 @@
       continue;
     }
     const bool proven = clock_.Now() - connection.proven <= settings_.proven_alive;
-    if (must_be_proven && !proven) return std::nullopt;
+    if (need == ConnectionNeed::kProven && !proven) return std::nullopt;
     group.idle.pop_back();
     connection.reused = true;
     return connection;
--- a/src/forward/backend_pool.h
+++ b/src/forward/backend_pool.h
@@ -32,6 +32,13 @@
   bool reused = false;   // It has carried an answer before.
 };
 
+// Which connection an attempt needs.
+enum class ConnectionNeed {
+  kAny,     // An idle one will do: the work is idempotent and this is its first attempt.
+  kProven,  // An idle one only if it proved itself alive lately: the work is not idempotent.
+  kFresh,   // A new one: an earlier attempt may have met a connection that went silent.
+};
+
 class BackendPool {
  public:
   using AcquireCallback = std::function<void(std::variant<PooledConnection, ConnectError>)>;
@@ -39,8 +46,8 @@
   BackendPool(asio::io_context& io, const Clock& clock, const BackendSettings& settings,
               size_t max_header_bytes, size_t buffer_bytes);
 
-  // An idle connection, else a fresh one. `must_be_proven`: the work is not idempotent.
-  void Acquire(const Endpoint& server, RequestClass request_class, bool must_be_proven,
+  // An idle connection if the need allows it, else a fresh one.
+  void Acquire(const Endpoint& server, RequestClass request_class, ConnectionNeed need,
                AcquireCallback done);
   // Takes a connection back after a whole answer that kept it open.
   void Release(const Endpoint& server, RequestClass request_class, PooledConnection connection);
@@ -63,7 +70,7 @@
     uint32_t open = 0;                   // Idle ones, busy ones and those being made.
   };
 
-  std::optional<PooledConnection> TakeIdle(Group& group, bool must_be_proven);
+  std::optional<PooledConnection> TakeIdle(Group& group, ConnectionNeed need);
   void Connect(const GroupKey& key, AcquireCallback done);
   static void WatchIdle(const std::shared_ptr<HttpStream>& stream);
   void ForgetOne(const GroupKey& key);
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -253,11 +253,15 @@
   if (!body_whole_) {
     events.on_sent = [self = shared_from_this()] { self->PumpRequestBody(); };
   }
-  attempt->Start(FirstBytesFor(target), meta_.idempotent, head_.method == "HEAD",
-                 std::move(events));
+  attempt->Start(FirstBytesFor(target), NeedOfAttempt(), head_.method == "HEAD", std::move(events));
   return attempt;
 }
 
+ConnectionNeed Exchange::NeedOfAttempt() const {
+  if (end_.attempts > 1) return ConnectionNeed::kFresh;
+  return meta_.idempotent ? ConnectionNeed::kAny : ConnectionNeed::kProven;
+}
+
 void Exchange::OnSlow() {
   const bool may_hedge = attempt_ && !hedge_ && !answering_ && !ended_ && meta_.idempotent;
   if (!may_hedge || !body_whole_) return;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -63,6 +63,7 @@
   void OnChoice(const Choice& choice);
   std::shared_ptr<Attempt> StartAttempt(const SendTo& target);
   std::string FirstBytesFor(const SendTo& target) const;
+  ConnectionNeed NeedOfAttempt() const;
   void OnAttemptFailed(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
                        const std::string& detail);
   void ReportEnd(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
--- a/src/forward/probe_client.cc
+++ b/src/forward/probe_client.cc
@@ -59,7 +59,7 @@
     if (over) return Finish(probe, probe->report);
     probe->attempt->ReadNext();
   };
-  probe->attempt->Start(ProbeRequest(target), true, false, std::move(events));
+  probe->attempt->Start(ProbeRequest(target), ConnectionNeed::kAny, false, std::move(events));
 }
 
 void ProbeClient::Finish(const std::shared_ptr<Probe>& probe, const std::optional<Report>& report) {
--- a/src/manifest/manifest_follower.h
+++ b/src/manifest/manifest_follower.h
@@ -12,6 +12,7 @@
 #ifndef COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
 #define COWSLIPHILL_MANIFEST_MANIFEST_FOLLOWER_H_
 
+#include <cassert>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -88,7 +89,8 @@
   void Feed(const TrackerEvent& event, LoadedManifest* loaded = nullptr) {
     for (const TrackerAction& action : tracker_.On(event, clock_.Now())) {
       if (std::holds_alternative<PutInForce>(action)) {
-        Switch(*loaded);
+        assert(loaded != nullptr && "Feed: pass the manifest along with FetchDone or AcceptedHere");
+        if (loaded != nullptr) Switch(*loaded);
       } else {
         std::visit([this](const auto& it) { Do(it); }, action);
       }
--- a/src/measure/probe_grant.cc
+++ b/src/measure/probe_grant.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "src/base/msgpack.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -29,6 +31,7 @@
 }
 
 std::optional<GrantRow> DecodeGrant(const std::string& bytes) {
+  if (!IsShallowMsgpack(bytes)) return std::nullopt;
   const auto json = nlohmann::json::from_msgpack(bytes, true, false);
   try {
     if (json.at("v").get<int>() != kGrantVersion) return std::nullopt;
--- a/src/platform/http_platform.cc
+++ b/src/platform/http_platform.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/base/msgpack.h"
 #include "src/base/toml_reader.h"
 
 namespace cowsliphill {
@@ -65,6 +66,7 @@
 // Reads the answer with `read`; a malformed one is an error, never a crash.
 template <typename Answer, typename Read>
 Answer Unpack(const std::string& body, Read read) {
+  if (!IsShallowMsgpack(body)) return Malformed();
   try {
     return read(json::from_msgpack(body));
   } catch (const json::exception&) {
--- a/src/records/record_codec.cc
+++ b/src/records/record_codec.cc
@@ -8,6 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/base/msgpack.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -249,6 +251,7 @@
 }
 
 std::optional<NotesMessage> NotesFromBytes(const std::string& bytes, const EntryVmId& from) {
+  if (!IsShallowMsgpack(bytes)) return std::nullopt;
   try {
     const json doc = json::from_msgpack(bytes);
     if (doc.at(0).get<int>() != kNotesVersion) return std::nullopt;
@@ -259,6 +262,7 @@
 }
 
 std::optional<NotesReply> ReplyFromBytes(const std::string& bytes) {
+  if (!IsShallowMsgpack(bytes)) return std::nullopt;
   try {
     const json doc = json::from_msgpack(bytes);
     if (doc.at(0).get<int>() != kReplyVersion) return std::nullopt;
@@ -269,6 +273,7 @@
 }
 
 std::optional<RecordBatch> BatchFromBytes(const std::string& bytes) {
+  if (!IsShallowMsgpack(bytes)) return std::nullopt;
   try {
     const json doc = json::from_msgpack(bytes);
     if (doc.at("v").get<int>() != kBatchVersion) return std::nullopt;
