--- /dev/null
+++ b/fuzz/http_fuzz.cc
@@ -0,0 +1,50 @@
+// The HTTP edge: any bytes, cut anywhere, end in events or an error, and in the same ones however
+// they are cut.
+
+#include <cstdlib>
+#include <string>
+
+#include "src/forward/http_reader.h"
+#include "src/forward/request_headers.h"
+
+namespace {
+
+using cowsliphill::HttpBody;
+using cowsliphill::HttpEnd;
+using cowsliphill::HttpError;
+using cowsliphill::HttpEvent;
+using cowsliphill::HttpHead;
+using cowsliphill::HttpReader;
+
+constexpr size_t kMostHeaderBytes = 4096;
+
+std::string Word(const HttpEvent& event) {
+  if (const auto* head = std::get_if<HttpHead>(&event)) return "H" + head->target;
+  if (const auto* body = std::get_if<HttpBody>(&event)) return std::string(body->bytes);
+  return std::holds_alternative<HttpEnd>(event) ? "E" : "";
+}
+
+// Events of the bytes, fed `step` at a time.
+std::string Events(std::string_view bytes, size_t step) {
+  HttpReader reader(cowsliphill::HttpSide::kRequests, kMostHeaderBytes);
+  std::string events;
+  while (!bytes.empty()) {
+    std::string_view part = bytes.substr(0, step);
+    bytes.remove_prefix(part.size());
+    while (!part.empty()) {
+      const HttpReader::Step read = reader.Read(part);
+      if (std::holds_alternative<HttpError>(read.event)) return events + "!";
+      events += Word(read.event);
+      part.remove_prefix(read.consumed);
+    }
+  }
+  return events;
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  if (Events(bytes, bytes.size()) != Events(bytes, 1)) std::abort();
+  return 0;
+}
--- /dev/null
+++ b/fuzz/settings_fuzz.cc
@@ -0,0 +1,9 @@
+// Settings in TOML: any bytes are read or refused with issues.
+
+#include "src/settings/settings.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string text(reinterpret_cast<const char*>(data), size);
+  cowsliphill::ParseSettings(text, "settings.toml");
+  return 0;
+}
--- a/src/base/toml_reader.cc
+++ b/src/base/toml_reader.cc
@@ -2,12 +2,30 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 #include <utility>
 
 #include "src/base/ids.h"
+
+// toml++ asserts on some malformed keys, and in release builds assumes that there are none. Here it
+// throws in every build, so that such a text is refused like any other.
+namespace cowsliphill {
+struct TomlAssertion {};
+}  // namespace cowsliphill
+#pragma push_macro("NDEBUG")
+#ifndef __clang__
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wterminate"  // Accessors that are noexcept; parsing calls none.
+#endif
+#undef NDEBUG
+#define TOML_ASSERT(expr) ((expr) ? void() : throw cowsliphill::TomlAssertion{})
 #include "toml++/toml.h"
+#ifndef __clang__
+#pragma GCC diagnostic pop
+#endif
+#pragma pop_macro("NDEBUG")
 
 namespace cowsliphill {
 
@@ -33,6 +51,33 @@
   return "from " + least + " to " + most;
 }
 
+// What parsing a text came to.
+enum class Parsing { kDone, kRefused, kAsserted };
+
+Parsing Try(const std::string& text) {
+  try {
+    static_cast<void>(toml::parse(text));
+    return Parsing::kDone;
+  } catch (const toml::parse_error&) {
+    return Parsing::kRefused;
+  } catch (const TomlAssertion&) {
+    return Parsing::kAsserted;
+  }
+}
+
+// Line on which toml++ asserts, found by halving: the least number of lines that still asserts.
+size_t LineOfAssertion(const std::string& text) {
+  std::vector<size_t> ends;  // Of each line.
+  for (size_t at = 0; at < text.size(); ++at) {
+    if (text[at] == '\n') ends.push_back(at + 1);
+  }
+  ends.push_back(text.size());
+  const auto it = std::partition_point(ends.begin(), ends.end(), [&text](size_t end) {
+    return Try(text.substr(0, end)) != Parsing::kAsserted;
+  });
+  return static_cast<size_t>(it - ends.begin()) + 1;
+}
+
 }  // namespace
 
 struct TomlDocument::Tree {
@@ -58,6 +103,8 @@
     document.tree_ = std::make_unique<Tree>(Tree{toml::parse(text, file)});
   } catch (const toml::parse_error& e) {
     document.Add({file, e.source().begin.line, "", std::string(e.description()), "valid TOML"});
+  } catch (const TomlAssertion&) {
+    document.Add({file, LineOfAssertion(text), "", "a malformed key", "valid TOML"});
   }
   return document;
 }
--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -235,7 +235,9 @@
 
 void EntryVm::OnMembers() {
   const std::vector<Member>& live = members_->Live();
-  records_->OnMembers(live);
+  std::vector<Member> with_self = live;
+  with_self.push_back(members_->Self());
+  records_->OnMembers(with_self);
   std::vector<EntryVmId> ids = {id_};
   for (const Member& member : live) {
     if (member.state == MemberState::kAlive) ids.push_back(member.id);
@@ -392,6 +394,9 @@
   set("cowsliphill_claims_held", "Claims of open requests", claims_.Held());
   set("cowsliphill_claims_settling", "Claims whose end is not yet written", claims_.Settling());
   set("cowsliphill_records_waiting", "Records not yet stored", records_->Live());
+  set("cowsliphill_record_notes_sent", "Messages with notes to the partner",
+      records_->Counters().note_messages);
+  set("cowsliphill_records_dropped", "Records lost to a full buffer", records_->Buffer().Dropped());
   size_t lagging = 0;
   for (const PlaceLag& place : follower_->View().places) lagging += place.alarm ? 1 : 0;
   set("cowsliphill_places_lagging", "Places behind our manifest for too long", lagging);
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(Settings_WithSyntaxError_NameTheLine);
   CPPUNIT_TEST(Settings_AdminBeyondLoopbackWithoutToken_AreRefused);
   CPPUNIT_TEST(Settings_HostNameInsteadOfIp_AreRefused);
+  CPPUNIT_TEST(Settings_WithMalformedTableHeader_NameTheLine);
   CPPUNIT_TEST(Settings_WithoutPlace_AreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,13 @@
     CPPUNIT_ASSERT_EQUAL(std::string("edge.listen"), issue.key);
   }
 
+  void Settings_WithMalformedTableHeader_NameTheLine() {
+    for (const char* header : {"[\x01a]", "[.a]", "[[[a]]]"}) {
+      const std::string text = std::string("place = \"a\"\n") + header + "\n[edge]\n";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(header, size_t{2}, OnlyIssue(text).line);
+    }
+  }
+
   void Settings_WithoutPlace_AreRefused() {
     CPPUNIT_ASSERT_EQUAL(std::string("place"), OnlyIssue("").key);
   }
--- a/standins/http_server.cc
+++ b/standins/http_server.cc
@@ -25,6 +25,23 @@
   return text;
 }
 
+// The text with %XX taken back; anything else stays.
+std::string PercentDecoded(const std::string& text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    const bool coded = text[i] == '%' && i + 2 < text.size() &&
+                       std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+                       std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+    if (!coded) {
+      out += text[i];
+      continue;
+    }
+    out += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+    i += 2;
+  }
+  return out;
+}
+
 void SplitTarget(const std::string& target, HttpRequest& request) {
   const size_t mark = target.find('?');
   request.path = target.substr(0, mark);
@@ -35,7 +52,7 @@
     const std::string pair = target.substr(at, end - at);
     const size_t equals = pair.find('=');
     const std::string value = equals == std::string::npos ? "" : pair.substr(equals + 1);
-    request.query[pair.substr(0, equals)] = value;
+    request.query[pair.substr(0, equals)] = PercentDecoded(value);
     at = end + 1;
   }
 }
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -96,6 +96,7 @@
   RunningBackend& Backend(const std::string& name);
   const Endpoint& BackendAt(size_t i) const { return backends_.at(i).address; }
   const Endpoint& EdgeOf(size_t entry) const { return entries_.at(entry).edge; }
+  const Endpoint& EntryAdmin(size_t entry) const { return entries_.at(entry).admin; }
   size_t Backends() const { return backends_.size(); }
   const Endpoint& Platform() const { return platform_address_; }
   std::string Manifest() const;
