Chooser in two files; no hedge before 2 ms

In the path bench a tenth of the calls were hedged after a tenth of a millisecond, where a second attempt costs more than it can save. Ruled out: a change of the model's figures (its latencies are 10 ms, its hedges start above 2 ms). Conclusion: service_state.h is shared by chooser.cc and chooser_views.cc only.

--- a/src/choose/chooser.cc
+++ b/src/choose/chooser.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
-#include <cstdio>
+
+#include "src/choose/service_state.h"
 
 namespace cowsliphill {
 
@@ -13,8 +14,6 @@
 
 // Attempts for one request, the first included.
 constexpr size_t kMostAttempts = 3;
-// Servers remembered for having just reported a free slot.
-constexpr size_t kHotServers = 3;
 // Mean load per slot of the first reserved server at which more are reserved, or fewer, and the
 // least time since the last change.
 constexpr double kReserveMoreAt = 0.8;
@@ -40,97 +39,18 @@
 constexpr double kBulkShare = 0.5;
 // A waiting request is looked at again after this, should no event come.
 constexpr std::chrono::milliseconds kQueueTick{5};
+// No hedge sooner: at lower latencies a second attempt costs more than it saves.
+constexpr std::chrono::milliseconds kLeastHedgeDelay{2};
 constexpr std::chrono::milliseconds kLeastRetryAfter{50};
 constexpr std::chrono::milliseconds kMostRetryAfter{10000};
 
-Duration Times(Duration time, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(time.count()) * factor));
-}
-
 uint64_t ReservationOrder(const BackendServer& config) {
   const std::string& id = config.id.Text();
   return XXH3_64bits_withSeed(id.data(), id.size(), 1);
 }
 
-std::string_view NameOf(RefusalCause cause) {
-  switch (cause) {
-    case RefusalCause::kUnknownService:
-      return "unknown service";
-    case RefusalCause::kNoBackendServer:
-      return "no backend server";
-    case RefusalCause::kOverload:
-      return "overload";
-    case RefusalCause::kDeadline:
-      return "deadline";
-    case RefusalCause::kRetryBudget:
-      return "retry budget";
-  }
-  return "overload";
-}
-
-std::string_view NameOf(DecisionKind kind) {
-  switch (kind) {
-    case DecisionKind::kSend:
-      return "send";
-    case DecisionKind::kTrial:
-      return "trial";
-    case DecisionKind::kRetry:
-      return "retry";
-    case DecisionKind::kHedge:
-      return "hedge";
-    case DecisionKind::kWait:
-      return "wait";
-    case DecisionKind::kRefuse:
-      return "refuse";
-  }
-  return "send";
-}
-
 }  // namespace
 
-struct Chooser::ServiceState {
-  explicit ServiceState(double slots) : window(slots) {}
-
-  Service config;
-  bool listed = true;  // The manifest in force has it.
-  std::vector<Handle> members;
-  ServerLists lists;
-  ConcurrencyWindow window;
-  AdmissionQueue queue;
-  RetryBudget budget;        // Of retries and hedges together.
-  RetryBudget hedge_budget;  // Of hedges: the part of it that the weight of tail latency gives.
-  std::array<ClassLatency, kRequestClassCount> latency;
-  std::array<uint32_t, kRequestClassCount> open{};  // Our open attempts.
-  ReportTrust trust;
-  std::array<Handle, kHotServers> hot{};  // That reported a free slot, newest last.
-  size_t hot_count = 0;
-  double typical_others = 0.0;    // Requests of other entry VMs at a server, on average.
-  double typical_reserved = 0.0;  // The same for reserved servers.
-  double reserved_load = 0.0;     // Reported requests per slot at the first reserved server.
-  size_t more_reserved = 0;       // Servers reserved beyond the fixed share.
-  MonotonicTime reserve_changed;  // When more_reserved changed.
-  double shed_share = 0.0;        // Of the newest answers.
-  DecisionRing recent;
-
-  void OnFirstAttempt(uint32_t depth) {
-    budget.OnFirstAttempt(config.retry_budget, depth);
-    hedge_budget.OnFirstAttempt(config.retry_budget * config.tail_weight, depth);
-  }
-  bool HedgeAffordable() const { return budget.Affordable() && hedge_budget.Affordable(); }
-
-  ClassLatency& Latency(RequestClass request_class) {
-    return latency[static_cast<size_t>(request_class)];
-  }
-  uint32_t& Open(RequestClass request_class) { return open[static_cast<size_t>(request_class)]; }
-  uint32_t OpenOf(RequestClass request_class) const {
-    return open[static_cast<size_t>(request_class)];
-  }
-  // Emergencies pass over the window and are not counted against it.
-  uint32_t OpenInWindow() const {
-    return OpenOf(RequestClass::kRoutine) + OpenOf(RequestClass::kBulk);
-  }
-};
-
 Chooser::Chooser(PlaceId place, uint64_t seed)
     : place_(std::move(place)), random_(seed), picker_(servers_) {}
 
@@ -380,7 +300,8 @@
   const ClassLatency& latency = service.Latency(request.request_class);
   const bool hedgeable = request.repeatable && request.request_class != RequestClass::kBulk;
   if (hedgeable && request.attempts.size() == 1 && latency.Known()) {
-    hedges_.emplace(now + latency.HedgeDelay(), ticket);
+    const Duration delay = std::max<Duration>(latency.HedgeDelay(), kLeastHedgeDelay);
+    hedges_.emplace(now + delay, ticket);
   }
   DecisionEntry decision{.ticket = ticket, .kind = kind};
   decision.open = service.OpenInWindow();
@@ -694,64 +615,4 @@
   return std::exchange(newly_leaving_, {});
 }
 
-// --- What is shown
-
-std::vector<ServerView> Chooser::View(MonotonicTime now) const {
-  std::vector<ServerView> views;
-  for (const ServerState& server : servers_) {
-    if (!server.listed) continue;
-    const ServiceState& service = *services_[server.service];
-    const ClassLatency& typical = service.latency[static_cast<size_t>(RequestClass::kRoutine)];
-    ServerView view;
-    view.server = server.config.id;
-    view.service = server.config.service;
-    view.last_report = server.report;
-    view.report_age = server.report ? now - server.reported : Duration{};
-    view.in_flight = server.load.Own();
-    view.leaving = server.leaving.Leaving();
-    view.circuit = std::string(NameOf(server.circuit.State()));
-    view.latency_estimate = Times(typical.Mean(), server.ratio.Value(now));
-    views.push_back(std::move(view));
-  }
-  return views;
-}
-
-std::vector<Decision> Chooser::Recent(const ServiceId& service) const {
-  std::vector<Decision> decisions;
-  const auto it = service_index_.find(service);
-  if (it == service_index_.end()) return decisions;
-  services_[it->second]->recent.ForEach([&](const DecisionEntry& entry) {
-    Decision decision;
-    decision.ticket = entry.ticket;
-    if (entry.kind == DecisionKind::kWait) {
-      decision.chosen = "wait";
-    } else if (entry.kind == DecisionKind::kRefuse) {
-      decision.chosen = std::string(NameOf(static_cast<RefusalCause>(entry.cause)));
-    } else {
-      const ServerState& server = servers_[entry.chosen];
-      decision.chosen =
-          server.generation == entry.generation ? server.config.id.Text() : "removed server";
-    }
-    decision.reason = Explain(entry);
-    decisions.push_back(std::move(decision));
-  });
-  return decisions;
-}
-
-std::string Chooser::Explain(const DecisionEntry& entry) const {
-  char buf[96];
-  std::snprintf(buf, sizeof(buf), ": %u open of %.1f allowed, %u waiting", entry.open,
-                static_cast<double>(entry.window), entry.waiting);
-  std::string text = std::string(NameOf(entry.kind)) + buf;
-  for (size_t i = 0; i < entry.considered_count; ++i) {
-    const Considered& considered = entry.considered[i];
-    const ServerState& server = servers_[considered.server];
-    const bool same = server.generation == considered.generation;
-    std::snprintf(buf, sizeof(buf), " %.2f", static_cast<double>(considered.score));
-    text += (i == 0 ? "; expected latency in means: " : ", ");
-    text += (same ? server.config.id.Text() : "removed server") + buf;
-  }
-  return text;
-}
-
 }  // namespace cowsliphill
