--- a/src/forward/http_stream.cc
+++ b/src/forward/http_stream.cc
@@ -39,8 +39,9 @@
     if (!self->open_ || !self->on_event_) return;
     self->NeedBuffer();
     size_t n = 0;
-    if (!ec)
+    if (!ec) {
       n = self->socket_.read_some(asio::buffer(self->buffer_.get(), self->buffer_bytes_), ec);
+    }
     if (ec == asio::error::would_block || ec == asio::error::try_again) return self->ReadSome();
     if (ec) return self->Deliver(self->reader_.ReadClose());
     self->begin_ = 0;
