One reading of the manifest file for check and submit

Cause: manifest check and manifest submit each read, parsed and reported the file by the same lines. Ruled out: the pairs in claims' and records' fault matrices and in the peer client and server share shape and includes, not logic. Conclusion: ReadManifest serves both.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -81,15 +81,29 @@
   return kExitSuccess;
 }
 
-int RunManifestCheck(const cxxopts::ParseResult& options) {
+struct CheckedManifest {
+  std::string file;
+  std::string text;
+  Manifest manifest;
+};
+
+// The manifest that the command's file holds, or the exit code after telling what is wrong.
+Result<CheckedManifest, int> ReadManifest(const cxxopts::ParseResult& options) {
   const std::string file = FileArgument(options);
   if (file.empty()) return kExitUsage;
   const std::optional<std::string> text = ReadFile(file);
   if (!text) return PrintIssues({{file, 0, "", "an unreadable file", "a manifest in TOML"}});
   const ManifestResult manifest = ParseManifest(*text, file);
   if (!Ok(manifest)) return PrintIssues(ErrorOf(manifest));
-  std::cout << file << ": manifest is valid: " << ValueOf(manifest).services.size() << " services, "
-            << ValueOf(manifest).backend_servers.size() << " backend servers\n";
+  return CheckedManifest{file, *text, ValueOf(manifest)};
+}
+
+int RunManifestCheck(const cxxopts::ParseResult& options) {
+  const auto checked = ReadManifest(options);
+  if (!Ok(checked)) return ErrorOf(checked);
+  const Manifest& manifest = ValueOf(checked).manifest;
+  std::cout << ValueOf(checked).file << ": manifest is valid: " << manifest.services.size()
+            << " services, " << manifest.backend_servers.size() << " backend servers\n";
   return kExitSuccess;
 }
 
@@ -165,13 +179,10 @@
 }
 
 int RunManifestSubmit(const cxxopts::ParseResult& options) {
-  const std::string file = FileArgument(options);
-  if (file.empty()) return kExitUsage;
-  const std::optional<std::string> text = ReadFile(file);
-  if (!text) return PrintIssues({{file, 0, "", "an unreadable file", "a manifest in TOML"}});
-  const ManifestResult manifest = ParseManifest(*text, file);
-  if (!Ok(manifest)) return PrintIssues(ErrorOf(manifest));
-  return CallAdmin(options, "POST", "/v1/manifest" + SubmissionQuery(options), *text);
+  const auto checked = ReadManifest(options);
+  if (!Ok(checked)) return ErrorOf(checked);
+  return CallAdmin(options, "POST", "/v1/manifest" + SubmissionQuery(options),
+                   ValueOf(checked).text);
 }
 
 int RunManifestRollBack(const cxxopts::ParseResult& options) {
