--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -18,7 +18,7 @@
 
 #include "src/claims/claim_keeper.h"
 #include "src/claims/grouped_table.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 #include "src/records/record_keeper.h"
 
 namespace cowsliphill {
--- a/bench/members_bench.cc
+++ b/bench/members_bench.cc
@@ -26,7 +26,7 @@
 
 #include "src/members/members.h"
 #include "src/members/peer_transport.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 #include "tests/virtual_network.h"
 
 namespace cowsliphill {
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "src/base/ids.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 #include "src/settings/settings.h"
 
 namespace cowsliphill {
--- /dev/null
+++ b/src/catalog/catalog_follower.h
@@ -0,0 +1,207 @@
+// Keeps this entry VM's catalog up to date: from the platform's store when it is its turn to ask,
+// else from the news of the entry VM that asks. TableWatch decides which.
+//
+// `tell` sends news to all other entry VMs; give what comes from them to OnNews. A manifest with a
+// lower revision than the one in force is never taken.
+
+#ifndef COWSLIPHILL_CATALOG_CATALOG_FOLLOWER_H_
+#define COWSLIPHILL_CATALOG_CATALOG_FOLLOWER_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "src/base/clock.h"
+#include "src/catalog/catalog.h"
+#include "src/catalog/server_list.h"
+#include "src/catalog/table_watch.h"
+#include "src/zone/zone_message.h"
+
+namespace cowsliphill {
+
+struct CatalogListener {
+  std::function<void(const std::shared_ptr<const Manifest>&)> on_manifest;
+  std::function<void(const std::vector<BackendServer>&)> on_servers;
+  std::function<void(const CatalogNews&)> tell;
+  // The store was lost (with the error) or regained (empty text).
+  std::function<void(const std::string& table, const std::string& error)> on_store;
+};
+
+template <CatalogStore Store>
+class CatalogFollower {
+ public:
+  static constexpr std::chrono::milliseconds kTick{50};  // Call Tick about this often.
+
+  // `store` outlives the follower; its callbacks must not run after the follower is gone.
+  CatalogFollower(EntryVmId self, Store& store, const Clock& clock, CatalogListener listener,
+                  TableWatchTimes times = {})
+      : self_(std::move(self)),
+        store_(store),
+        clock_(clock),
+        listener_(std::move(listener)),
+        manifest_watch_(times),
+        servers_watch_(times) {}
+
+  // Place in the order of election among the entry VMs that are alive; 0 asks the store.
+  void SetRank(uint32_t rank) { rank_ = rank; }
+
+  void Tick() {
+    const MonotonicTime now = clock_.Now();
+    AskManifest(manifest_watch_.Next(rank_, now));
+    AskServers(servers_watch_.Next(rank_, now));
+    if (servers_.DropLapsed(Outage(now), now)) listener_.on_servers(servers_.All());
+  }
+
+  void OnNews(const CatalogNews& news, bool from_before_us) {
+    const MonotonicTime now = clock_.Now();
+    if (news.since_failure < std::chrono::minutes(1)) {
+      servers_watch_.OnOthersFailure(now - news.since_failure);
+    }
+    manifest_watch_.OnNews(news.manifest_version, false, from_before_us, now - news.manifest_age);
+    const uint64_t before = servers_watch_.Version();
+    const bool covered = news.from <= before;
+    if (covered && news.servers_version > before) {
+      TakeServers({news.servers_version, false, news.changed, news.gone}, now);
+    }
+    servers_watch_.OnNews(news.servers_version, covered, from_before_us, now - news.servers_age);
+    Tick();
+  }
+
+  // Whether both tables were read.
+  bool Ready() const { return manifest_ != nullptr && servers_watch_.Known(); }
+  const std::shared_ptr<const Manifest>& InForce() const { return manifest_; }
+  bool IsReader() const { return rank_ == 0 || servers_watch_.IsReading(); }
+  Duration ManifestAge() const { return clock_.Now() - manifest_watch_.Confirmed(); }
+  Duration ServersAge() const { return clock_.Now() - servers_watch_.Confirmed(); }
+  size_t ServerCount() const { return servers_.Size(); }
+
+ private:
+  using Step = TableWatch::Step;
+  static constexpr size_t kToldAgain = 4;           // Changes go out so many times: datagrams get lost.
+  static constexpr size_t kMostToldServers = 100;   // More than fit into a datagram.
+
+  bool Outage(MonotonicTime now) const {
+    return servers_watch_.FailedWithin(ServerList::kReturnTime, now);
+  }
+
+  void AskManifest(Step step) {
+    if (step == Step::kNone) return;
+    const auto done = [this](const Result<ManifestPage, CatalogError>& result) {
+      const MonotonicTime now = clock_.Now();
+      if (!Ok(result)) return Failed("manifest", manifest_watch_, ErrorOf(result), now);
+      const ManifestPage& page = ValueOf(result);
+      Reached("manifest", manifest_lost_);
+      manifest_watch_.OnAnswer(page.version, rank_, now);
+      if (page.manifest && (!manifest_ || page.manifest->revision > manifest_->revision)) {
+        manifest_ = page.manifest;
+        listener_.on_manifest(manifest_);
+      }
+      Tell(now);
+      Tick();
+    };
+    if (step == Step::kReadWhole) return store_.ReadManifest(done);
+    store_.WatchManifest(manifest_watch_.Version(), HoldOf(step), done);
+  }
+
+  void AskServers(Step step) {
+    if (step == Step::kNone) return;
+    const auto done = [this](const Result<ServersPage, CatalogError>& result) {
+      const MonotonicTime now = clock_.Now();
+      if (!Ok(result)) return Failed("servers", servers_watch_, ErrorOf(result), now);
+      const ServersPage& page = ValueOf(result);
+      Reached("servers", servers_lost_);
+      const uint64_t before = servers_watch_.Version();
+      servers_watch_.OnAnswer(page.version, rank_, now);
+      TakeServers(page, now);
+      if (page.whole) {
+        told_.clear();
+      } else {
+        told_.push_back({before, page.changed, page.gone});
+        if (told_.size() > kToldAgain) told_.pop_front();
+      }
+      Tell(now);
+      Tick();
+    };
+    if (step == Step::kReadWhole) return store_.ReadServers(done);
+    store_.WatchServers(servers_watch_.Version(), HoldOf(step), done);
+  }
+
+  std::chrono::milliseconds HoldOf(Step step) const {
+    return step == Step::kWatch ? servers_watch_.Hold() : std::chrono::milliseconds(0);
+  }
+
+  void TakeServers(const ServersPage& page, MonotonicTime now) {
+    const bool nothing = page.changed.empty() && page.gone.empty() && !page.whole;
+    if (nothing) return;
+    servers_.Apply(page, Outage(now), now);
+    listener_.on_servers(servers_.All());
+  }
+
+  void Failed(const char* table, TableWatch& watch, const CatalogError& error, MonotonicTime now) {
+    if (error.kind == CatalogErrorKind::kHistoryGone) {
+      watch.OnHistoryGone();
+      return Tick();
+    }
+    watch.OnFailure(now);
+    bool& lost = &watch == &manifest_watch_ ? manifest_lost_ : servers_lost_;
+    if (!lost) listener_.on_store(table, error.detail);
+    lost = true;
+  }
+
+  void Reached(const char* table, bool& lost) {
+    if (lost) listener_.on_store(table, "");
+    lost = false;
+  }
+
+  // Tells what this entry VM has just heard from the store itself.
+  void Tell(MonotonicTime now) {
+    if (!manifest_watch_.Known() || !servers_watch_.Known()) return;
+    const auto millis = [](Duration d) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(d);
+    };
+    CatalogNews news;
+    news.sender = self_;
+    news.manifest_version = manifest_watch_.Version();
+    news.manifest_age = millis(now - manifest_watch_.Confirmed());
+    news.servers_version = servers_watch_.Version();
+    news.servers_age = millis(now - servers_watch_.Confirmed());
+    news.since_failure = millis(servers_watch_.SinceFailure(now));
+    news.from = told_.empty() ? news.servers_version : told_.front().from;
+    for (const Told& told : told_) {
+      news.changed.insert(news.changed.end(), told.changed.begin(), told.changed.end());
+      news.gone.insert(news.gone.end(), told.gone.begin(), told.gone.end());
+    }
+    if (news.changed.size() + news.gone.size() > kMostToldServers) {
+      news.changed.clear();
+      news.gone.clear();
+      news.from = news.servers_version;
+    }
+    listener_.tell(news);
+  }
+
+  // What one answer of the store changed, since version `from`.
+  struct Told {
+    uint64_t from = 0;
+    std::vector<BackendServer> changed;
+    std::vector<BackendServerId> gone;
+  };
+
+  EntryVmId self_;
+  Store& store_;
+  const Clock& clock_;
+  CatalogListener listener_;
+  TableWatch manifest_watch_;
+  TableWatch servers_watch_;
+  ServerList servers_;
+  std::shared_ptr<const Manifest> manifest_;  // In force; null until one was read.
+  std::deque<Told> told_;
+  uint32_t rank_ = 0;
+  bool manifest_lost_ = false;
+  bool servers_lost_ = false;
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_CATALOG_CATALOG_FOLLOWER_H_
--- /dev/null
+++ b/src/catalog/table_watch.h
@@ -0,0 +1,120 @@
+// When an entry VM asks the platform's store about one table, and when it relies on another's
+// news. Pure.
+//
+// One entry VM, the first in the order of election, holds a call to the store all the time and
+// tells the others what it hears, or that nothing has changed. Who hears nothing for its patience
+// asks for itself and tells the others in turn, so the first of them takes over. Patience grows
+// with the place in the order, so that they don't all ask at once.
+
+#ifndef COWSLIPHILL_CATALOG_TABLE_WATCH_H_
+#define COWSLIPHILL_CATALOG_TABLE_WATCH_H_
+
+#include <algorithm>
+#include <cstdint>
+
+#include "src/base/clock.h"
+
+namespace cowsliphill {
+
+struct TableWatchTimes {
+  std::chrono::milliseconds hold{500};            // The store may hold a call for so long.
+  std::chrono::milliseconds patience{1000};       // Without news; then one asks for itself.
+  std::chrono::milliseconds patience_step{120};   // More for each place in the order.
+  std::chrono::milliseconds retry{200};           // After a failed call; doubles.
+  std::chrono::milliseconds longest_retry{600};
+  uint32_t most_steps = 4;                        // Places beyond it are as patient as this one.
+  std::chrono::milliseconds spacing{250};         // Least time between the starts of two calls.
+};
+
+class TableWatch {
+ public:
+  enum class Step { kNone, kReadWhole, kWatch, kCheck };  // kCheck: a watch that isn't held.
+
+  explicit TableWatch(TableWatchTimes times = {}) : times_(times) {}
+
+  // `rank`: place in the order of election, 0 first.
+  Step Next(uint32_t rank, MonotonicTime now) {
+    if (calling_ || now < not_before_) return Step::kNone;
+    if (!known_) return Begin(Step::kReadWhole, now);
+    if (behind_) return Begin(Step::kCheck, now);
+    if (rank == 0 || reading_) return Begin(Step::kWatch, now);
+    const Duration patience =
+        times_.patience + times_.patience_step * std::min(rank, times_.most_steps);
+    if (now - confirmed_ > patience) return Begin(Step::kCheck, now);
+    return Step::kNone;
+  }
+
+  // The store answered with everything up to `version`.
+  void OnAnswer(uint64_t version, uint32_t rank, MonotonicTime now) {
+    calling_ = false;
+    retry_ = Duration{};
+    known_ = true;
+    behind_ = false;
+    version_ = std::max(version_, version);
+    confirmed_ = now;
+    reading_ = rank != 0;
+  }
+  void OnFailure(MonotonicTime now) {
+    calling_ = false;
+    retry_ = std::clamp<Duration>(retry_ * 2, times_.retry, times_.longest_retry);
+    not_before_ = now + retry_;
+    last_failure_ = now;
+    failed_ = true;
+  }
+  void OnHistoryGone() {
+    calling_ = false;
+    known_ = false;
+  }
+  // Another entry VM stood at `version` at `confirmed`; `covered`: we now have all up to there.
+  // `from_first` when the news come from an entry VM before us in the order.
+  void OnNews(uint64_t version, bool covered, bool from_before_us, MonotonicTime confirmed) {
+    if (!known_ || version < version_) return;
+    if (version > version_ && !covered) {
+      behind_ = true;
+      return;
+    }
+    version_ = version;
+    confirmed_ = std::max(confirmed_, confirmed);
+    if (from_before_us) reading_ = false;
+  }
+  void OnOthersFailure(MonotonicTime when) {
+    last_failure_ = std::max(last_failure_, when);
+    failed_ = true;
+  }
+
+  bool Known() const { return known_; }
+  uint64_t Version() const { return version_; }
+  MonotonicTime Confirmed() const { return confirmed_; }
+  bool IsReading() const { return reading_; }
+  std::chrono::milliseconds Hold() const { return times_.hold; }
+  // Whether the store was out of reach within `span` before now.
+  bool FailedWithin(Duration span, MonotonicTime now) const {
+    return failed_ && now - last_failure_ < span;
+  }
+  Duration SinceFailure(MonotonicTime now) const {
+    return failed_ ? now - last_failure_ : Duration(std::chrono::hours(1));
+  }
+
+ private:
+  Step Begin(Step step, MonotonicTime now) {
+    calling_ = true;
+    not_before_ = now + times_.spacing;
+    return step;
+  }
+
+  TableWatchTimes times_;
+  bool known_ = false;    // The whole was read once.
+  bool behind_ = false;   // Others know more.
+  bool calling_ = false;  // A call is open.
+  bool reading_ = false;  // Took over from those before us.
+  bool failed_ = false;   // A call has failed.
+  uint64_t version_ = 0;
+  Duration retry_{};
+  MonotonicTime confirmed_{};   // When the version was last known to be the newest.
+  MonotonicTime not_before_{};  // No call before this.
+  MonotonicTime last_failure_{};
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_CATALOG_TABLE_WATCH_H_
--- a/src/claims/claim_keeper.h
+++ b/src/claims/claim_keeper.h
@@ -32,7 +32,7 @@
 #include "src/claims/claim_protocol.h"
 #include "src/claims/settle_queue.h"
 #include "src/claims/table_circuit.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/claims/claim_keeper_test.cc
+++ b/src/claims/claim_keeper_test.cc
@@ -6,7 +6,7 @@
 
 #include "src/claims/claim_sweeper.h"
 #include "src/claims/grouped_table.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 namespace {
--- a/src/claims/claim_protocol.h
+++ b/src/claims/claim_protocol.h
@@ -25,7 +25,7 @@
 #include "src/base/clock.h"
 #include "src/claims/claim.h"
 #include "src/claims/claim_row.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/claims/claim_sweeper.h
+++ b/src/claims/claim_sweeper.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "src/claims/claim_sweep.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/claims/fault_matrix_test.cc
+++ b/src/claims/fault_matrix_test.cc
@@ -15,7 +15,7 @@
 
 #include "src/claims/claim_keeper.h"
 #include "src/claims/grouped_table.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 namespace {
--- a/src/claims/grouped_table.h
+++ b/src/claims/grouped_table.h
@@ -20,7 +20,7 @@
 #include <utility>
 #include <vector>
 
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -1,5 +1,6 @@
 #include "src/cli/commands.h"
 
+#include <cstdlib>
 #include <httplib.h>
 
 #include <cxxopts.hpp>
@@ -10,7 +11,9 @@
 #include <optional>
 #include <random>
 
+#include "platform/adapter.h"
 #include "src/cli/entry_vm.h"
+#include "src/cli/routed_entry.h"
 #include "src/manifest/manifest_format.h"
 #include "src/settings/settings.h"
 
@@ -62,13 +65,26 @@
       "token", "Bearer token, if the entry VM has tokens set", cxxopts::value<std::string>());
 }
 
+std::string OptionOr(const cxxopts::ParseResult& options, const std::string& name,
+                     const std::string& fallback) {
+  return options.count(name) > 0 ? options[name].as<std::string>() : fallback;
+}
+
 int RunServe(const cxxopts::ParseResult& options) {
-  if (options.count("settings") == 0) return Usage("serve: --settings FILE is needed");
-  const SettingsResult settings = LoadSettings(options["settings"].as<std::string>());
+  std::string file = OptionOr(options, "settings", "");
+  if (file.empty() && options.count("settings-from") > 0) {
+    const char* value = std::getenv(options["settings-from"].as<std::string>().c_str());
+    file = value != nullptr ? value : "";
+  }
+  if (file.empty()) return Usage("serve: --settings FILE is needed");
+  const SettingsResult settings = LoadSettings(file);
   if (!Ok(settings)) return PrintIssues(ErrorOf(settings));
   const SystemClock clock;
   std::random_device device;
   const uint64_t seed = (static_cast<uint64_t>(device()) << 32) | device();
+  if (ValueOf(settings).platform.kind == PlatformKind::kStore) {
+    return RoutedEntry(ValueOf(settings), platform::MakeAdapter(), clock, seed).Run();
+  }
   return EntryVm(ValueOf(settings), clock, seed).Run();
 }
 
@@ -157,11 +173,6 @@
   return name + "=" + httplib::detail::encode_query_param(value);
 }
 
-std::string OptionOr(const cxxopts::ParseResult& options, const std::string& name,
-                     const std::string& fallback) {
-  return options.count(name) > 0 ? options[name].as<std::string>() : fallback;
-}
-
 std::string NewSubmissionId() {
   std::random_device device;
   return "cli-" + std::to_string(device()) + "-" + std::to_string(device());
@@ -230,9 +241,11 @@
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> commands = {
-      {"serve", "--settings FILE", "Run one entry VM", RunServe,
+      {"serve", "--settings FILE | --settings-from VARIABLE", "Run one entry VM", RunServe,
        [](cxxopts::Options& options) {
-         options.add_options()("settings", "Settings in TOML", cxxopts::value<std::string>());
+         options.add_options()("settings", "Settings in TOML", cxxopts::value<std::string>())(
+             "settings-from", "Environment variable that holds the path of the settings",
+             cxxopts::value<std::string>());
        }},
       {"settings check", "FILE", "Check a settings file", RunSettingsCheck, AddFile},
       {"manifest check", "FILE", "Check a manifest", RunManifestCheck, AddFile},
--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -10,6 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "src/forward/plain_server.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -38,18 +40,6 @@
   return end.late ? RecordCause::kLate : RecordCause::kOnTime;
 }
 
-// The value of a name in a query string, without percent-decoding: ids need none.
-std::string QueryValue(const std::string& query, const std::string& name) {
-  size_t begin = 0;
-  while (begin < query.size()) {
-    const size_t end = std::min(query.find('&', begin), query.size());
-    const std::string part = query.substr(begin, end - begin);
-    if (part.rfind(name + "=", 0) == 0) return part.substr(name.size() + 1);
-    begin = end + 1;
-  }
-  return "";
-}
-
 }  // namespace
 
 // ---- 1. Build ----------------------------------------------------------------------------------
@@ -66,7 +56,7 @@
       platform_(clock_, settings_.platform, on_loop_),
       manifest_(std::make_shared<Manifest>()),
       chooser_(settings_.place, seed),
-      dispatcher_(io_, clock_, chooser_),
+      dispatcher_(io_, clock_, &chooser_),
       pool_(io_, clock_, settings_.backend, settings_.edge.max_header_bytes, kReadBufferBytes),
       claims_(platform_, clock_, seed, id_),
       claim_sweeper_(platform_, clock_, seed),
@@ -75,7 +65,12 @@
       admin_(settings_.admin, on_loop_),
       peers_(io_, clock_, id_, settings_.peer),
       record_reader_(platform_),
-      probe_client_(io_, clock_, settings_,
+      probe_client_(io_, clock_, settings_.backend,
+                    [](const HttpHead& answer, const ProbeTarget& target) {
+                      return ParseReport(target.format, [&answer](const std::string& name) {
+                        return answer.Find(name);
+                      });
+                    },
                     [this](const ProbeTarget& target, const std::optional<Report>& report) {
                       OnProbed(target, report);
                     }),
@@ -95,7 +90,7 @@
 EntryVm::~EntryVm() = default;
 
 ForwardContext EntryVm::MakeContext() {
-  ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, claims_};
+  ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, &claims_};
   context.manifest = [this] { return manifest_; };
   context.ready = [this] { return follower_ && follower_->Ready(); };
   context.lookup = [this](const std::string& caller_ip, const std::string& query) {
--- /dev/null
+++ b/src/cli/routed_entry.cc
@@ -0,0 +1,502 @@
+#include "src/cli/routed_entry.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{25};                // Resolution of probes and of the catalog's calls.
+constexpr milliseconds kShareDelay{10};          // Gathers the answers of probes sent together.
+constexpr milliseconds kOutcomeInterval{500};    // Between tellings when no report goes out.
+constexpr milliseconds kProbeTimeout{300};       // Servers answer probes at once.
+constexpr milliseconds kSecond{1000};
+constexpr milliseconds kStopPollInterval{50};    // Between looks whether the last request ended.
+constexpr milliseconds kFarewell{150};           // For the last peer messages to go out.
+constexpr double kAcceptShare = 0.7;             // Of the stop time, in which callers still come.
+constexpr double kWorkShare = 0.93;              // Of the stop time, after which requests are cut.
+constexpr double kUnusualLines = 20;             // A second.
+constexpr double kUsualLines = 2;                // A second; a sample.
+constexpr double kBurstSeconds = 5;              // Worth of lines that may come at once.
+
+// Other systems' and damaged datagrams are kept out by this key.
+std::string DatagramKey(const Settings& settings) { return settings.peer.key + " datagram"; }
+
+uint64_t ElectionOrder(const EntryVmId& id) {
+  return XXH3_64bits(id.Text().data(), id.Text().size());
+}
+
+double Millis(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+// ---- 1. Build and listen -----------------------------------------------------------------------
+
+RoutedEntry::RoutedEntry(Settings settings, PlatformAdapter adapter, const Clock& clock,
+                         uint64_t seed)
+    : settings_(std::move(settings)),
+      adapter_(std::move(adapter)),
+      clock_(clock),
+      id_(settings_.place.Text() + "-" + fmt::format("{:016x}", seed)),
+      log_(clock_, settings_.log),
+      store_(adapter_.open_store(io_, clock_, settings_.platform.endpoint,
+                                 [this](const std::string& key, const std::string& why) {
+                                   metrics_.OnBadInput("row");
+                                   log_.Write(LogLevel::kWarning, "store row left out",
+                                              {{"key", key}, {"detail", why}});
+                                 })),
+      follower_(id_, store_, clock_, MakeListener()),
+      balancer_(settings_.place, seed, settings_.retries),
+      dispatcher_(io_, clock_, &balancer_),
+      pool_(io_, clock_, settings_.backend, settings_.edge.max_header_bytes, kReadBufferBytes),
+      manifest_(std::make_shared<Manifest>()),
+      context_(MakeContext()),
+      edge_(context_),
+      lookup_server_(io_, [this](const std::string& path,
+                                 const std::string& query) { return AnswerLookup(path, query); }),
+      readiness_server_(io_, [this](const std::string& path,
+                                    const std::string&) { return AnswerReadiness(path); }),
+      metrics_server_(io_, [this](const std::string& path,
+                                  const std::string&) { return AnswerMetrics(path); }),
+      peers_(io_, clock_, id_, settings_.peer),
+      datagrams_(io_, DatagramKey(settings_),
+                 [this](const std::string& payload) { OnDatagram(payload); }),
+      prober_(id_),
+      probe_client_(io_, clock_, settings_.backend,
+                    [this](const HttpHead& answer, const ProbeTarget& target) {
+                      return adapter_.probe_report(answer, target.server);
+                    },
+                    [this](const ProbeTarget& target, const std::optional<Report>& report) {
+                      OnProbed(target, report);
+                    }),
+      unusual_lines_(kUnusualLines, kUnusualLines * kBurstSeconds),
+      usual_lines_(kUsualLines, kUsualLines * kBurstSeconds),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      tick_timer_(io_),
+      second_timer_(io_),
+      share_timer_(io_),
+      stop_timer_(io_) {
+  context_.ids.prefix = seed;
+  dispatcher_.OnSlow([this](Ticket ticket) {
+    const auto it = context_.exchanges.find(ticket);
+    if (it != context_.exchanges.end()) it->second->OnSlow();
+  });
+}
+
+RoutedEntry::~RoutedEntry() = default;
+
+ForwardContext RoutedEntry::MakeContext() {
+  ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, nullptr};
+  context.manifest = [this] { return manifest_; };
+  context.ready = [this] { return follower_.Ready(); };
+  context.on_report = [this](const BackendServerId& server, const Report& report) {
+    OnAnswerReport(server, report);
+  };
+  context.observer.on_started = [](const RequestMeta&, WallTime) { return uint64_t{0}; };
+  context.observer.on_ended = [this](const RequestEnd& end) { OnRequestEnded(end); };
+  context.observer.on_bad_input = [this](const std::string& kind, const std::string& detail) {
+    metrics_.OnBadInput(kind);
+    if (!unusual_lines_.Allow(clock_.Now())) return;
+    log_.Write(LogLevel::kWarning, "bad input", {{"kind", kind}, {"detail", detail}});
+  };
+  context.wire = adapter_.wire;
+  return context;
+}
+
+CatalogListener RoutedEntry::MakeListener() {
+  CatalogListener listener;
+  listener.on_manifest = [this](const std::shared_ptr<const Manifest>& manifest) {
+    OnManifest(manifest);
+  };
+  listener.on_servers = [this](const std::vector<BackendServer>& servers) { OnServers(servers); };
+  listener.tell = [this](const CatalogNews& news) { Tell(news); };
+  listener.on_store = [this](const std::string& table, const std::string& error) {
+    log_.Write(error.empty() ? LogLevel::kInfo : LogLevel::kWarning,
+               error.empty() ? "store regained" : "store lost",
+               {{"table", table}, {"detail", error}});
+  };
+  return listener;
+}
+
+std::string RoutedEntry::Listen() {
+  std::string error = edge_.Listen(settings_.edge.listen);
+  if (error.empty()) error = lookup_server_.Listen(settings_.platform.lookup_listen);
+  if (error.empty()) error = readiness_server_.Listen(settings_.platform.readiness_listen);
+  if (!error.empty()) return error;
+  if (settings_.platform.metrics_listen.port != 0) {
+    error = metrics_server_.Listen(settings_.platform.metrics_listen);
+    if (!error.empty()) return error;
+  }
+  const auto peer = peers_.Listen();
+  if (!Ok(peer)) {
+    return "peer.listen: " + ErrorOf(peer).endpoint.ToString() + ": " + ErrorOf(peer).detail;
+  }
+  // Datagrams go to the number of the peer port: one address names an entry VM for both.
+  error = datagrams_.Listen({settings_.peer.listen.ip, ValueOf(peer).port});
+  if (!error.empty()) return "datagrams: " + error;
+  const Member self{id_,
+                    settings_.edge.advertise,
+                    settings_.peer.advertise,
+                    settings_.place,
+                    settings_.region,
+                    MemberState::kAlive};
+  MembershipConfig membership;
+  membership.seeds = settings_.peer.seeds;
+  MembersOptions options;
+  options.seed = context_.ids.prefix;
+  members_.emplace(io_, clock_, peers_, no_vm_list_, membership, self, options);
+  members_->Subscribe([this](const MemberChange&) { OnMembers(); });
+  OnMembers();
+  return "";
+}
+
+int RoutedEntry::Run() {
+  const std::string error = Listen();
+  if (!error.empty()) {
+    log_.Write(LogLevel::kError, "can't listen", {{"detail", error}});
+    return 1;
+  }
+  log_.Write(LogLevel::kInfo, "started",
+             {{"entry_vm", id_.Text()}, {"edge", settings_.edge.listen.ToString()}});
+  AwaitSignal();
+  EveryTick();
+  EverySecond();
+  io_.run();
+  DrainLoop();
+  log_.Write(LogLevel::kInfo, "stopped", {{"entry_vm", id_.Text()}});
+  return 0;
+}
+
+// ---- 2. Catalog and members --------------------------------------------------------------------
+
+void RoutedEntry::OnManifest(const std::shared_ptr<const Manifest>& manifest) {
+  manifest_ = manifest;
+  ApplyCatalog();
+  log_.Write(LogLevel::kInfo, "manifest in force",
+             {{"revision", static_cast<int64_t>(manifest_->revision)},
+              {"routes", static_cast<int64_t>(manifest_->routes.size())}});
+}
+
+void RoutedEntry::OnServers(const std::vector<BackendServer>& servers) {
+  servers_ = servers;
+  ApplyCatalog();
+}
+
+void RoutedEntry::ApplyCatalog() {
+  balancer_.Apply(manifest_->services, servers_, clock_.Now());
+  prober_.SetServers(servers_);
+  targets_.clear();
+  for (const BackendServer& server : servers_) {
+    ProbeTarget target;
+    target.server = server.id;
+    target.endpoint = server.endpoint;
+    target.timeout = kProbeTimeout;
+    for (const Service& service : manifest_->services) {
+      if (service.id == server.service) target.path = service.probe_path;
+    }
+    targets_[server.id] = std::move(target);
+  }
+  dispatcher_.PollSoon();
+}
+
+void RoutedEntry::Tell(const CatalogNews& news) {
+  datagrams_.Send(all_peers_, EncodeZoneMessage(news));
+}
+
+void RoutedEntry::OnNews(const CatalogNews& news) {
+  follower_.OnNews(news, ElectionOrder(news.sender) < ElectionOrder(id_));
+}
+
+void RoutedEntry::OnMembers() {
+  all_peers_.clear();
+  near_peers_.clear();
+  std::vector<EntryVmId> near = {id_};
+  uint32_t rank = 0;
+  size_t alive = 1;
+  for (const Member& member : members_->Live()) {
+    if (member.state != MemberState::kAlive) continue;
+    ++alive;
+    all_peers_.push_back(member.peer);
+    if (ElectionOrder(member.id) < ElectionOrder(id_)) ++rank;
+    if (member.place != settings_.place) continue;
+    near_peers_.push_back(member.peer);
+    near.push_back(member.id);
+  }
+  follower_.SetRank(rank);
+  prober_.SetMembers(std::move(near));
+  balancer_.SetEntryVms(alive);
+}
+
+bool RoutedEntry::Ready() const { return follower_.Ready() && !stopping_; }
+
+PlainAnswer RoutedEntry::AnswerLookup(const std::string& path, const std::string& query) {
+  if (path != adapter_.lookup_path) return {404, "text/plain", "not found\n"};
+  std::vector<Member> members = members_->WithSelf();
+  const std::vector<Endpoint> entries =
+      NearEntries(members, PlaceId(QueryValue(query, adapter_.lookup_place)),
+                  RegionId(QueryValue(query, adapter_.lookup_region)));
+  return {200, "application/json",
+          adapter_.format_lookup(entries, manifest_->entry.lookup_lifetime)};
+}
+
+PlainAnswer RoutedEntry::AnswerReadiness(const std::string& path) {
+  if (path != adapter_.readiness_path) return {404, "text/plain", "not found\n"};
+  return Ready() ? PlainAnswer{200, "text/plain", "ready\n"}
+                 : PlainAnswer{503, "text/plain", "not ready\n"};
+}
+
+PlainAnswer RoutedEntry::AnswerMetrics(const std::string& path) {
+  if (path != "/metrics") return {404, "text/plain", "not found\n"};
+  SetGauges();
+  return {200, "text/plain; version=0.0.4", metrics_.Serialize()};
+}
+
+// ---- 3. Reports on backend servers -------------------------------------------------------------
+
+void RoutedEntry::OnDatagram(const std::string& payload) {
+  const std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
+  if (!message) return metrics_.OnBadInput("datagram");
+  if (const auto* batch = std::get_if<ReportBatch>(&*message)) return OnReports(*batch);
+  OnNews(std::get<CatalogNews>(*message));
+}
+
+void RoutedEntry::OnReports(const ReportBatch& batch) {
+  const MonotonicTime now = clock_.Now();
+  for (const ServerReport& item : batch.reports) {
+    if (item.report) balancer_.OnReport(item.server, *item.report, now - item.age);
+    if (item.missed) balancer_.OnMissedProbe(item.server);
+    if (item.answered + item.failed > 0) {
+      balancer_.OnOutcomes({item.server, item.answered, item.failed});
+    }
+  }
+  if (balancer_.Waiting() > 0) dispatcher_.PollSoon();
+}
+
+void RoutedEntry::SendProbes() {
+  for (const BackendServerId& server : prober_.Due(clock_.Now())) {
+    const auto it = targets_.find(server);
+    if (it != targets_.end()) probe_client_.Send(it->second);
+  }
+}
+
+void RoutedEntry::OnProbed(const ProbeTarget& target, const std::optional<Report>& report) {
+  prober_.OnEnded(target.server);
+  ServerReport& item = to_share_[target.server];
+  item.server = target.server;
+  if (report) {
+    OnAnswerReport(target.server, *report);
+  } else {
+    item.missed = true;
+    balancer_.OnMissedProbe(target.server);
+  }
+  ShareSoon();
+}
+
+void RoutedEntry::OnAnswerReport(const BackendServerId& server, const Report& report) {
+  const MonotonicTime now = clock_.Now();
+  balancer_.OnReport(server, report, now);
+  ServerReport& item = to_share_[server];
+  item.server = server;
+  item.report = report;
+  item.age = duration_cast<milliseconds>(now.time_since_epoch());  // Made relative by Share.
+  dispatcher_.PollSoon();
+}
+
+void RoutedEntry::ShareSoon() {
+  if (sharing_) return;
+  sharing_ = true;
+  share_timer_.expires_after(kShareDelay);
+  share_timer_.async_wait([this](std::error_code ec) {
+    sharing_ = false;
+    if (!ec) Share();
+  });
+}
+
+void RoutedEntry::Share() {
+  const MonotonicTime now = clock_.Now();
+  last_share_ = now;
+  for (const OutcomeCount& outcomes : balancer_.TakeOutcomes()) {
+    ServerReport& item = to_share_[outcomes.server];
+    item.server = outcomes.server;
+    item.answered = outcomes.answered;
+    item.failed = outcomes.failed;
+  }
+  if (to_share_.empty()) return;
+  ReportBatch batch;
+  for (auto& [server, item] : to_share_) {
+    if (item.report) item.age = duration_cast<milliseconds>(now.time_since_epoch()) - item.age;
+    batch.reports.push_back(item);
+  }
+  to_share_.clear();
+  datagrams_.Send(near_peers_, EncodeZoneMessage(batch));
+}
+
+// ---- 4. Requests -------------------------------------------------------------------------------
+
+void RoutedEntry::OnRequestEnded(const RequestEnd& end) {
+  metrics_.OnRequestEnded(end);
+  const bool clean = end.whole && !end.late && end.outcome == Outcome::kRan && end.status < 500;
+  LogBudget& budget = clean ? usual_lines_ : unusual_lines_;
+  if (!log_.Writes(LogLevel::kInfo) || !budget.Allow(clock_.Now())) return;
+  log_.Write(LogLevel::kInfo, "request ended",
+             {{"request", end.id.Text()},
+              {"service", end.service.Text()},
+              {"class", std::string(NameOf(end.request_class))},
+              {"backend_server", end.server.Text()},
+              {"status", int64_t{end.status}},
+              {"outcome", std::string(NameOf(end.outcome))},
+              {"whole", end.whole},
+              {"late", end.late},
+              {"caller_gone", end.caller_gone},
+              {"attempts", int64_t{end.attempts}},
+              {"waited_ms", Millis(end.waited)},
+              {"took_ms", Millis(end.took)},
+              {"time_limit_ms", int64_t{end.deadline.count()}},
+              {"placement", end.placement},
+              {"revision", static_cast<int64_t>(manifest_->revision)},
+              {"detail", end.detail}});
+}
+
+// ---- 5. Timers ---------------------------------------------------------------------------------
+
+void RoutedEntry::EveryTick() {
+  follower_.Tick();
+  SendProbes();
+  if (clock_.Now() - last_share_ > kOutcomeInterval) Share();
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](std::error_code ec) {
+    if (!ec) EveryTick();
+  });
+}
+
+void RoutedEntry::EverySecond() {
+  pool_.CloseIdle();
+  probe_client_.CloseIdle();
+  const uint64_t left_out = unusual_lines_.TakeLeftOut();
+  if (left_out > 0) {
+    log_.Write(LogLevel::kWarning, "log lines left out",
+               {{"unusual", static_cast<int64_t>(left_out)},
+                {"usual", static_cast<int64_t>(usual_lines_.TakeLeftOut())}});
+  }
+  second_timer_.expires_after(kSecond);
+  second_timer_.async_wait([this](std::error_code ec) {
+    if (!ec) EverySecond();
+  });
+}
+
+void RoutedEntry::SetGauges() {
+  const auto set = [this](const char* name, const char* help, auto value) {
+    metrics_.Set(name, help, static_cast<double>(value));
+  };
+  const PeerStats peer = peers_.Stats();
+  const ProbeCounts& probes = probe_client_.Counts();
+  set("cowsliphill_open_requests", "Requests in flight", context_.open_requests);
+  set("cowsliphill_waiting_requests", "Requests that wait for a backend server",
+      balancer_.Waiting());
+  set("cowsliphill_caller_connections", "Open connections of callers", edge_.OpenConnections());
+  set("cowsliphill_backend_connections", "Open connections to backend servers",
+      pool_.OpenConnections());
+  set("cowsliphill_log_lines_dropped", "Log lines lost to a full queue", log_.Dropped());
+  set("cowsliphill_manifest_revision", "Revision in force", manifest_->revision);
+  set("cowsliphill_manifest_age_seconds", "Since the manifest was known to be the newest",
+      std::chrono::duration<double>(follower_.ManifestAge()).count());
+  set("cowsliphill_servers_age_seconds", "Since the list of servers was known to be the newest",
+      std::chrono::duration<double>(follower_.ServersAge()).count());
+  set("cowsliphill_backend_servers", "Backend servers known", follower_.ServerCount());
+  set("cowsliphill_store_reader", "1 while this entry VM asks the store for all",
+      follower_.IsReader() ? 1 : 0);
+  set("cowsliphill_store_calls", "Calls to the platform's store", store_.Calls());
+  set("cowsliphill_ready", "1 when it takes requests", Ready() ? 1 : 0);
+  set("cowsliphill_members", "Other entry VMs known", members_->Live().size());
+  set("cowsliphill_peer_bytes_in", "Bytes from other entry VMs", peer.bytes_in);
+  set("cowsliphill_peer_bytes_out", "Bytes to other entry VMs", peer.bytes_out);
+  set("cowsliphill_datagrams_sent", "Datagrams to other entry VMs", datagrams_.Counts().sent);
+  set("cowsliphill_datagrams_refused", "Datagrams with a wrong checksum",
+      datagrams_.Counts().refused);
+  set("cowsliphill_probes_sent", "Probes paid for", probes.sent);
+  set("cowsliphill_probes_failed", "Probes without a report", probes.failed);
+}
+
+// ---- 6. Signals and the graceful stop ----------------------------------------------------------
+
+void RoutedEntry::AwaitSignal() {
+  signals_.async_wait([this](std::error_code ec, int signal) {
+    if (ec) return;
+    AwaitSignal();
+    if (signal == SIGHUP) {
+      // Addresses can't change while the process runs, and the rest comes from the store.
+      log_.Write(LogLevel::kInfo, "reload", {{"detail", std::string("nothing to take over")}});
+      return;
+    }
+    if (stopping_) return;
+    log_.Write(LogLevel::kInfo, "graceful stop", {{"signal", int64_t{signal}}});
+    StartStopping();
+  });
+}
+
+void RoutedEntry::StartStopping() {
+  stopping_ = true;
+  stop_started_ = clock_.Now();
+  members_->SetLeaving();  // From now on no lookup answer names this entry VM.
+  context_.leaving = true;
+  // Callers may keep an answer, so new connections are taken for most of the time.
+  stop_timer_.expires_after(
+      duration_cast<milliseconds>(settings_.stop_timeout * kAcceptShare));
+  stop_timer_.async_wait([this](std::error_code ec) {
+    if (ec) return;
+    edge_.StopAccepting();
+    StopWhenIdle();
+  });
+}
+
+void RoutedEntry::StopWhenIdle() {
+  const Duration waited = clock_.Now() - stop_started_;
+  const Duration limit = duration_cast<Duration>(settings_.stop_timeout * kWorkShare);
+  if (context_.open_requests == 0 && edge_.OpenConnections() == 0) return Depart();
+  if (waited > limit) {
+    if (context_.open_requests > 0) {
+      log_.Write(LogLevel::kError, "stopping with work left",
+                 {{"open_requests", static_cast<int64_t>(context_.open_requests)}});
+    }
+    return Depart();
+  }
+  stop_timer_.expires_after(kStopPollInterval);
+  stop_timer_.async_wait([this](std::error_code ec) {
+    if (!ec) StopWhenIdle();
+  });
+}
+
+void RoutedEntry::Depart() {
+  members_->Depart();
+  stop_timer_.expires_after(kFarewell);
+  stop_timer_.async_wait([this](std::error_code ec) {
+    if (!ec) io_.stop();
+  });
+}
+
+void RoutedEntry::DrainLoop() {
+  // Handlers that are still queued hold connections that use the slices: run them out while the
+  // slices are there.
+  edge_.AbortAll();
+  pool_.CloseAll();
+  probe_client_.CloseAll();
+  store_.Close();
+  lookup_server_.Close();
+  readiness_server_.Close();
+  metrics_server_.Close();
+  datagrams_.Close();
+  io_.restart();
+  io_.poll();
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/cli/routed_entry.h
@@ -0,0 +1,150 @@
+// An entry VM whose manifest and backend servers come from the platform's store. Stateless: what
+// it knows is read again at each start.
+//
+// Sections of routed_entry.cc:
+//   1. Build and listen
+//   2. Catalog and members
+//   3. Reports on backend servers
+//   4. Requests
+//   5. Timers
+//   6. Signals and the graceful stop
+//
+// Limits: one loop thread; claims and records of src/claims and src/records are not kept here, as
+// requests carry ids of their own and the platform keeps the callers' records.
+
+#ifndef COWSLIPHILL_CLI_ROUTED_ENTRY_H_
+#define COWSLIPHILL_CLI_ROUTED_ENTRY_H_
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/admin/log.h"
+#include "src/admin/log_budget.h"
+#include "src/admin/metrics.h"
+#include "src/balance/balancer.h"
+#include "src/base/clock.h"
+#include "src/catalog/catalog_follower.h"
+#include "src/cli/platform_adapter.h"
+#include "src/forward/backend_pool.h"
+#include "src/forward/dispatcher.h"
+#include "src/forward/edge_server.h"
+#include "src/forward/plain_server.h"
+#include "src/forward/probe_client.h"
+#include "src/measure/zone_prober.h"
+#include "src/members/members.h"
+#include "src/members/peer_transport.h"
+#include "src/settings/settings.h"
+#include "src/zone/datagram_link.h"
+
+namespace cowsliphill {
+
+class RoutedEntry {
+ public:
+  // `seed` differs between processes.
+  RoutedEntry(Settings settings, PlatformAdapter adapter, const Clock& clock, uint64_t seed);
+  ~RoutedEntry();
+
+  // Serves until SIGTERM or SIGINT. Returns the process's exit code.
+  int Run();
+
+ private:
+  // Other entry VMs are found by seeds and by each other.
+  struct NoVmList {
+    void ListVms(const std::function<void(VmListResult)>& done) {
+      done(std::vector<ListedVm>());
+    }
+  };
+  using EntryMembers = Members<PeerNode, NoVmList>;
+
+  // 1. Build and listen
+  ForwardContext MakeContext();
+  CatalogListener MakeListener();
+  std::string Listen();
+
+  // 2. Catalog and members
+  void OnManifest(const std::shared_ptr<const Manifest>& manifest);
+  void OnServers(const std::vector<BackendServer>& servers);
+  void ApplyCatalog();
+  void Tell(const CatalogNews& news);
+  void OnNews(const CatalogNews& news);
+  void OnMembers();
+  bool Ready() const;
+  PlainAnswer AnswerLookup(const std::string& path, const std::string& query);
+  PlainAnswer AnswerReadiness(const std::string& path);
+  PlainAnswer AnswerMetrics(const std::string& path);
+
+  // 3. Reports on backend servers
+  void OnDatagram(const std::string& payload);
+  void OnReports(const ReportBatch& batch);
+  void SendProbes();
+  void OnProbed(const ProbeTarget& target, const std::optional<Report>& report);
+  void OnAnswerReport(const BackendServerId& server, const Report& report);
+  void ShareSoon();
+  void Share();
+
+  // 4. Requests
+  void OnRequestEnded(const RequestEnd& end);
+
+  // 5. Timers
+  void EveryTick();
+  void EverySecond();
+  void SetGauges();
+
+  // 6. Signals and the graceful stop
+  void AwaitSignal();
+  void StartStopping();
+  void StopWhenIdle();
+  void Depart();
+  void DrainLoop();
+
+  Settings settings_;
+  PlatformAdapter adapter_;
+  const Clock& clock_;
+  asio::io_context io_;
+  EntryVmId id_;  // New at each start.
+  Log log_;
+  Metrics metrics_;
+  CatalogClient store_;
+  CatalogFollower<CatalogClient> follower_;
+  Balancer balancer_;
+  Dispatcher dispatcher_;
+  BackendPool pool_;
+  std::shared_ptr<const Manifest> manifest_;  // In force; never null, revision 0 until there is one.
+  std::vector<BackendServer> servers_;        // As last heard.
+  ForwardContext context_;
+  EdgeServer edge_;
+  PlainServer lookup_server_;
+  PlainServer readiness_server_;
+  PlainServer metrics_server_;
+  PeerNode peers_;
+  NoVmList no_vm_list_;
+  std::optional<EntryMembers> members_;
+  DatagramLink datagrams_;
+  std::vector<Endpoint> all_peers_;   // Of the other entry VMs that are alive.
+  std::vector<Endpoint> near_peers_;  // Of those in our failure domain.
+  ZoneProber prober_;
+  ProbeClient probe_client_;
+  std::map<BackendServerId, ServerReport> to_share_;  // Since the last Share.
+  bool sharing_ = false;                              // share_timer_ runs.
+  std::map<BackendServerId, ProbeTarget> targets_;
+  LogBudget unusual_lines_;
+  LogBudget usual_lines_;
+  asio::signal_set signals_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer second_timer_;
+  asio::steady_timer share_timer_;
+  asio::steady_timer stop_timer_;  // Steps of a graceful stop.
+  MonotonicTime stop_started_{};
+  MonotonicTime last_share_{};
+  bool stopping_ = false;
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_CLI_ROUTED_ENTRY_H_
--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -61,10 +61,19 @@
   connection_.proven = clock_.Now();
   if (const auto* head = std::get_if<HttpHead>(&event)) {
     if (head->status < 200) return ReadNext();  // Interim answers are not passed on.
+    if (events_.is_ours && !events_.is_ours(*head)) {
+      dropping_ = true;
+      met_stray_ = true;
+      return ReadNext();
+    }
     has_answer_ = true;
     keep_alive_ = head->keep_alive;
     first_byte_ = clock_.Now();
   }
+  if (dropping_ && !std::holds_alternative<HttpError>(event)) {
+    dropping_ = !std::holds_alternative<HttpEnd>(event);
+    return ReadNext();
+  }
   if (std::holds_alternative<HttpEnd>(event)) {
     if (!has_answer_) return ReadNext();  // End of an interim answer.
     whole_ = true;
@@ -84,7 +93,8 @@
 
 bool Attempt::IsReusable() const {
   const HttpStream& stream = *connection_.stream;
-  return whole_ && keep_alive_ && request_whole_ && stream.BetweenMessages() && !stream.IsWriting();
+  return whole_ && keep_alive_ && request_whole_ && !met_stray_ && stream.BetweenMessages() &&
+         !stream.HasUnread() && !stream.IsWriting();
 }
 
 void Attempt::Close() {
--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -21,6 +21,8 @@
     std::function<void(AttemptEnd, std::string)>
         on_failed;                  // Before the answer's head; last event.
     std::function<void()> on_sent;  // The first bytes were sent.
+    // Whether an answer belongs to the request; others are dropped. Null: every one does.
+    std::function<bool(const HttpHead&)> is_ours;
   };
 
   Attempt(BackendPool& pool, const Clock& clock, SendTo target, RequestClass request_class);
@@ -65,6 +67,8 @@
   bool sent_ = false;          // Writing has begun.
   bool request_whole_ = true;  // Nothing of the request's body is missing.
   bool has_answer_ = false;    // The answer's head came.
+  bool dropping_ = false;      // Reading an answer that belongs to another request.
+  bool met_stray_ = false;     // Such an answer came: more may follow on the connection.
   bool whole_ = false;         // The answer's end came.
   bool keep_alive_ = false;    // The server keeps the connection open.
   bool end_reported_ = false;  // TakeEndReport was called.
--- a/src/forward/dispatcher.cc
+++ b/src/forward/dispatcher.cc
@@ -6,15 +6,18 @@
 
 namespace cowsliphill {
 
-Dispatcher::Dispatcher(asio::io_context& io, const Clock& clock, Chooser& chooser)
-    : io_(io), clock_(clock), chooser_(chooser), timer_(io) {}
+Dispatcher::Dispatcher(asio::io_context& io, const Clock& clock, Policy policy)
+    : io_(io), clock_(clock), policy_(policy), timer_(io) {}
 
 void Dispatcher::Choose(const ChoiceRequest& request, ChoiceCallback done) {
-  Deliver(request.ticket, chooser_.Choose(request, clock_.Now()), std::move(done));
+  const MonotonicTime now = clock_.Now();
+  Deliver(request.ticket, Ask([&](auto& policy) { return policy.Choose(request, now); }),
+          std::move(done));
 }
 
 void Dispatcher::Retry(Ticket ticket, ChoiceCallback done) {
-  Deliver(ticket, chooser_.Retry(ticket, clock_.Now()), std::move(done));
+  const MonotonicTime now = clock_.Now();
+  Deliver(ticket, Ask([&](auto& policy) { return policy.Retry(ticket, now); }), std::move(done));
 }
 
 void Dispatcher::Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done) {
@@ -23,15 +26,19 @@
   waiting_[ticket] = std::move(done);
 }
 
+std::optional<SendTo> Dispatcher::Hedge(Ticket ticket) {
+  return Ask([&](auto& policy) { return policy.Hedge(ticket, clock_.Now()); });
+}
+
 void Dispatcher::OnEnded(Ticket ticket, const BackendServerId& server,
                          const AttemptResult& result) {
-  chooser_.OnEnded(ticket, server, result, clock_.Now());
+  Ask([&](auto& policy) { policy.OnEnded(ticket, server, result, clock_.Now()); });
   PollSoon();
 }
 
 void Dispatcher::Finish(Ticket ticket) {
   waiting_.erase(ticket);
-  chooser_.Finish(ticket, clock_.Now());
+  Ask([&](auto& policy) { policy.Finish(ticket, clock_.Now()); });
   PollSoon();
 }
 
@@ -43,7 +50,7 @@
 
 void Dispatcher::Poll() {
   poll_pending_ = false;
-  for (const Ready& ready : chooser_.TakeReady(clock_.Now())) {
+  for (const Ready& ready : Ask([&](auto& policy) { return policy.TakeReady(clock_.Now()); })) {
     const Choice choice = std::visit([](const auto& turn) -> Choice { return turn; }, ready);
     const Ticket ticket = std::visit([](const auto& turn) { return turn.ticket; }, ready);
     const auto it = waiting_.find(ticket);
@@ -52,14 +59,14 @@
     waiting_.erase(it);
     done(choice);
   }
-  for (const Ticket ticket : chooser_.HedgeDue(clock_.Now())) {
+  for (const Ticket ticket : Ask([&](auto& policy) { return policy.HedgeDue(clock_.Now()); })) {
     if (on_slow_) on_slow_(ticket);
   }
   ArmTimer();
 }
 
 void Dispatcher::ArmTimer() {
-  const std::optional<MonotonicTime> wake = chooser_.NextWake();
+  const std::optional<MonotonicTime> wake = Ask([](auto& policy) { return policy.NextWake(); });
   if (!wake) return;
   if (armed_ && *armed_ <= *wake) return;
   armed_ = wake;
--- a/src/forward/dispatcher.h
+++ b/src/forward/dispatcher.h
@@ -1,4 +1,4 @@
-// Ties the pure chooser to the loop: hands out the turns of waiting requests and keeps its timer.
+// Ties a pure policy, Chooser or Balancer, to the loop: hands out the turns of waiting requests and keeps its timer.
 
 #ifndef COWSLIPHILL_FORWARD_DISPATCHER_H_
 #define COWSLIPHILL_FORWARD_DISPATCHER_H_
@@ -8,7 +8,9 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <variant>
 
+#include "src/balance/balancer.h"
 #include "src/base/clock.h"
 #include "src/choose/chooser.h"
 
@@ -18,33 +20,40 @@
  public:
   using ChoiceCallback = std::function<void(const Choice&)>;  // SendTo or Refuse, never Wait.
 
-  Dispatcher(asio::io_context& io, const Clock& clock, Chooser& chooser);
+  using Policy = std::variant<Chooser*, Balancer*>;
+
+  // The policy outlives the dispatcher.
+  Dispatcher(asio::io_context& io, const Clock& clock, Policy policy);
 
   // Chooses for a new request. `done` runs once, now or when its turn has come.
   void Choose(const ChoiceRequest& request, ChoiceCallback done);
   // Another try, after OnEnded.
   void Retry(Ticket ticket, ChoiceCallback done);
   // A second, concurrent attempt, if affordable.
-  std::optional<SendTo> Hedge(Ticket ticket) { return chooser_.Hedge(ticket, clock_.Now()); }
+  std::optional<SendTo> Hedge(Ticket ticket);
   // Told of each request that has waited so long for an answer that a hedge may help.
   void OnSlow(std::function<void(Ticket)> slow) { on_slow_ = std::move(slow); }
   void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result);
   // The request is over; a wait of it is forgotten.
   void Finish(Ticket ticket);
-  // Call after changing the chooser by other ways (manifest, reports, leaving). Posted, never run
+  // Call after changing the policy by other ways (manifest, reports, leaving). Posted, never run
   // inside the call: a poll may start or end attempts of the request whose event is being handled.
   void PollSoon();
 
  private:
+  template <typename Call>
+  auto Ask(Call call) const {
+    return std::visit([&call](auto* policy) { return call(*policy); }, policy_);
+  }
   void Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done);
   void Poll();
   void ArmTimer();
 
   asio::io_context& io_;
   const Clock& clock_;
-  Chooser& chooser_;
+  Policy policy_;
   std::function<void(Ticket)> on_slow_;
-  asio::steady_timer timer_;                            // Until the chooser's next wake.
+  asio::steady_timer timer_;                            // Until the policy's next wake.
   std::unordered_map<Ticket, ChoiceCallback> waiting_;  // Requests told to wait.
   std::optional<MonotonicTime> armed_;                  // When timer_ ends.
   bool poll_pending_ = false;                           // A Poll is posted.
--- a/src/forward/edge_server.cc
+++ b/src/forward/edge_server.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/forward/plain_server.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -56,7 +58,7 @@
     return RefuseMalformed(*error);
   }
   const HttpHead& head = std::get<HttpHead>(event);
-  if (LookupQuery(head)) return AnswerLookup(head);
+  if (context_.lookup && LookupQuery(head)) return AnswerLookup(head);
   exchange_ = std::make_shared<Exchange>(context_, stream_, head,
                                          [weak = weak_from_this()](ConnectionFate fate) {
                                            const auto self = weak.lock();
@@ -90,7 +92,7 @@
   const bool large = error.kind == HttpErrorKind::kHeadersTooLarge;
   const Verdict verdict{
       large ? 431 : 400, Outcome::kNotRun, {}, "http_request_error", error.detail};
-  stream_->Write(FormatOwnAnswer(verdict, RequestId(), false),
+  stream_->Write(context_.wire.own_answer(verdict, RequestId(), false),
                  [self = shared_from_this()](bool) { self->Finish(ConnectionFate::kClose); });
 }
 
@@ -127,15 +129,8 @@
 EdgeServer::~EdgeServer() { AbortAll(); }
 
 std::string EdgeServer::Listen(const Endpoint& listen) {
-  std::error_code ec;
-  const auto address = asio::ip::make_address(listen.ip, ec);
-  if (ec) return "edge.listen: " + listen.ip + ": " + ec.message();
-  const asio::ip::tcp::endpoint endpoint(address, listen.port);
-  acceptor_.open(endpoint.protocol(), ec);
-  if (!ec) acceptor_.set_option(asio::socket_base::reuse_address(true), ec);
-  if (!ec) acceptor_.bind(endpoint, ec);
-  if (!ec) acceptor_.listen(asio::socket_base::max_listen_connections, ec);
-  if (ec) return "edge.listen: " + listen.ToString() + ": " + ec.message();
+  const std::string error = ListenOn(acceptor_, listen);
+  if (!error.empty()) return "edge.listen: " + error;
   Accept();
   return "";
 }
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -63,13 +63,15 @@
   return verdict;
 }
 
-std::optional<Report> ReportOn(const HttpHead& answer, ReportFormat format) {
-  return ParseReport(format, [&answer](const std::string& name) { return answer.Find(name); });
+constexpr size_t kMostGathered = 1 << 20;  // Bytes of an answer; larger ones are streamed.
+
+// Statuses that promise by themselves that the request did not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 // Whether the answer is the server's own word that it refused without starting.
-std::optional<AttemptEnd> RefusalOf(const HttpHead& answer, const std::optional<Report>& report) {
-  if (!SaysNotStarted(answer)) return std::nullopt;
+AttemptEnd RefusalOf(const std::optional<Report>& report) {
   const bool shed = report && report->shedding;
   return shed ? AttemptEnd::kShed : AttemptEnd::kNotStarted;
 }
@@ -102,7 +104,7 @@
     return AnswerVerdict({503, Outcome::kNotRun, milliseconds(1000), "proxy_configuration_error",
                           "this entry VM does not know the manifest in force yet"});
   }
-  auto result = ReadRequestMeta(head_, *manifest_, context_.ids);
+  auto result = context_.wire.read_request(head_, *manifest_, context_.ids);
   if (!Ok(result)) {
     const BadRequest bad = ErrorOf(result);
     meta_.id = ReadRequestId(head_, context_.ids);
@@ -110,7 +112,12 @@
     return AnswerVerdict({bad.status, Outcome::kNotRun, {}, "http_request_error", bad.detail});
   }
   meta_ = std::move(ValueOf(result));
-  deadline_ = started_ + meta_.timeout;
+  const bool has_limit = meta_.answer_within.count() > 0;
+  deadline_ = started_ + (has_limit ? std::min(meta_.timeout, meta_.answer_within) : meta_.timeout);
+  if (head_.content_length.value_or(0) > manifest_->entry.max_body_bytes) {
+    return AnswerVerdict({413, Outcome::kNotRun, {}, "http_request_error",
+                          "the body is larger than the manifest allows"});
+  }
   if (context_.open_requests > manifest_->entry.max_requests) {
     return AnswerVerdict({503, Outcome::kNotRun, milliseconds(1000), "connection_limit_reached",
                           "this entry VM has as many open requests as it may have"});
@@ -156,7 +163,8 @@
     if (has_body) head_.content_length = body_.size();
     caller_->WatchClose([self = shared_from_this()] { self->OnCallerGone(); });
   }
-  if (!meta_.idempotent && !meta_.key.empty()) return BeginClaim();
+  const bool keyed = !meta_.idempotent && !meta_.key.empty();
+  if (keyed && context_.claims != nullptr) return BeginClaim();
   Choose();
 }
 
@@ -170,7 +178,7 @@
   request.fingerprint = Fingerprint();
   request.request = meta_.id;
   request.deadline = deadline_;
-  context_.claims.Begin(
+  context_.claims->Begin(
       request, [self = shared_from_this()](const ClaimAnswer& answer) { self->OnClaim(answer); });
 }
 
@@ -200,7 +208,7 @@
   ClaimOutcome outcome{end_.outcome, std::move(kept_answer_)};
   if (!ended_) outcome.outcome = Outcome::kNotRun;
   outcome.answer.status = answer_status_;
-  context_.claims.Finish(*claim_, outcome);
+  context_.claims->Finish(*claim_, outcome);
   claim_.reset();
 }
 
@@ -213,6 +221,12 @@
   request.deadline = deadline_;
   request.repeatable = meta_.idempotent && body_whole_;
   request.depth = meta_.depth;
+  if (meta_.route != nullptr) {
+    request.rank = meta_.route->rank;
+    request.target = started_ + meta_.route->target_latency;
+    request.max_attempts = meta_.route->max_attempts;
+    request.bulk = meta_.route->bulk;
+  }
   context_.dispatcher.Choose(request, [weak = weak_from_this()](const Choice& choice) {
     if (const auto self = weak.lock()) self->OnChoice(choice);
   });
@@ -230,6 +244,7 @@
     return;
   }
   if (answering_) return End(ConnectionFate::kAbort);
+  if (DeliverSpare()) return;
   if (end_.attempts > 0) return AnswerVerdict(FailureVerdict());
   AnswerVerdict(RefusalVerdict(std::get<Refuse>(choice)));
 }
@@ -250,6 +265,9 @@
   events.on_failed = [self = shared_from_this(), weak](AttemptEnd end, const std::string& detail) {
     self->OnAttemptFailed(weak.lock(), end, detail);
   };
+  events.is_ours = [this](const HttpHead& answer) {
+    return context_.wire.is_answer_to(answer, meta_.id);
+  };
   if (!body_whole_) {
     events.on_sent = [self = shared_from_this()] { self->PumpRequestBody(); };
   }
@@ -275,7 +293,8 @@
     return FormatResumeRequest(head_, meta_, context_.settings.backend.silence_timeout,
                                target.endpoint, *resume_);
   }
-  std::string bytes = FormatBackendRequest(head_, meta_, left, target.endpoint);
+  std::string bytes = context_.wire.backend_request(head_, meta_, left,
+                                                         {target.server, target.endpoint});
   if (body_.empty()) return bytes;
   return bytes += head_.chunked ? AsChunk(body_) : body_;
 }
@@ -311,8 +330,8 @@
   if (attempt == attempt_) std::swap(attempt_, hedge_);
   hedge_.reset();
   if (attempt_) return;  // The other one goes on.
-  if (!MayTryAgain(end)) return AnswerVerdict(FailureVerdict());
-  TryAgain();
+  if (MayTryAgain(end)) return TryAgain();
+  if (!DeliverSpare()) AnswerVerdict(FailureVerdict());
 }
 
 bool Exchange::MayTryAgain(AttemptEnd end) const {
@@ -363,22 +382,34 @@
   if (ended_ || !attempt) return;
   if (const auto* head = std::get_if<HttpHead>(&event)) return OnAnswerHead(attempt, *head);
   if (attempt != attempt_) return;
-  if (const auto* body = std::get_if<HttpBody>(&event)) return ForwardBody(body->bytes);
-  if (std::holds_alternative<HttpEnd>(event)) return OnAnswerEnd();
+  if (const auto* body = std::get_if<HttpBody>(&event)) {
+    return gathered_ ? Gather(body->bytes) : ForwardBody(body->bytes);
+  }
+  if (std::holds_alternative<HttpEnd>(event)) return gathered_ ? OnGathered() : OnAnswerEnd();
+  if (gathered_) {
+    gathered_.reset();
+    return OnAttemptFailed(attempt, AttemptEnd::kCut, std::get<HttpError>(event).detail);
+  }
   OnAnswerBroken(AttemptEnd::kCut, std::get<HttpError>(event).detail);
 }
 
 void Exchange::OnAnswerHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& answer) {
   if (resuming_) return OnResumedHead(answer);
   assert(!answering_ && "Exchange: drop every other attempt before an answer's head is forwarded");
-  const std::optional<Report> report = ReportOn(answer, meta_.service->report_format);
-  if (const std::optional<AttemptEnd> refused = RefusalOf(answer, report)) {
-    ReportEnd(attempt, *refused, report);
-    return OnAttemptFailed(attempt, *refused, "the backend server did not start it");
+  const std::optional<Report> report = context_.wire.report(answer, meta_.service->report_format);
+  if (context_.wire.says_not_started(answer)) {
+    const AttemptEnd refused = RefusalOf(report);
+    ReportEnd(attempt, refused, report);
+    return OnAttemptFailed(attempt, refused, "the backend server did not start it");
   }
   if (attempt != attempt_) std::swap(attempt_, hedge_);
   Drop(hedge_, AttemptEnd::kCancelled);
   may_have_run_ = true;
+  if (context_.wire.gather_answers) {
+    if (report) context_.on_report(attempt_->Target().server, *report);
+    gathered_ = GatheredAnswer{answer, {}};
+    return attempt_->ReadNext();
+  }
   if (answer.ends_by_close) {
     ReportEnd(attempt_, AttemptEnd::kServerError, report);
     attempt_->Close();
@@ -395,6 +426,64 @@
   ForwardHead(answer);
 }
 
+void Exchange::Gather(std::string_view bytes) {
+  gathered_->body.append(bytes);
+  if (gathered_->body.size() <= kMostGathered) return attempt_->ReadNext();
+  // Too large to keep: from here on the caller sees a break as a break.
+  GatheredAnswer answer = std::move(*gathered_);
+  gathered_.reset();
+  answer.head.chunked = !answer.head.content_length;
+  answering_ = true;
+  answer_chunked_ = answer.head.chunked;
+  answer_status_ = answer.head.status;
+  end_.first_byte = context_.clock.Now() - started_;
+  const std::string head = context_.wire.caller_answer(
+      answer.head, meta_.id, FateAfterAnswer() == ConnectionFate::kKeep);
+  Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
+  caller_->Write(head + (answer_chunked_ ? AsChunk(answer.body) : answer.body),
+                 [self = shared_from_this()](bool ok) {
+                   if (self->ended_) return;
+                   if (!ok) return self->OnCallerGone();
+                   self->Arm(TimerUse::kBackendSilence,
+                             self->context_.settings.backend.silence_timeout);
+                   self->attempt_->ReadNext();
+                 });
+}
+
+void Exchange::OnGathered() {
+  GatheredAnswer answer = std::move(*gathered_);
+  gathered_.reset();
+  const bool server_error = answer.head.status >= 500;
+  ReportEnd(attempt_, server_error ? AttemptEnd::kServerError : AttemptEnd::kAnswered,
+            std::nullopt);
+  attempt_->Close();
+  attempt_.reset();
+  spare_ = std::move(answer);
+  if (server_error && MayTryAgain(AttemptEnd::kServerError)) return TryAgain();
+  DeliverSpare();
+}
+
+bool Exchange::DeliverSpare() {
+  if (!spare_) return false;
+  GatheredAnswer answer = std::move(*spare_);
+  spare_.reset();
+  const bool false_promise = context_.wire.status_tells_outcome && !meta_.idempotent &&
+                             PromisesNotRun(answer.head.status);
+  if (false_promise) {
+    AnswerVerdict({502, Outcome::kRan, {}, "http_response_incomplete",
+                   "the backend server failed after it had started"});
+    return true;
+  }
+  answer.head.chunked = false;
+  answer.head.content_length = answer.body.size();
+  answer_status_ = answer.head.status;
+  end_.outcome = Outcome::kRan;
+  end_.late = context_.clock.Now() > deadline_;
+  const bool keep_alive = FateAfterAnswer() == ConnectionFate::kKeep;
+  WriteLast(context_.wire.caller_answer(answer.head, meta_.id, keep_alive) + answer.body);
+  return true;
+}
+
 void Exchange::ForwardHead(const HttpHead& answer) {
   answering_ = true;
   kept_answer_.content_type = answer.Find("content-type").value_or("");
@@ -403,7 +492,8 @@
   end_.first_byte = context_.clock.Now() - started_;
   end_.late = context_.clock.Now() > deadline_;
   Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
-  caller_->Write(FormatCallerAnswer(answer, meta_.id, FateAfterAnswer() == ConnectionFate::kKeep),
+  caller_->Write(context_.wire.caller_answer(answer, meta_.id,
+                                             FateAfterAnswer() == ConnectionFate::kKeep),
                  [self = shared_from_this()](bool ok) {
                    if (self->ended_) return;
                    if (!ok) return self->OnCallerGone();
@@ -460,7 +550,7 @@
 
 void Exchange::OnResumedHead(const HttpHead& answer) {
   if (!ContinuesAt(answer, *resume_)) {
-    ReportEnd(attempt_, AttemptEnd::kAnswered, ReportOn(answer, meta_.service->report_format));
+    ReportEnd(attempt_, AttemptEnd::kAnswered, context_.wire.report(answer, meta_.service->report_format));
     failure_ = "the answer broke off and no backend server has the same one";
     attempt_->Close();
     return End(ConnectionFate::kAbort);
@@ -488,8 +578,11 @@
     return OnAnswerBroken(AttemptEnd::kTimedOut, "the backend server fell silent");
   }
   if (answering_) return;
+  gathered_.reset();
   DropAll(AttemptEnd::kTimedOut);
-  AnswerVerdict({504, MayHaveRun() ? Outcome::kUnknown : Outcome::kNotRun, kRetryAfterDeadline,
+  if (DeliverSpare()) return;
+  const bool promise = context_.wire.status_tells_outcome && !MayHaveRun();
+  AnswerVerdict({promise ? 503 : 504, MayHaveRun() ? Outcome::kUnknown : Outcome::kNotRun, kRetryAfterDeadline,
                  "connection_timeout", "not answered within the deadline"});
 }
 
@@ -544,7 +637,7 @@
   end_.detail = verdict.detail;
   end_.outcome = verdict.outcome;
   const bool keep_alive = FateAfterAnswer() == ConnectionFate::kKeep;
-  WriteLast(FormatOwnAnswer(verdict, meta_.id, keep_alive));
+  WriteLast(context_.wire.own_answer(verdict, meta_.id, keep_alive));
 }
 
 void Exchange::AnswerRepeat(const Repeat& repeat) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -7,6 +7,9 @@
 //   4. The answer: head, body, taking up a broken download
 //   5. Ends: refusals, deadlines, callers that leave
 //
+// Where the wire form gathers answers, the caller gets nothing of an answer until all of it is
+// here, so a broken answer or a server error may still be replaced by another attempt's.
+//
 // Limits: a request whose body exceeds EdgeSettings::buffer_bytes is sent at most once, because
 // what was sent is not kept.
 
@@ -79,6 +82,9 @@
   // 4. The answer
   void OnAnswer(const std::shared_ptr<Attempt>& attempt, const HttpEvent& event);
   void OnAnswerHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& answer);
+  void Gather(std::string_view bytes);
+  void OnGathered();
+  bool DeliverSpare();
   void ForwardHead(const HttpHead& answer);
   void ForwardBody(std::string_view bytes);
   void KeepBody(std::string_view bytes);
@@ -110,7 +116,7 @@
   Ticket ticket_ = 0;
   asio::steady_timer timer_;  // One limit at a time, see TimerUse.
   MonotonicTime started_;
-  MonotonicTime deadline_;
+  MonotonicTime deadline_;  // The caller's, or the route's shorter limit.
   std::string body_;                   // First part of the body, up to buffer_bytes.
   bool body_whole_ = false;            // body_ is the whole body.
   bool body_open_ = false;             // The rest of the body is being passed on.
@@ -125,6 +131,13 @@
   int answer_status_ = 0;              // As told to the caller.
   std::optional<ResumePoint> resume_;  // Where the answer could be taken up again.
   bool resuming_ = false;              // attempt_ takes up a broken answer.
+  // An answer that is read whole before the caller gets any of it.
+  struct GatheredAnswer {
+    HttpHead head;
+    std::string body;
+  };
+  std::optional<GatheredAnswer> gathered_;  // Being read from attempt_.
+  std::optional<GatheredAnswer> spare_;     // A whole server error, told if no other try succeeds.
   bool ended_ = false;
   RequestEnd end_;  // What the observer is told.
 };
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -17,7 +17,7 @@
 #include "src/forward/dispatcher.h"
 #include "src/forward/request_headers.h"
 #include "src/manifest/manifest.h"
-#include "src/platform/any_platform.h"
+#include "src/storage/any_platform.h"
 #include "src/settings/settings.h"
 
 namespace cowsliphill {
@@ -41,7 +41,8 @@
   Duration waited{};      // Of that: until a backend server was chosen.
   std::chrono::milliseconds deadline{};  // As granted.
   WallTime started;
-  std::string detail;  // Cause, for people.
+  std::string detail;     // Cause, for people.
+  std::string placement;  // What decided for `server`, for people.
 };
 
 // Who is told about requests. All run on the loop's thread and return at once.
@@ -61,12 +62,13 @@
   const Settings& settings;
   Dispatcher& dispatcher;
   BackendPool& pool;
-  EntryClaims& claims;
+  EntryClaims* claims;  // Null: keys of requests are passed on and not looked at.
   std::function<std::shared_ptr<const Manifest>()> manifest = {};  // In force now.
   std::function<bool()> ready = {};  // Whether requests may be decided yet.
   std::function<std::string(const std::string& caller_ip, const std::string& query)> lookup = {};
   std::function<void(const BackendServerId&, const Report&)> on_report = {};  // Seen on an answer.
   RequestObserver observer = {};
+  WireForm wire = OwnWireForm();
   std::unordered_map<Ticket, Exchange*> exchanges = {};  // Open ones that the chooser knows.
   RequestIdSource ids = {};
   Ticket next_ticket = 1;
--- /dev/null
+++ b/src/forward/http_call.cc
@@ -0,0 +1,63 @@
+#include "src/forward/http_call.h"
+
+#include <asio/steady_timer.hpp>
+#include <utility>
+
+#include "src/forward/attempt.h"
+
+namespace cowsliphill {
+
+struct HttpCaller::OpenCall {
+  explicit OpenCall(asio::io_context& io) : timer(io) {}
+  asio::steady_timer timer;
+  std::shared_ptr<Attempt> attempt;
+  HttpCallAnswer answer;
+  Done done;  // Null once it was called.
+};
+
+HttpCaller::HttpCaller(asio::io_context& io, const Clock& clock, const BackendSettings& settings,
+                       size_t max_header_bytes, size_t buffer_bytes, size_t max_body_bytes)
+    : io_(io),
+      clock_(clock),
+      pool_(io, clock, settings, max_header_bytes, buffer_bytes),
+      max_body_bytes_(max_body_bytes) {}
+
+void HttpCaller::Call(const Endpoint& server, std::string request,
+                      std::chrono::milliseconds timeout, Done done) {
+  const auto call = std::make_shared<OpenCall>(io_);
+  call->done = std::move(done);
+  call->timer.expires_after(timeout);
+  call->timer.async_wait([this, call](std::error_code ec) {
+    if (!ec) Finish(call, HttpCallError::kNoAnswer);
+  });
+  SendTo target;
+  target.endpoint = server;
+  call->attempt = std::make_shared<Attempt>(pool_, clock_, target, RequestClass::kRoutine);
+  Attempt::Events events;
+  events.on_failed = [this, call](AttemptEnd end, const std::string&) {
+    const bool sent = end != AttemptEnd::kConnectFailed;
+    Finish(call, sent ? HttpCallError::kNoAnswer : HttpCallError::kNotSent);
+  };
+  events.on_answer = [this, call](const HttpEvent& event) {
+    if (const auto* head = std::get_if<HttpHead>(&event)) call->answer.head = *head;
+    if (const auto* body = std::get_if<HttpBody>(&event)) call->answer.body.append(body->bytes);
+    if (std::holds_alternative<HttpEnd>(event)) return Finish(call, std::move(call->answer));
+    const bool too_large = call->answer.body.size() > max_body_bytes_;
+    if (too_large || std::holds_alternative<HttpError>(event)) {
+      return Finish(call, HttpCallError::kNoAnswer);
+    }
+    call->attempt->ReadNext();
+  };
+  call->attempt->Start(std::move(request), ConnectionNeed::kAny, false, std::move(events));
+}
+
+void HttpCaller::Finish(const std::shared_ptr<OpenCall>& call,
+                        Result<HttpCallAnswer, HttpCallError> result) {
+  const Done done = std::exchange(call->done, nullptr);
+  if (!done) return;
+  call->timer.cancel();
+  call->attempt->Close();
+  done(result);
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/forward/http_call.h
@@ -0,0 +1,53 @@
+// One request to an HTTP server and its whole answer, within a time limit. Never repeated here.
+
+#ifndef COWSLIPHILL_FORWARD_HTTP_CALL_H_
+#define COWSLIPHILL_FORWARD_HTTP_CALL_H_
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/base/clock.h"
+#include "src/base/result.h"
+#include "src/forward/backend_pool.h"
+
+namespace cowsliphill {
+
+struct HttpCallAnswer {
+  HttpHead head;
+  std::string body;
+};
+
+enum class HttpCallError {
+  kNotSent,  // No connection: certainly without effect.
+  kNoAnswer, // Sent; no whole answer in time.
+};
+
+class HttpCaller {
+ public:
+  using Done = std::function<void(const Result<HttpCallAnswer, HttpCallError>&)>;
+
+  HttpCaller(asio::io_context& io, const Clock& clock, const BackendSettings& settings,
+             size_t max_header_bytes, size_t buffer_bytes, size_t max_body_bytes);
+
+  // `request` is head and body. `done` runs once, never inside the call.
+  void Call(const Endpoint& server, std::string request, std::chrono::milliseconds timeout,
+            Done done);
+  void CloseIdle() { pool_.CloseIdle(); }
+  void CloseAll() { pool_.CloseAll(); }
+
+ private:
+  struct OpenCall;
+  void Finish(const std::shared_ptr<OpenCall>& call, Result<HttpCallAnswer, HttpCallError> result);
+
+  asio::io_context& io_;
+  const Clock& clock_;
+  BackendPool pool_;
+  size_t max_body_bytes_;  // Of an answer.
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_FORWARD_HTTP_CALL_H_
--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -54,6 +54,7 @@
   bool in_message = false;     // Between a message's first byte and its end.
   bool reading_value = false;  // The last header piece was a value.
   bool no_body = false;        // Answer to HEAD.
+  bool until_close = false;    // The body being read ends with the connection.
   HttpHead head;               // Being read.
   HttpEvent event;             // Produced by the last callback.
 
@@ -67,6 +68,7 @@
     state.head = HttpHead();
     state.header_bytes = 0;
     state.in_message = true;
+    state.until_close = false;
     state.reading_value = false;
     return 0;
   }
@@ -123,6 +125,7 @@
     head.status = static_cast<int>(parser.status_code);
     const bool bodiless = no_body || head.status == 204 || head.status == 304 || head.status < 200;
     head.ends_by_close = !bodiless && !head.chunked && !head.content_length;
+    until_close = head.ends_by_close;
   }
 
   static const http_parser_settings& Callbacks() {
@@ -179,8 +182,12 @@
   return {n, std::move(state.event)};
 }
 
-HttpEvent HttpReader::ReadClose() {
+HttpEvent HttpReader::ReadClose(bool orderly) {
   if (!state_->in_message) return HttpError{HttpErrorKind::kClosed, "connection closed"};
+  if (orderly && state_->until_close) {
+    state_->in_message = false;
+    return HttpEnd{};
+  }
   return HttpError{HttpErrorKind::kCut, "connection closed within a message"};
 }
 
--- a/src/forward/http_reader.h
+++ b/src/forward/http_reader.h
@@ -27,7 +27,7 @@
   std::vector<HttpHeader> headers;
   std::optional<uint64_t> content_length;  // Absent when chunked or without a body.
   bool chunked = false;
-  bool ends_by_close = false;  // Answer with neither length nor chunks: its end proves nothing.
+  bool ends_by_close = false;  // Answer with neither length nor chunks: only a close ends it.
   bool keep_alive = true;      // The sender keeps the connection open afterwards.
 
   // First value of the header, or nullopt.
@@ -70,8 +70,9 @@
   };
   // Reads up to the next event.
   Step Read(std::string_view data);
-  // The connection was closed by the other side.
-  HttpEvent ReadClose();
+  // The connection was closed by the other side; `orderly` unless it was reset. An orderly close
+  // ends an answer that has neither length nor chunks.
+  HttpEvent ReadClose(bool orderly);
   // The answer that follows belongs to a HEAD request: it has no body.
   void ExpectNoBody();
   bool BetweenMessages() const;
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -76,7 +76,7 @@
                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"}) {
       HttpReader reader(HttpSide::kAnswers, kMostHeaderBytes);
       CPPUNIT_ASSERT_EQUAL(std::string("head body:ab "), Log(reader, text));
-      const HttpEvent event = reader.ReadClose();
+      const HttpEvent event = reader.ReadClose(true);
       CPPUNIT_ASSERT(std::get<HttpError>(event).kind == HttpErrorKind::kCut);
     }
   }
--- a/src/forward/http_stream.cc
+++ b/src/forward/http_stream.cc
@@ -43,7 +43,7 @@
       n = self->socket_.read_some(asio::buffer(self->buffer_.get(), self->buffer_bytes_), ec);
     }
     if (ec == asio::error::would_block || ec == asio::error::try_again) return self->ReadSome();
-    if (ec) return self->Deliver(self->reader_.ReadClose());
+    if (ec) return self->Deliver(self->reader_.ReadClose(ec == asio::error::eof));
     self->begin_ = 0;
     self->end_ = n;
     while (self->begin_ < self->end_) {
--- a/src/forward/http_stream.h
+++ b/src/forward/http_stream.h
@@ -42,6 +42,7 @@
   bool IsOpen() const { return open_; }
   bool IsWriting() const { return writing_; }
   bool BetweenMessages() const { return reader_.BetweenMessages(); }
+  bool HasUnread() const { return begin_ < end_; }  // Bytes after the last event.
   void ExpectNoBody() { reader_.ExpectNoBody(); }
   Socket& GetSocket() { return socket_; }
 
--- a/src/forward/probe_client.h
+++ b/src/forward/probe_client.h
@@ -9,7 +9,7 @@
 #include <optional>
 
 #include "src/base/clock.h"
-#include "src/forward/backend_pool.h"
+#include "src/forward/http_call.h"
 #include "src/measure/prober.h"
 #include "src/measure/report.h"
 #include "src/settings/settings.h"
@@ -25,22 +25,21 @@
 class ProbeClient {
  public:
   using Done = std::function<void(const ProbeTarget&, const std::optional<Report>&)>;
+  // The report on a probe's answer; nullopt when it tells nothing of the server that was meant.
+  using ReadReport = std::function<std::optional<Report>(const HttpHead&, const ProbeTarget&)>;
 
   // `done` runs for each probe that ends, with no report when it failed.
-  ProbeClient(asio::io_context& io, const Clock& clock, const Settings& settings, Done done);
+  ProbeClient(asio::io_context& io, const Clock& clock, const BackendSettings& settings,
+              ReadReport read, Done done);
 
   void Send(const ProbeTarget& target);
-  void CloseAll() { pool_.CloseAll(); }
+  void CloseIdle() { caller_.CloseIdle(); }
+  void CloseAll() { caller_.CloseAll(); }
   const ProbeCounts& Counts() const { return counts_; }
 
  private:
-  struct Probe;
-
-  void Finish(const std::shared_ptr<Probe>& probe, const std::optional<Report>& report);
-
-  asio::io_context& io_;
-  const Clock& clock_;
-  BackendPool pool_;
+  HttpCaller caller_;
+  ReadReport read_;
   Done done_;
   ProbeCounts counts_;
 };
--- a/src/forward/request_headers.cc
+++ b/src/forward/request_headers.cc
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "src/forward/http_format.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -24,29 +26,12 @@
 constexpr uint32_t kMostDepth = 25;       // Calls above one call.
 constexpr size_t kMostTimeoutDigits = 8;  // As in the gRPC protocol.
 
-// Of one hop only (RFC 9110 7.6.1), or rewritten by us.
-constexpr std::array<std::string_view, 9> kHopHeaders = {
-    "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
-    "transfer-encoding", "upgrade",    "content-length",   "expect"};
 constexpr std::array<std::string_view, 8> kRewrittenRequestHeaders = {
     "host",     "x-request-id",       "grpc-timeout",      "cowsliphill-service",
     "priority", "cowsliphill-tenant", "cowsliphill-depth", "idempotency-key"};
 constexpr std::array<std::string_view, 3> kRewrittenAnswerHeaders = {
     "x-request-id", "cowsliphill-outcome", "proxy-status"};
 
-// Whether a comma-separated list holds the name.
-bool IsListed(std::string_view name, std::string_view list) {
-  while (!list.empty()) {
-    const size_t comma = std::min(list.find(','), list.size());
-    std::string_view item = list.substr(0, comma);
-    while (!item.empty() && item.front() == ' ') item.remove_prefix(1);
-    while (!item.empty() && item.back() == ' ') item.remove_suffix(1);
-    if (HeaderNameIs(name, item)) return true;
-    list.remove_prefix(std::min(comma + 1, list.size()));
-  }
-  return false;
-}
-
 template <size_t N>
 bool IsAnyOf(std::string_view name, const std::array<std::string_view, N>& names) {
   return std::any_of(names.begin(), names.end(),
@@ -193,43 +178,6 @@
   return BadRequest{400, "cowsliphill-depth: found \"" + *text + "\"; allowed: 0 to 25"};
 }
 
-void AppendHeader(std::string& out, std::string_view name, std::string_view value) {
-  out.append(name).append(": ").append(value).append("\r\n");
-}
-
-std::string_view ReasonOf(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 403:
-      return "Forbidden";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 409:
-      return "Conflict";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Content Too Large";
-    case 422:
-      return "Unprocessable Content";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Unspecified";
-  }
-}
-
 std::string JsonEscaped(const std::string& text) {
   std::string out;
   for (const char c : text) {
@@ -239,19 +187,6 @@
   return out;
 }
 
-std::string StatusLine(int status) {
-  std::string line = "HTTP/1.1 " + std::to_string(status) + " ";
-  return line.append(ReasonOf(status)).append("\r\n");
-}
-
-void AppendBody(std::string& out, const std::string& type, const std::string& body,
-                bool keep_alive) {
-  AppendHeader(out, "Content-Type", type);
-  AppendHeader(out, "Content-Length", std::to_string(body.size()));
-  if (!keep_alive) AppendHeader(out, "Connection", "close");
-  out.append("\r\n").append(body);
-}
-
 // Request line and headers up to, not including, the empty line.
 std::string StartBackendRequest(const HttpHead& head, const RequestMeta& meta,
                                 milliseconds time_left, const Endpoint& server, bool with_range) {
@@ -259,7 +194,7 @@
   AppendHeader(out, "Host", server.ToString());
   const std::string of_this_hop = head.Find("connection").value_or("");
   for (const HttpHeader& header : head.headers) {
-    if (IsAnyOf(header.name, kHopHeaders) || IsAnyOf(header.name, kRewrittenRequestHeaders)) {
+    if (IsHopHeader(header.name) || IsAnyOf(header.name, kRewrittenRequestHeaders)) {
       continue;
     }
     if (IsListed(header.name, of_this_hop)) continue;
@@ -355,13 +290,27 @@
   return out;
 }
 
+WireForm OwnWireForm() {
+  WireForm form;
+  form.read_request = ReadRequestMeta;
+  form.backend_request = [](const HttpHead& head, const RequestMeta& meta, milliseconds time_left,
+                            const BackendTarget& target) {
+    return FormatBackendRequest(head, meta, time_left, target.endpoint);
+  };
+  form.own_answer = FormatOwnAnswer;
+  form.caller_answer = FormatCallerAnswer;
+  form.says_not_started = SaysNotStarted;
+  form.report = [](const HttpHead& answer, ReportFormat format) {
+    return ParseReport(format, [&answer](const std::string& name) { return answer.Find(name); });
+  };
+  form.is_answer_to = [](const HttpHead&, const RequestId&) { return true; };
+  return form;
+}
+
 std::string FormatBackendRequest(const HttpHead& head, const RequestMeta& meta,
                                  milliseconds time_left, const Endpoint& server) {
   std::string out = StartBackendRequest(head, meta, time_left, server, true);
-  if (head.chunked) AppendHeader(out, "Transfer-Encoding", "chunked");
-  if (head.content_length) {
-    AppendHeader(out, "Content-Length", std::to_string(*head.content_length));
-  }
+  AppendFraming(out, head);
   return out.append("\r\n");
 }
 
@@ -396,17 +345,14 @@
 std::string FormatCallerAnswer(const HttpHead& answer, const RequestId& id, bool keep_alive) {
   std::string out = StatusLine(answer.status);
   for (const HttpHeader& header : answer.headers) {
-    if (IsAnyOf(header.name, kHopHeaders) || IsAnyOf(header.name, kRewrittenAnswerHeaders)) {
+    if (IsHopHeader(header.name) || IsAnyOf(header.name, kRewrittenAnswerHeaders)) {
       continue;
     }
     AppendHeader(out, header.name, header.value);
   }
   AppendHeader(out, "X-Request-Id", id.Text());
   AppendHeader(out, "Cowsliphill-Outcome", NameOf(Outcome::kRan));
-  if (answer.chunked) AppendHeader(out, "Transfer-Encoding", "chunked");
-  if (answer.content_length) {
-    AppendHeader(out, "Content-Length", std::to_string(*answer.content_length));
-  }
+  AppendFraming(out, answer);
   if (!keep_alive) AppendHeader(out, "Connection", "close");
   return out.append("\r\n");
 }
--- a/src/forward/request_headers.h
+++ b/src/forward/request_headers.h
@@ -5,6 +5,7 @@
 #define COWSLIPHILL_FORWARD_REQUEST_HEADERS_H_
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,6 +16,7 @@
 #include "src/claims/claim.h"
 #include "src/forward/http_reader.h"
 #include "src/manifest/manifest.h"
+#include "src/measure/report.h"
 
 namespace cowsliphill {
 
@@ -27,7 +29,9 @@
   std::chrono::milliseconds timeout{};  // Granted by the service's rules.
   std::string key;                      // Idempotency-Key; empty if none.
   bool idempotent = false;
-  uint32_t depth = 0;  // Calls above this one in the call tree.
+  uint32_t depth = 0;              // Calls above this one in the call tree.
+  const Route* route = nullptr;    // Of the same manifest; null where requests name a service.
+  std::chrono::milliseconds answer_within{};  // Shorter limit of the route; 0: `timeout` alone.
 };
 
 // A request that can't be taken as it is.
@@ -90,6 +94,36 @@
 // The backend server's own word that it did not start the request.
 bool SaysNotStarted(const HttpHead& answer);
 
+struct BackendTarget {
+  BackendServerId server;
+  Endpoint endpoint;
+};
+
+// What callers and backend servers speak: the project's own headers (OwnWireForm), or a
+// platform's. Chosen once at start.
+struct WireForm {
+  std::function<Result<RequestMeta, BadRequest>(const HttpHead&, const Manifest&, RequestIdSource&)>
+      read_request;
+  std::function<std::string(const HttpHead&, const RequestMeta&, std::chrono::milliseconds time_left,
+                            const BackendTarget&)>
+      backend_request;
+  std::function<std::string(const Verdict&, const RequestId&, bool keep_alive)> own_answer;
+  std::function<std::string(const HttpHead& answer, const RequestId&, bool keep_alive)>
+      caller_answer;
+  // The backend server's own word that it did not start the request.
+  std::function<bool(const HttpHead& answer)> says_not_started;
+  std::function<std::optional<Report>(const HttpHead& answer, ReportFormat)> report;
+  // Whether an answer belongs to the request; others are read and dropped.
+  std::function<bool(const HttpHead& answer, const RequestId&)> is_answer_to;
+  // Answers are gathered whole before the caller gets their head, so that a broken one can be
+  // replaced. Larger ones than kMostGathered are streamed.
+  bool gather_answers = false;
+  // Statuses 408, 421, 429 and 503 promise that the request did not run, as no header says so.
+  bool status_tells_outcome = false;
+};
+
+WireForm OwnWireForm();
+
 // A header's value as an IP-number-only host, for requests without Cowsliphill-Service.
 std::string HostWithoutPort(const std::string& host);
 
--- a/src/manifest/faulty_platform.h
+++ b/src/manifest/faulty_platform.h
@@ -14,8 +14,8 @@
 #include <utility>
 
 #include "src/base/clock.h"
-#include "src/platform/memory_platform.h"
-#include "src/platform/platform.h"
+#include "src/storage/memory_platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -12,6 +12,7 @@
 
 #include "src/base/ids.h"
 #include "src/base/request_class.h"
+#include "src/manifest/route.h"
 
 namespace cowsliphill {
 
@@ -66,6 +67,8 @@
   Endpoint endpoint;
   BackendState state = BackendState::kActive;  // kLeaving: no new work, open work runs to its end.
   uint32_t slots = 3;                          // Requests that it executes at the same time.
+  std::chrono::milliseconds warmup{0};         // How much longer it stays slow after its start.
+  uint64_t started = 0;  // Milliseconds of wall time; tells lifetimes of one id apart.
 
   friend bool operator==(const BackendServer& a, const BackendServer& b) = default;
 };
@@ -73,6 +76,7 @@
 struct EntryRules {
   uint32_t max_requests = 4096;                     // Open requests per entry VM.
   std::chrono::milliseconds lookup_lifetime{5000};  // How long callers may keep a lookup answer.
+  uint64_t max_body_bytes = 1ULL << 30;             // Of a request.
   double max_probe_rate = 5000;                     // Probes per second, all services and entry
                                                     // VMs together.
 
@@ -86,6 +90,7 @@
   std::vector<Team> teams;
   std::vector<Service> services;
   std::vector<BackendServer> backend_servers;
+  std::vector<Route> routes;  // In order of host, then the longest prefix first.
   EntryRules entry;
 };
 
--- a/src/manifest/manifest_follower.h
+++ b/src/manifest/manifest_follower.h
@@ -26,7 +26,7 @@
 #include "src/manifest/manifest_log.h"
 #include "src/manifest/revision_tracker.h"
 #include "src/members/peer.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/manifest/manifest_loader.h
+++ b/src/manifest/manifest_loader.h
@@ -17,7 +17,7 @@
 
 #include "src/base/result.h"
 #include "src/manifest/manifest_codec.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/measure/probe_grant.h
+++ b/src/measure/probe_grant.h
@@ -22,7 +22,7 @@
 
 #include "src/base/clock.h"
 #include "src/base/ids.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/measure/prober.h
+++ b/src/measure/prober.h
@@ -21,7 +21,7 @@
 #include "src/base/ids.h"
 #include "src/manifest/manifest.h"
 #include "src/measure/probe_grant.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
@@ -30,6 +30,7 @@
   Endpoint endpoint;
   std::string path;
   ReportFormat format = ReportFormat::kNone;
+  std::chrono::milliseconds timeout{1000};  // From sending to the whole answer.
 };
 
 // The member that should probe `service`: highest hash of service and member.
--- a/src/measure/prober_test.cc
+++ b/src/measure/prober_test.cc
@@ -9,7 +9,7 @@
 #include <random>
 #include <unordered_map>
 
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 namespace {
--- a/src/measure/report.h
+++ b/src/measure/report.h
@@ -16,6 +16,7 @@
 struct Report {
   std::optional<uint32_t> in_flight;  // Requests executing or queued at the server.
   std::optional<uint32_t> slots;      // Requests that it executes at the same time.
+  std::optional<double> slowdown;     // How long work takes there now; 1 is as usual.
   bool draining = false;              // It is leaving: no new work.
   bool shedding = false;              // It refuses work to protect itself.
 };
--- a/src/members/lookup.cc
+++ b/src/members/lookup.cc
@@ -95,6 +95,26 @@
   return answer;
 }
 
+std::vector<Endpoint> NearEntries(const std::vector<Member>& members, const PlaceId& place,
+                                  const RegionId& region) {
+  std::vector<Endpoint> entries;
+  const auto add = [&](auto wanted) {
+    for (const Member& member : members) {
+      if (entries.size() >= kMostNearEntries) return;
+      const bool listed = std::find(entries.begin(), entries.end(), member.edge) != entries.end();
+      if (!listed && wanted(member)) entries.push_back(member.edge);
+    }
+  };
+  const auto alive = [](const Member& member) { return member.state == MemberState::kAlive; };
+  add([&](const Member& member) { return alive(member) && member.place == place; });
+  if (entries.size() >= kLeastNear) return entries;
+  add([&](const Member& member) { return alive(member) && member.region == region; });
+  if (entries.size() >= kLeastNear) return entries;
+  add(alive);
+  if (entries.empty()) add([](const Member&) { return true; });
+  return entries;
+}
+
 std::chrono::milliseconds LookupLifetime(std::chrono::milliseconds manifest_lifetime,
                                          bool unsettled) {
   return unsettled ? std::min(manifest_lifetime, kUnsettledLifetime) : manifest_lifetime;
--- a/src/members/lookup.h
+++ b/src/members/lookup.h
@@ -37,6 +37,13 @@
 std::vector<Endpoint> RankEntries(const std::vector<Member>& members, const RegionId& home,
                                   const LookupQuery& query);
 
+// The entry VMs of the caller's failure domain; those of its region, then all, when there are
+// fewer than kLeastNear. Suspect and leaving ones only when there is no other.
+inline constexpr size_t kLeastNear = 2;         // One alone may be the next to fail.
+inline constexpr size_t kMostNearEntries = 64;  // Callers pick at random among so many.
+std::vector<Endpoint> NearEntries(const std::vector<Member>& members, const PlaceId& place,
+                                  const RegionId& region);
+
 // The manifest's lifetime, cut to kUnsettledLifetime while members are suspect or have just
 // changed, so that callers ask again once it is known who lives.
 std::chrono::milliseconds LookupLifetime(std::chrono::milliseconds manifest_lifetime,
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -26,7 +26,7 @@
 #include "src/members/membership.h"
 #include "src/members/peer.h"
 #include "src/members/ticker.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
@@ -94,6 +94,9 @@
     listeners_.push_back(std::move(listener));
   }
 
+  // All members and this entry VM.
+  const std::vector<Member>& WithSelf() const { return ranked_; }
+
   const MembershipStats& Stats() const { return membership_.Stats(); }
 
  private:
--- a/src/members/peer_transport_test.cc
+++ b/src/members/peer_transport_test.cc
@@ -12,7 +12,7 @@
 #include "src/members/members.h"
 #include "src/members/peer_auth.h"
 #include "src/members/peer_wire.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 namespace {
--- a/src/records/record_keeper.h
+++ b/src/records/record_keeper.h
@@ -26,7 +26,7 @@
 #include "src/base/clock.h"
 #include "src/base/ids.h"
 #include "src/members/peer.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 #include "src/records/note_holder.h"
 #include "src/records/note_sender.h"
 #include "src/records/partner.h"
--- a/src/records/record_reader.h
+++ b/src/records/record_reader.h
@@ -17,7 +17,7 @@
 #include <variant>
 #include <vector>
 
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 #include "src/records/record_query.h"
 
 namespace cowsliphill {
--- a/src/records/records_test.cc
+++ b/src/records/records_test.cc
@@ -9,7 +9,7 @@
 #include <functional>
 #include <map>
 
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 #include "src/records/record_keeper.h"
 #include "src/records/record_reader.h"
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -107,10 +107,19 @@
 
 PlatformSettings ReadPlatform(TomlReader reader) {
   PlatformSettings platform;
-  platform.kind = static_cast<PlatformKind>(reader.OneOf("kind", 0, {"memory", "http"}));
+  platform.kind = static_cast<PlatformKind>(reader.OneOf("kind", 0, {"memory", "http", "store"}));
   platform.endpoint = ReadEndpoint(reader, "endpoint", platform.endpoint);
-  if (platform.kind == PlatformKind::kHttp && platform.endpoint.port == 0) {
-    reader.Reject("endpoint", "nothing", "IP-NUMBER:PORT; required with kind = \"http\"");
+  if (platform.kind != PlatformKind::kMemory && platform.endpoint.port == 0) {
+    reader.Reject("endpoint", "nothing", "IP-NUMBER:PORT; required unless kind is \"memory\"");
+  }
+  platform.lookup_listen = ReadEndpoint(reader, "lookup_listen", platform.lookup_listen);
+  platform.readiness_listen = ReadEndpoint(reader, "readiness_listen", platform.readiness_listen);
+  platform.metrics_listen = ReadEndpoint(reader, "metrics_listen", platform.metrics_listen);
+  const bool listens = platform.lookup_listen.port != 0 && platform.readiness_listen.port != 0;
+  if (platform.kind == PlatformKind::kStore && !listens) {
+    reader.Reject("lookup_listen", "nothing",
+                  "IP-NUMBER:PORT; lookup_listen and readiness_listen are required with kind = "
+                  "\"store\"");
   }
   platform.timeout = ReadTimeout(reader, "timeout_ms", platform.timeout);
   platform.connections =
@@ -133,6 +142,15 @@
   return backend;
 }
 
+RetrySettings ReadRetries(TomlReader reader) {
+  RetrySettings retries;
+  retries.ratio = reader.Number("ratio", retries.ratio, 0.0, 1.0);
+  retries.slack = reader.Number("slack", retries.slack, 0.0, kMostCount);
+  retries.window = ReadTimeout(reader, "window_ms", retries.window);
+  reader.RejectUnknownKeys();
+  return retries;
+}
+
 LogSettings ReadLog(TomlReader reader) {
   LogSettings log;
   log.level =
@@ -158,6 +176,7 @@
   settings.admin = ReadAdmin(root.Table("admin"));
   settings.platform = ReadPlatform(root.Table("platform"));
   settings.backend = ReadBackend(root.Table("backend"));
+  settings.retries = ReadRetries(root.Table("retries"));
   settings.log = ReadLog(root.Table("log"));
   if (!settings.manifest_file.empty() && settings.platform.kind != PlatformKind::kMemory) {
     root.Reject("manifest_file", "\"" + settings.manifest_file + "\"",
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -17,6 +17,7 @@
 enum class PlatformKind {
   kMemory,  // Inside the process; nothing outlives it.
   kHttp,    // The platform's services over HTTP.
+  kStore,   // A store that holds the manifest and lists the backend servers (see platform/).
 };
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
@@ -55,6 +56,17 @@
   uint32_t connections = 4;                      // Calls at the same time.
   uint32_t queue_limit = 1024;                   // Calls waiting; more are refused.
   std::chrono::milliseconds poll_interval{500};  // Of the manifest's head and the VM list.
+  // With kind "store" only.
+  Endpoint lookup_listen;     // Answers callers' lookups.
+  Endpoint readiness_listen;  // Says whether this entry VM takes requests.
+  Endpoint metrics_listen;    // Serves /metrics; without one there are none.
+};
+
+// Bound on sending requests once more, over all entry VMs together.
+struct RetrySettings {
+  double ratio = 0.2;                       // Further attempts per request, in any window.
+  double slack = 10;                        // More of them, in any window.
+  std::chrono::milliseconds window{10000};  // Over which both are counted.
 };
 
 struct BackendSettings {
@@ -81,6 +93,7 @@
   AdminSettings admin;
   PlatformSettings platform;
   BackendSettings backend;
+  RetrySettings retries;
   LogSettings log;
 };
 
--- a/src/platform/any_platform.h
+++ b/src/storage/any_platform.h
@@ -1,8 +1,8 @@
 // The platform client of an entry VM: whichever kind the settings name, behind one type, so that
 // slices are instantiated once.
 
-#ifndef COWSLIPHILL_PLATFORM_ANY_PLATFORM_H_
-#define COWSLIPHILL_PLATFORM_ANY_PLATFORM_H_
+#ifndef COWSLIPHILL_STORAGE_ANY_PLATFORM_H_
+#define COWSLIPHILL_STORAGE_ANY_PLATFORM_H_
 
 #include <memory>
 #include <string>
@@ -10,8 +10,8 @@
 #include <variant>
 #include <vector>
 
-#include "src/platform/http_platform.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/http_platform.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 
@@ -73,4 +73,4 @@
 
 }  // namespace cowsliphill
 
-#endif  // COWSLIPHILL_PLATFORM_ANY_PLATFORM_H_
+#endif  // COWSLIPHILL_STORAGE_ANY_PLATFORM_H_
--- a/src/platform/http_platform.cc
+++ b/src/storage/http_platform.cc
@@ -1,4 +1,4 @@
-#include "src/platform/http_platform.h"
+#include "src/storage/http_platform.h"
 
 #include <httplib.h>
 
--- a/src/platform/http_platform.h
+++ b/src/storage/http_platform.h
@@ -1,8 +1,8 @@
 // The platform's services over HTTP. A few worker threads make the blocking calls; answers come
 // back on the executor. Never blocks the caller. The wire forms are in docs/DESIGN.md.
 
-#ifndef COWSLIPHILL_PLATFORM_HTTP_PLATFORM_H_
-#define COWSLIPHILL_PLATFORM_HTTP_PLATFORM_H_
+#ifndef COWSLIPHILL_STORAGE_HTTP_PLATFORM_H_
+#define COWSLIPHILL_STORAGE_HTTP_PLATFORM_H_
 
 #include <atomic>
 #include <condition_variable>
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "src/base/clock.h"
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 #include "src/settings/settings.h"
 
 namespace cowsliphill {
@@ -78,4 +78,4 @@
 
 }  // namespace cowsliphill
 
-#endif  // COWSLIPHILL_PLATFORM_HTTP_PLATFORM_H_
+#endif  // COWSLIPHILL_STORAGE_HTTP_PLATFORM_H_
--- a/src/platform/memory_platform.cc
+++ b/src/storage/memory_platform.cc
@@ -1,4 +1,4 @@
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 
 #include <utility>
 
--- a/src/platform/memory_platform.h
+++ b/src/storage/memory_platform.h
@@ -1,13 +1,13 @@
 // A platform inside the process, for one entry VM alone and for tests. Nothing outlives it.
 
-#ifndef COWSLIPHILL_PLATFORM_MEMORY_PLATFORM_H_
-#define COWSLIPHILL_PLATFORM_MEMORY_PLATFORM_H_
+#ifndef COWSLIPHILL_STORAGE_MEMORY_PLATFORM_H_
+#define COWSLIPHILL_STORAGE_MEMORY_PLATFORM_H_
 
 #include <map>
 #include <string>
 #include <vector>
 
-#include "src/platform/platform.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
@@ -59,4 +59,4 @@
 
 }  // namespace cowsliphill
 
-#endif  // COWSLIPHILL_PLATFORM_MEMORY_PLATFORM_H_
+#endif  // COWSLIPHILL_STORAGE_MEMORY_PLATFORM_H_
--- a/src/platform/platform.h
+++ b/src/storage/platform.h
@@ -4,8 +4,8 @@
 // All calls are asynchronous. A callback runs exactly once, on the executor that the client was
 // built with, never inside the call itself.
 
-#ifndef COWSLIPHILL_PLATFORM_PLATFORM_H_
-#define COWSLIPHILL_PLATFORM_PLATFORM_H_
+#ifndef COWSLIPHILL_STORAGE_PLATFORM_H_
+#define COWSLIPHILL_STORAGE_PLATFORM_H_
 
 #include <cstdint>
 #include <functional>
@@ -99,4 +99,4 @@
 
 }  // namespace cowsliphill
 
-#endif  // COWSLIPHILL_PLATFORM_PLATFORM_H_
+#endif  // COWSLIPHILL_STORAGE_PLATFORM_H_
--- /dev/null
+++ b/src/zone/datagram_link.cc
@@ -0,0 +1,85 @@
+#include "src/zone/datagram_link.h"
+
+#include <xxhash.h>
+
+#include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
+#include <cstring>
+#include <utility>
+
+namespace cowsliphill {
+
+DatagramLink::DatagramLink(asio::io_context& io, const std::string& key, Receive receive)
+    : socket_(io),
+      seed_(XXH3_64bits(key.data(), key.size())),
+      receive_(std::move(receive)),
+      buffer_(kMostBytes) {}
+
+std::string DatagramLink::Listen(const Endpoint& listen) {
+  std::error_code ec;
+  const auto address = asio::ip::make_address(listen.ip, ec);
+  if (ec) return listen.ToString() + ": " + ec.message();
+  const asio::ip::udp::endpoint endpoint(address, listen.port);
+  socket_.open(endpoint.protocol(), ec);
+  if (!ec) socket_.bind(endpoint, ec);
+  if (!ec) socket_.non_blocking(true, ec);
+  if (ec) return listen.ToString() + ": " + ec.message();
+  Await();
+  return "";
+}
+
+Endpoint DatagramLink::LocalEndpoint() const {
+  std::error_code ec;
+  const auto local = socket_.local_endpoint(ec);
+  return ec ? Endpoint{} : Endpoint{local.address().to_string(), local.port()};
+}
+
+void DatagramLink::Send(const std::vector<Endpoint>& to, const std::string& payload) {
+  const uint64_t checksum = XXH3_64bits_withSeed(payload.data(), payload.size(), seed_);
+  std::string datagram(kChecksumBytes, '\0');
+  std::memcpy(datagram.data(), &checksum, kChecksumBytes);
+  datagram += payload;
+  for (const Endpoint& peer : to) {
+    std::error_code ec;
+    const auto address = asio::ip::make_address(peer.ip, ec);
+    if (!ec) socket_.send_to(asio::buffer(datagram), {address, peer.port}, 0, ec);
+    ++(ec ? counts_.not_sent : counts_.sent);
+  }
+}
+
+void DatagramLink::Await() {
+  socket_.async_wait(asio::ip::udp::socket::wait_read, [this](std::error_code ec) {
+    if (ec || !socket_.is_open()) return;
+    ReadAll();
+    Await();
+  });
+}
+
+void DatagramLink::ReadAll() {
+  constexpr int kMostAtOnce = 64;  // So that a flood does not keep the loop from its other work.
+  for (int i = 0; i < kMostAtOnce && socket_.is_open(); ++i) {
+    std::error_code ec;
+    const size_t n = socket_.receive(asio::buffer(buffer_), 0, ec);
+    if (ec) return;
+    ++counts_.received;
+    uint64_t checksum = 0;
+    if (n < kChecksumBytes) {
+      ++counts_.refused;
+      continue;
+    }
+    std::memcpy(&checksum, buffer_.data(), kChecksumBytes);
+    const std::string payload(buffer_.data() + kChecksumBytes, n - kChecksumBytes);
+    if (checksum != XXH3_64bits_withSeed(payload.data(), payload.size(), seed_)) {
+      ++counts_.refused;
+      continue;
+    }
+    receive_(payload);
+  }
+}
+
+void DatagramLink::Close() {
+  std::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/zone/zone_message.h
@@ -0,0 +1,56 @@
+// What entry VMs tell each other in datagrams: fresh reports on backend servers within a failure
+// domain, and news of the catalog. Each message stands alone; a lost one is made up for by the next.
+
+#ifndef COWSLIPHILL_ZONE_ZONE_MESSAGE_H_
+#define COWSLIPHILL_ZONE_ZONE_MESSAGE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "src/base/ids.h"
+#include "src/catalog/catalog.h"
+#include "src/measure/report.h"
+
+namespace cowsliphill {
+
+struct ServerReport {
+  BackendServerId server;
+  std::optional<Report> report;        // Of a probe or an answer; nullopt: none.
+  bool missed = false;                 // A probe got no answer.
+  std::chrono::milliseconds age{0};    // Since the report was true.
+  uint32_t answered = 0;               // Requests of the sender since it last told.
+  uint32_t failed = 0;
+};
+
+struct ReportBatch {
+  std::vector<ServerReport> reports;
+};
+
+// What the sender knows of the store's tables, as of `age` ago. `from` to `servers_version` is the
+// span that `changed` and `gone` cover; who stands before `from` must ask the store.
+struct CatalogNews {
+  EntryVmId sender;
+  uint64_t manifest_version = 0;
+  std::chrono::milliseconds manifest_age{0};
+  uint64_t from = 0;
+  uint64_t servers_version = 0;
+  std::chrono::milliseconds servers_age{0};
+  // Since the sender last failed to reach the store; the largest value when it never did.
+  std::chrono::milliseconds since_failure{0};
+  std::vector<BackendServer> changed;
+  std::vector<BackendServerId> gone;
+};
+
+using ZoneMessage = std::variant<ReportBatch, CatalogNews>;
+
+std::string EncodeZoneMessage(const ZoneMessage& message);
+// nullopt for anything malformed.
+std::optional<ZoneMessage> DecodeZoneMessage(const std::string& bytes);
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_ZONE_ZONE_MESSAGE_H_
--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "src/base/toml_reader.h"
-#include "src/platform/memory_platform.h"
+#include "src/storage/memory_platform.h"
 #include "standins/faults.h"
 #include "standins/http_server.h"
 
