--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -1,5 +1,7 @@
 #include "src/balance/balancer.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <limits>
 #include <set>
@@ -102,7 +104,9 @@
   const bool remote = server.config.place != place_;
   const double preference = (remote ? kRemoteCost * static_cast<double>(work.count()) : 0) +
                             kFailureCost * server.health.Failing() * static_cast<double>(own.count());
-  candidate.cost = static_cast<double>(candidate.expected.count()) + preference;
+  candidate.cost = static_cast<double>(candidate.expected.count()) *
+                       (1 + kCrowdCost * candidate.in_flight) +
+                   preference;
   // Large answers stay in their place as long as that is in time.
   const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
   const bool in_time = now + candidate.expected <= target;
@@ -187,9 +191,6 @@
   attempt.slowdown = candidate.slowdown;
   attempt.had_free_slot = candidate.in_flight < server.config.slots;
   request.attempts.push_back(attempt);
-  request.placement = {server.config.id,   candidate.expected,
-                       candidate.in_flight, candidate.slowdown,
-                       server.load.Known() ? now - server.load.Sampled() : Duration::max(), usable};
   server.load.OnSent(now);
   if (request.asked.repeatable) {
     const Duration patience = std::max<Duration>(
@@ -197,7 +198,16 @@
     hedges_.emplace(now + patience, ticket);
   }
   return {ticket, server.config.id, server.config.endpoint,
-          static_cast<uint32_t>(request.attempts.size())};
+          static_cast<uint32_t>(request.attempts.size()), Reason(candidate, usable, now)};
+}
+
+std::string Balancer::Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now) {
+  const ServerLoad& load = candidate.server->load;
+  const int64_t age =
+      load.Known() ? duration_cast<milliseconds>(now - load.Sampled()).count() : -1;
+  return fmt::format("expected_ms={} in_flight={} slowdown={:.2f} report_age_ms={} usable={}",
+                     duration_cast<milliseconds>(candidate.expected).count(), candidate.in_flight,
+                     candidate.slowdown, age, usable);
 }
 
 Refuse Balancer::Refused(Ticket ticket, const Request& request, RefusalCause cause,
@@ -400,12 +410,6 @@
   return all;
 }
 
-std::optional<Placement> Balancer::PlacementOf(Ticket ticket) const {
-  const auto it = requests_.find(ticket);
-  if (it == requests_.end() || it->second.attempts.empty()) return std::nullopt;
-  return it->second.placement;
-}
-
 size_t Balancer::Waiting() const {
   size_t n = 0;
   for (const auto& [id, service] : services_) n += service->waiting.size();
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -41,25 +41,17 @@
   uint32_t failed = 0;
 };
 
-// Why a request went where it did, for logs.
-struct Placement {
-  BackendServerId server;
-  Duration expected{};       // To the answer.
-  uint32_t in_flight = 0;    // At the server, as known then.
-  double slowdown = 1.0;     // Of the server, as known then.
-  Duration report_age{};
-  uint32_t usable = 0;       // Servers that could have been taken.
-};
-
 class Balancer {
  public:
   static constexpr double kQueuePerSlot = 1.0;   // Requests queued at a server per slot, at most.
-  static constexpr double kTie = 0.10;           // Expected times this near count as equal.
+  static constexpr double kTie = 0.05;           // Expected times this near count as equal.
   static constexpr std::chrono::milliseconds kTieFloor{2};
   static constexpr double kNearlyFull = 0.8;     // Share of slots from which servers slow down.
-  static constexpr double kNearlyFullCost = 1.2;
+  static constexpr double kNearlyFullCost = 1.5;
+  static constexpr double kCrowdCost = 0.12;     // Of the time, per request there: reports are old
+                                                 // by some arrivals, so the emptier one is safer.
   static constexpr double kColdCost = 2.0;       // Times as long at a server that has just started.
-  static constexpr double kRemoteCost = 0.1;     // Of the work: preference for the own place.
+  static constexpr double kRemoteCost = 0.25;    // Of the work: preference for the own place.
   static constexpr double kFailureCost = 3.0;    // Works lost by sending to a failing server.
   static constexpr double kDeadlineMargin = 0.9; // Share of the time left that may be planned for.
   static constexpr double kHedgeAfter = 2.0;     // Times the expected time without an answer.
@@ -96,8 +88,6 @@
   void OnOutcomes(const OutcomeCount& outcomes);
   std::vector<OutcomeCount> TakeOutcomes();
 
-  // The newest placement of an open request.
-  std::optional<Placement> PlacementOf(Ticket ticket) const;
   size_t Waiting() const;
   // Whether the server takes no new work, by its own word.
   bool IsLeaving(const BackendServerId& server) const;
@@ -119,7 +109,6 @@
     bool waiting = false;
     bool finished = false;  // Kept only until its open attempts end.
     std::vector<Attempt> attempts;
-    Placement placement;
   };
   struct Candidate {
     Server* server = nullptr;
@@ -136,6 +125,7 @@
   Choice Place(Ticket ticket, Request& request, MonotonicTime now);
   SendTo Send(Ticket ticket, Request& request, const Candidate& candidate, uint32_t usable,
               MonotonicTime now);
+  static std::string Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now);
   Refuse Refused(Ticket ticket, const Request& request, RefusalCause cause, MonotonicTime now);
   WorkEstimate& WorkOf(const Request& request);
   void Wait(Ticket ticket, Request& request);
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -69,6 +69,7 @@
   BackendServerId server;
   Endpoint endpoint;
   uint32_t attempt = 1;  // 1 for the first.
+  std::string reason;    // What decided for it, for logs; may be empty.
 };
 struct Wait {};
 struct Refuse {
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -220,7 +220,8 @@
 void RoutedEntry::OnMembers() {
   all_peers_.clear();
   near_peers_.clear();
-  std::vector<EntryVmId> near = {id_};
+  far_peers_.clear();
+  std::vector<ZoneProber::Prober> probers = {{id_, settings_.place}};
   uint32_t rank = 0;
   size_t alive = 1;
   for (const Member& member : members_->Live()) {
@@ -228,12 +229,15 @@
     ++alive;
     all_peers_.push_back(member.peer);
     if (ElectionOrder(member.id) < ElectionOrder(id_)) ++rank;
-    if (member.place != settings_.place) continue;
-    near_peers_.push_back(member.peer);
-    near.push_back(member.id);
+    probers.push_back({member.id, member.place});
+    if (member.place == settings_.place) {
+      near_peers_.push_back(member.peer);
+    } else {
+      far_peers_[member.place].push_back(member.peer);
+    }
   }
   follower_.SetRank(rank);
-  prober_.SetMembers(std::move(near));
+  prober_.SetMembers(std::move(probers));
   balancer_.SetEntryVms(alive);
 }
 
@@ -264,13 +268,17 @@
 // ---- 3. Reports on backend servers -------------------------------------------------------------
 
 void RoutedEntry::OnDatagram(const std::string& payload) {
-  const std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
+  std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
   if (!message) return metrics_.OnBadInput("datagram");
-  if (const auto* batch = std::get_if<ReportBatch>(&*message)) return OnReports(*batch);
+  if (auto* batch = std::get_if<ReportBatch>(&*message)) return OnReports(std::move(*batch));
   OnNews(std::get<CatalogNews>(*message));
 }
 
-void RoutedEntry::OnReports(const ReportBatch& batch) {
+void RoutedEntry::OnReports(ReportBatch batch) {
+  if (batch.relay) {
+    batch.relay = false;
+    datagrams_.Send(near_peers_, EncodeZoneMessage(batch));
+  }
   const MonotonicTime now = clock_.Now();
   for (const ServerReport& item : batch.reports) {
     if (item.report) balancer_.OnReport(item.server, *item.report, now - item.age);
@@ -339,6 +347,12 @@
   }
   to_share_.clear();
   datagrams_.Send(near_peers_, EncodeZoneMessage(batch));
+  // One entry VM of each other domain passes it on there, so that it crosses only once.
+  batch.relay = true;
+  std::vector<Endpoint> relays;
+  for (const auto& [place, peers] : far_peers_) relays.push_back(peers[next_relay_ % peers.size()]);
+  ++next_relay_;
+  datagrams_.Send(relays, EncodeZoneMessage(batch));
 }
 
 // ---- 4. Requests -------------------------------------------------------------------------------
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -81,7 +81,7 @@
 
   // 3. Reports on backend servers
   void OnDatagram(const std::string& payload);
-  void OnReports(const ReportBatch& batch);
+  void OnReports(ReportBatch batch);
   void SendProbes();
   void OnProbed(const ProbeTarget& target, const std::optional<Report>& report);
   void OnAnswerReport(const BackendServerId& server, const Report& report);
@@ -128,6 +128,8 @@
   DatagramLink datagrams_;
   std::vector<Endpoint> all_peers_;   // Of the other entry VMs that are alive.
   std::vector<Endpoint> near_peers_;  // Of those in our failure domain.
+  std::map<PlaceId, std::vector<Endpoint>> far_peers_;  // Of the others.
+  size_t next_relay_ = 0;                               // Takes turns over far_peers_.
   ZoneProber prober_;
   ProbeClient probe_client_;
   std::map<BackendServerId, ServerReport> to_share_;  // Since the last Share.
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -254,6 +254,7 @@
   if (end_.attempts == 0) end_.waited = now - started_;
   ++end_.attempts;
   end_.server = target.server;
+  end_.placement = target.reason;
   auto attempt =
       std::make_shared<Attempt>(context_.pool, context_.clock, target, meta_.request_class);
   attempt->SetRequestWhole(body_whole_);
--- a/src/measure/zone_prober.cc
+++ b/src/measure/zone_prober.cc
@@ -16,27 +16,39 @@
 
 }  // namespace
 
-ZoneProber::ZoneProber(EntryVmId self) : self_(std::move(self)), members_{self_} {}
+ZoneProber::ZoneProber(EntryVmId self) : self_(std::move(self)), members_{{self_, PlaceId()}} {}
 
-void ZoneProber::SetMembers(std::vector<EntryVmId> members) {
+void ZoneProber::SetMembers(std::vector<Prober> members) {
   members_ = std::move(members);
   Assign();
 }
 
 void ZoneProber::SetServers(const std::vector<BackendServer>& servers) {
   servers_.clear();
-  for (const BackendServer& server : servers) servers_.push_back(server.id);
+  for (const BackendServer& server : servers) servers_[server.id] = server.place;
   Assign();
 }
 
+bool ZoneProber::IsOurs(const BackendServerId& server, const PlaceId& place) const {
+  const bool has_near = std::any_of(members_.begin(), members_.end(), [&](const Prober& member) {
+    return member.place == place;
+  });
+  const Prober* best = nullptr;
+  uint64_t most = 0;
+  for (const Prober& member : members_) {
+    if (has_near && member.place != place) continue;
+    const uint64_t weight = Weight(server, member.id);
+    if (best != nullptr && weight <= most) continue;
+    best = &member;
+    most = weight;
+  }
+  return best != nullptr && best->id == self_;
+}
+
 void ZoneProber::Assign() {
   std::map<BackendServerId, Probed> before = std::exchange(probed_, {});
-  for (const BackendServerId& server : servers_) {
-    const uint64_t ours = Weight(server, self_);
-    const bool mine = std::all_of(members_.begin(), members_.end(), [&](const EntryVmId& member) {
-      return member == self_ || Weight(server, member) < ours;
-    });
-    if (!mine) continue;
+  for (const auto& [server, place] : servers_) {
+    if (!IsOurs(server, place)) continue;
     const auto it = before.find(server);
     probed_[server] = it == before.end() ? Probed{} : it->second;
   }
--- a/src/measure/zone_prober.h
+++ b/src/measure/zone_prober.h
@@ -1,7 +1,7 @@
 // Decides which backend servers this entry VM asks for their load, and when: each server is asked
-// by one entry VM of a failure domain, chosen by rendezvous hashing, which passes the answers on.
-// Entry VMs that disagree about the members ask a server twice for a while; that costs a probe and
-// no more. Pure.
+// by one entry VM of its own failure domain, chosen by rendezvous hashing, which passes the answers
+// on. Servers of a domain without entry VMs are shared out among all. Entry VMs that disagree about
+// the members ask a server twice for a while; that costs a probe and no more. Pure.
 
 #ifndef COWSLIPHILL_MEASURE_ZONE_PROBER_H_
 #define COWSLIPHILL_MEASURE_ZONE_PROBER_H_
@@ -18,12 +18,19 @@
 
 class ZoneProber {
  public:
-  static constexpr std::chrono::milliseconds kInterval{100};  // Between probes of one server.
+  static constexpr std::chrono::milliseconds kInterval{50};  // Between probes of one server: a tenth
+                                                         // of the half second for which hosts stay
+                                                         // slow or fast.
+
+  struct Prober {
+    EntryVmId id;
+    PlaceId place;
+  };
 
   explicit ZoneProber(EntryVmId self);
 
-  // Entry VMs of this failure domain that are alive, this one included.
-  void SetMembers(std::vector<EntryVmId> members);
+  // Entry VMs that are alive, this one included.
+  void SetMembers(std::vector<Prober> members);
   void SetServers(const std::vector<BackendServer>& servers);
 
   // Servers to ask now. Each counts as being asked until OnEnded.
@@ -38,10 +45,11 @@
   };
 
   void Assign();
+  bool IsOurs(const BackendServerId& server, const PlaceId& place) const;
 
   EntryVmId self_;
-  std::vector<EntryVmId> members_;
-  std::vector<BackendServerId> servers_;
+  std::vector<Prober> members_;
+  std::map<BackendServerId, PlaceId> servers_;
   std::map<BackendServerId, Probed> probed_;  // Ours.
 };
 
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -70,7 +70,7 @@
 json EncodeBatch(const ReportBatch& batch) {
   json rows = json::array();
   for (const ServerReport& item : batch.reports) rows.push_back(Encode(item));
-  return {kReports, std::move(rows)};
+  return {kReports, std::move(rows), batch.relay};
 }
 
 json EncodeNews(const CatalogNews& news) {
@@ -93,6 +93,7 @@
 ZoneMessage DecodeFields(const json& message) {
   if (message.at(0).get<int>() == kReports) {
     ReportBatch batch;
+    batch.relay = message.at(2).get<bool>();
     for (const json& row : message.at(1)) batch.reports.push_back(DecodeReport(row));
     return batch;
   }
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -27,6 +27,7 @@
 };
 
 struct ReportBatch {
+  bool relay = false;  // From another failure domain: the receiver passes it on within its own.
   std::vector<ServerReport> reports;
 };
 
