Notices of each request sent go to the entry VMs of the same domain

A datagram tells the others of each send until the next report counts it; three entry VMs a domain probe, so that batches stay few at large sites.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -192,6 +192,7 @@
   attempt.had_free_slot = candidate.in_flight < server.config.slots;
   request.attempts.push_back(attempt);
   server.load.OnSent(now);
+  sent_.push_back(server.config.id);
   if (request.asked.repeatable) {
     const Duration patience = std::max<Duration>(
         Times(candidate.expected, kHedgeAfter), Duration(kHedgeFloor));
@@ -387,6 +388,11 @@
       kTypicalWeight * (*report.slowdown - service->second->typical_slowdown);
 }
 
+void Balancer::OnSentElsewhere(const BackendServerId& id, MonotonicTime now) {
+  const auto it = servers_.find(id);
+  if (it != servers_.end()) it->second->load.OnSentElsewhere(now);
+}
+
 void Balancer::OnMissedProbe(const BackendServerId& id) {
   const auto it = servers_.find(id);
   if (it != servers_.end()) it->second->health.OnMissedProbe();
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -83,10 +83,14 @@
 
   // A report that was true at `sampled`.
   void OnReport(const BackendServerId& server, const Report& report, MonotonicTime sampled);
+  // Another entry VM has just sent a request there.
+  void OnSentElsewhere(const BackendServerId& server, MonotonicTime now);
   void OnMissedProbe(const BackendServerId& server);
   // Another entry VM of the zone has seen these.
   void OnOutcomes(const OutcomeCount& outcomes);
   std::vector<OutcomeCount> TakeOutcomes();
+  // Servers that requests went to since the last call, to be told to the others.
+  std::vector<BackendServerId> TakeSent() { return std::exchange(sent_, {}); }
 
   size_t Waiting() const;
   // Whether the server takes no new work, by its own word.
@@ -140,6 +144,7 @@
   std::unordered_map<BackendServerId, std::unique_ptr<Server>> servers_;
   std::unordered_map<Ticket, Request> requests_;
   std::priority_queue<HedgeTime, std::vector<HedgeTime>, std::greater<>> hedges_;
+  std::vector<BackendServerId> sent_;  // Since TakeSent.
   MonotonicTime last_now_{};
 };
 
--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -20,12 +20,14 @@
   // How long a report is trusted fully; then its slowdown fades towards the usual mean.
   static constexpr std::chrono::milliseconds kFresh{250};
   static constexpr std::chrono::milliseconds kStale{1500};  // Older reports say nothing.
+  static constexpr size_t kMostElsewhere = 32;              // Notices kept between two reports.
 
   void OnReport(const Report& report, MonotonicTime sampled) {
     if (sampled < sampled_) return;
     sampled_ = sampled;
     known_ = true;
     ended_since_ = 0;
+    std::erase_if(sent_elsewhere_, [sampled](MonotonicTime sent) { return sent <= sampled; });
     if (report.in_flight) reported_ = *report.in_flight;
     if (report.slowdown) slowdown_ = *report.slowdown;
   }
@@ -35,6 +37,10 @@
     if (it != sent_.end()) sent_.erase(it);
     if (sent <= sampled_) ++ended_since_;
   }
+  // Another entry VM has sent a request there.
+  void OnSentElsewhere(MonotonicTime now) {
+    if (sent_elsewhere_.size() < kMostElsewhere) sent_elsewhere_.push_back(now);
+  }
   // The server refused for want of room: until the next report it counts as full.
   void OnFull(uint32_t requests) { reported_ = std::max(reported_, requests); }
 
@@ -45,7 +51,8 @@
     const auto newer = std::count_if(sent_.begin(), sent_.end(),
                                      [this](MonotonicTime sent) { return sent > sampled_; });
     const uint32_t before = reported_ > ended_since_ ? reported_ - ended_since_ : 0;
-    return std::max(open, before + static_cast<uint32_t>(newer));
+    const auto elsewhere = static_cast<uint32_t>(sent_elsewhere_.size());
+    return std::max(open, before + static_cast<uint32_t>(newer)) + elsewhere;
   }
 
   // Times as long as usual; `typical` is the mean of all servers, for those without a report.
@@ -71,6 +78,7 @@
   double slowdown_ = 1.0;      // By the report.
   MonotonicTime sampled_{};    // When the report was true.
   std::vector<MonotonicTime> sent_;  // Our open requests.
+  std::vector<MonotonicTime> sent_elsewhere_;  // Requests of others, newer than the report.
 };
 
 // Whether a server answers at all: failures of requests, ours and our zone's, and missed probes.
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -87,6 +87,11 @@
       share_timer_(io_),
       stop_timer_(io_) {
   context_.ids.prefix = seed;
+  dispatcher_.OnDecided([this] {
+    for (const BackendServerId& server : balancer_.TakeSent()) {
+      datagrams_.Send(near_peers_, EncodeZoneMessage(SentNotice{server}));
+    }
+  });
   dispatcher_.OnSlow([this](Ticket ticket) {
     const auto it = context_.exchanges.find(ticket);
     if (it != context_.exchanges.end()) it->second->OnSlow();
@@ -271,6 +276,9 @@
   std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
   if (!message) return metrics_.OnBadInput("datagram");
   if (auto* batch = std::get_if<ReportBatch>(&*message)) return OnReports(std::move(*batch));
+  if (const auto* notice = std::get_if<SentNotice>(&*message)) {
+    return balancer_.OnSentElsewhere(notice->server, clock_.Now());
+  }
   OnNews(std::get<CatalogNews>(*message));
 }
 
--- a/src/forward/dispatcher.cc
+++ b/src/forward/dispatcher.cc
@@ -22,6 +22,7 @@
 
 void Dispatcher::Deliver(Ticket ticket, const Choice& choice, ChoiceCallback done) {
   PollSoon();
+  if (on_decided_) on_decided_();
   if (!std::holds_alternative<Wait>(choice)) return done(choice);
   waiting_[ticket] = std::move(done);
 }
@@ -62,6 +63,7 @@
   for (const Ticket ticket : Ask([&](auto& policy) { return policy.HedgeDue(clock_.Now()); })) {
     if (on_slow_) on_slow_(ticket);
   }
+  if (on_decided_) on_decided_();
   ArmTimer();
 }
 
--- a/src/forward/dispatcher.h
+++ b/src/forward/dispatcher.h
@@ -33,6 +33,8 @@
   std::optional<SendTo> Hedge(Ticket ticket);
   // Told of each request that has waited so long for an answer that a hedge may help.
   void OnSlow(std::function<void(Ticket)> slow) { on_slow_ = std::move(slow); }
+  // Told after each decision, when requests may have gone out.
+  void OnDecided(std::function<void()> decided) { on_decided_ = std::move(decided); }
   void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result);
   // The request is over; a wait of it is forgotten.
   void Finish(Ticket ticket);
@@ -53,6 +55,7 @@
   const Clock& clock_;
   Policy policy_;
   std::function<void(Ticket)> on_slow_;
+  std::function<void()> on_decided_;
   asio::steady_timer timer_;                            // Until the policy's next wake.
   std::unordered_map<Ticket, ChoiceCallback> waiting_;  // Requests told to wait.
   std::optional<MonotonicTime> armed_;                  // When timer_ ends.
--- a/src/measure/zone_prober.cc
+++ b/src/measure/zone_prober.cc
@@ -19,6 +19,7 @@
 ZoneProber::ZoneProber(EntryVmId self) : self_(std::move(self)), members_{{self_, PlaceId()}} {}
 
 void ZoneProber::SetMembers(std::vector<Prober> members) {
+  KeepFewPerPlace(members);
   members_ = std::move(members);
   Assign();
 }
@@ -29,6 +30,17 @@
   Assign();
 }
 
+void ZoneProber::KeepFewPerPlace(std::vector<Prober>& members) {
+  const auto order = [](const Prober& a, const Prober& b) {
+    const uint64_t a_hash = XXH3_64bits(a.id.Text().data(), a.id.Text().size());
+    const uint64_t b_hash = XXH3_64bits(b.id.Text().data(), b.id.Text().size());
+    return a_hash < b_hash;
+  };
+  std::sort(members.begin(), members.end(), order);
+  std::map<PlaceId, size_t> kept;
+  std::erase_if(members, [&kept](const Prober& m) { return ++kept[m.place] > kProbersPerPlace; });
+}
+
 bool ZoneProber::IsOurs(const BackendServerId& server, const PlaceId& place) const {
   const bool has_near = std::any_of(members_.begin(), members_.end(), [&](const Prober& member) {
     return member.place == place;
--- a/src/measure/zone_prober.h
+++ b/src/measure/zone_prober.h
@@ -1,6 +1,6 @@
 // Decides which backend servers this entry VM asks for their load, and when: each server is asked
-// by one entry VM of its own failure domain, chosen by rendezvous hashing, which passes the answers
-// on. Servers of a domain without entry VMs are shared out among all. Entry VMs that disagree about
+// by one of a few entry VMs of its own failure domain, chosen by rendezvous hashing, which pass the
+// answers on. Servers of a domain without entry VMs are shared out among all. Entry VMs that disagree about
 // the members ask a server twice for a while; that costs a probe and no more. Pure.
 
 #ifndef COWSLIPHILL_MEASURE_ZONE_PROBER_H_
@@ -22,6 +22,9 @@
                                                          // of the half second for which hosts stay
                                                          // slow or fast.
 
+  // Entry VMs of a domain that probe: more would send more and smaller batches to all others.
+  static constexpr size_t kProbersPerPlace = 3;
+
   struct Prober {
     EntryVmId id;
     PlaceId place;
@@ -46,9 +49,10 @@
 
   void Assign();
   bool IsOurs(const BackendServerId& server, const PlaceId& place) const;
+  static void KeepFewPerPlace(std::vector<Prober>& members);
 
   EntryVmId self_;
-  std::vector<Prober> members_;
+  std::vector<Prober> members_;  // At most kProbersPerPlace of each domain.
   std::map<BackendServerId, PlaceId> servers_;
   std::map<BackendServerId, Probed> probed_;  // Ours.
 };
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -15,6 +15,7 @@
 // First item of each message. Values are part of the wire form; never reuse one.
 constexpr int kReports = 1;
 constexpr int kNews = 2;
+constexpr int kSent = 3;
 constexpr double kPercent = 100.0;  // A slowdown travels as a whole number of percent.
 
 json Encode(const ServerReport& item) {
@@ -91,6 +92,9 @@
 }
 
 ZoneMessage DecodeFields(const json& message) {
+  if (message.at(0).get<int>() == kSent) {
+    return SentNotice{BackendServerId(message.at(1).get<std::string>())};
+  }
   if (message.at(0).get<int>() == kReports) {
     ReportBatch batch;
     batch.relay = message.at(2).get<bool>();
@@ -113,9 +117,14 @@
 }  // namespace
 
 std::string EncodeZoneMessage(const ZoneMessage& message) {
-  const auto* batch = std::get_if<ReportBatch>(&message);
-  const json fields =
-      batch != nullptr ? EncodeBatch(*batch) : EncodeNews(std::get<CatalogNews>(message));
+  json fields;
+  if (const auto* batch = std::get_if<ReportBatch>(&message)) {
+    fields = EncodeBatch(*batch);
+  } else if (const auto* notice = std::get_if<SentNotice>(&message)) {
+    fields = {kSent, notice->server.Text()};
+  } else {
+    fields = EncodeNews(std::get<CatalogNews>(message));
+  }
   const std::vector<uint8_t> bytes = json::to_msgpack(fields);
   return {bytes.begin(), bytes.end()};
 }
@@ -125,7 +134,7 @@
   try {
     const json message = json::from_msgpack(bytes);
     const int kind = message.at(0).get<int>();
-    if (kind != kReports && kind != kNews) return std::nullopt;
+    if (kind < kReports || kind > kSent) return std::nullopt;
     return DecodeFields(message);
   } catch (const json::exception&) {
     return std::nullopt;  // Counted by the caller as a refused message.
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -46,7 +46,12 @@
   std::vector<BackendServerId> gone;
 };
 
-using ZoneMessage = std::variant<ReportBatch, CatalogNews>;
+// The sender has just sent a request to this server. Counts until the next report.
+struct SentNotice {
+  BackendServerId server;
+};
+
+using ZoneMessage = std::variant<ReportBatch, CatalogNews, SentNotice>;
 
 std::string EncodeZoneMessage(const ZoneMessage& message);
 // nullopt for anything malformed.
