--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -59,7 +59,9 @@
     if (news.since_failure < std::chrono::minutes(1)) {
       servers_watch_.OnOthersFailure(now - news.since_failure);
     }
-    manifest_watch_.OnNews(news.manifest_version, false, from_before_us, now - news.manifest_age);
+    // The table holds other rows too: a new version of it need not be a new manifest.
+    const bool same = manifest_ != nullptr && news.revision <= manifest_->revision;
+    manifest_watch_.OnNews(news.manifest_version, same, from_before_us, now - news.manifest_age);
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
     if (covered && news.servers_version > before) {
@@ -144,7 +146,7 @@
       watch.OnHistoryGone();
       return Tick();
     }
-    watch.OnFailure(now);
+    watch.OnFailure(rank_, now);
     bool& lost = &watch == &manifest_watch_ ? manifest_lost_ : servers_lost_;
     if (!lost) listener_.on_store(table, error.detail);
     lost = true;
@@ -163,6 +165,7 @@
     };
     CatalogNews news;
     news.sender = self_;
+    news.revision = manifest_ ? manifest_->revision : 0;
     news.manifest_version = manifest_watch_.Version();
     news.manifest_age = millis(now - manifest_watch_.Confirmed());
     news.servers_version = servers_watch_.Version();
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -21,7 +21,8 @@
   std::chrono::milliseconds patience{1000};       // Without news; then one asks for itself.
   std::chrono::milliseconds patience_step{120};   // More for each place in the order.
   std::chrono::milliseconds retry{200};           // After a failed call; doubles.
-  std::chrono::milliseconds longest_retry{600};
+  std::chrono::milliseconds longest_retry{600};   // Of the first in the order; others wait longer
+                                                  // by their place, as they hear from who succeeds.
   uint32_t most_steps = 4;                        // Places beyond it are as patient as this one.
   std::chrono::milliseconds spacing{250};         // Least time between the starts of two calls.
 };
@@ -54,9 +55,10 @@
     confirmed_ = now;
     reading_ = rank != 0;
   }
-  void OnFailure(MonotonicTime now) {
+  void OnFailure(uint32_t rank, MonotonicTime now) {
     calling_ = false;
-    retry_ = std::clamp<Duration>(retry_ * 2, times_.retry, times_.longest_retry);
+    const Duration longest = times_.longest_retry * (1 + std::min(rank, times_.most_steps));
+    retry_ = std::clamp<Duration>(retry_ * 2, times_.retry, longest);
     not_before_ = now + retry_;
     last_failure_ = now;
     failed_ = true;
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -88,7 +88,8 @@
           news.since_failure.count(),
           std::move(changed),
           std::move(gone),
-          news.sender.Text()};
+          news.sender.Text(),
+          news.revision};
 }
 
 ZoneMessage DecodeFields(const json& message) {
@@ -111,6 +112,7 @@
   for (const json& row : message.at(7)) news.changed.push_back(DecodeServer(row));
   for (const json& id : message.at(8)) news.gone.emplace_back(id.get<std::string>());
   news.sender = EntryVmId(message.at(9).get<std::string>());
+  news.revision = message.at(10).get<uint64_t>();
   return news;
 }
 
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -35,7 +35,8 @@
 // span that `changed` and `gone` cover; who stands before `from` must ask the store.
 struct CatalogNews {
   EntryVmId sender;
-  uint64_t manifest_version = 0;
+  uint64_t manifest_version = 0;  // Of the store's table.
+  uint64_t revision = 0;          // Of the manifest in force at the sender.
   std::chrono::milliseconds manifest_age{0};
   uint64_t from = 0;
   uint64_t servers_version = 0;
