--- /dev/null
+++ b/src/zone/zone_message_test.cc
@@ -0,0 +1,91 @@
+#include "src/zone/zone_message.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace cowsliphill {
+namespace {
+
+using std::chrono::milliseconds;
+
+class ZoneMessageTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ZoneMessageTest);
+  CPPUNIT_TEST(Reports_Encoded_ComeBackTheSame);
+  CPPUNIT_TEST(News_Encoded_ComeBackTheSame);
+  CPPUNIT_TEST(Notice_Encoded_ComesBackTheSame);
+  CPPUNIT_TEST(Decode_DamagedBytes_NeverThrows);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Reports_Encoded_ComeBackTheSame() {
+    ReportBatch batch;
+    batch.relay = true;
+    Report report;
+    report.in_flight = 4;
+    report.slowdown = 7.0;
+    report.draining = true;
+    batch.reports.push_back({BackendServerId("a"), report, false, milliseconds(12), 3, 1});
+    batch.reports.push_back({BackendServerId("b"), std::nullopt, true, milliseconds(0), 0, 0});
+    const auto message = DecodeZoneMessage(EncodeZoneMessage(batch));
+    const auto& back = std::get<ReportBatch>(message.value());
+    CPPUNIT_ASSERT(back.relay);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, back.reports[0].report->in_flight.value_or(0));
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(7.0, back.reports[0].report->slowdown.value_or(0), 0.01);
+    CPPUNIT_ASSERT(back.reports[0].report->draining);
+    CPPUNIT_ASSERT(back.reports[0].age == milliseconds(12));
+    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, back.reports[0].failed);
+    CPPUNIT_ASSERT(back.reports[1].missed && !back.reports[1].report);
+  }
+
+  void News_Encoded_ComeBackTheSame() {
+    CatalogNews news;
+    news.sender = EntryVmId("me");
+    news.manifest_version = 5;
+    news.revision = 3;
+    news.from = 7;
+    news.servers_version = 9;
+    news.since_failure = milliseconds(40);
+    BackendServer server;
+    server.id = BackendServerId("a");
+    server.service = ServiceId("s");
+    server.endpoint = {"10.0.0.1", 80};
+    server.state = BackendState::kLeaving;
+    server.started = 77;
+    news.changed.push_back(server);
+    news.gone.emplace_back("b");
+    const auto message = DecodeZoneMessage(EncodeZoneMessage(news));
+    const auto& back = std::get<CatalogNews>(message.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("me"), back.sender.Text());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, back.revision);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{9}, back.servers_version);
+    CPPUNIT_ASSERT(back.changed == news.changed);
+    CPPUNIT_ASSERT(back.gone == news.gone);
+  }
+
+  void Notice_Encoded_ComesBackTheSame() {
+    const auto message = DecodeZoneMessage(EncodeZoneMessage(SentNotice{BackendServerId("a")}));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), std::get<SentNotice>(message.value()).server.Text());
+  }
+
+  void Decode_DamagedBytes_NeverThrows() {
+    std::mt19937_64 random(1);
+    CatalogNews news;
+    news.changed.resize(3);
+    const std::string whole = EncodeZoneMessage(news);
+    for (int i = 0; i < 20000; ++i) {
+      std::string bytes = whole.substr(0, random() % (whole.size() + 1));
+      for (int n = 0; n < 3 && !bytes.empty(); ++n) {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+      }
+      DecodeZoneMessage(bytes);
+    }
+    CPPUNIT_ASSERT(!DecodeZoneMessage(""));
+    CPPUNIT_ASSERT(!DecodeZoneMessage("hello"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ZoneMessageTest);
+
+}  // namespace
+}  // namespace cowsliphill
