--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -193,15 +193,21 @@
   request.attempts.push_back(attempt);
   server.load.OnSent(now);
   sent_.push_back(server.config.id);
-  if (request.asked.repeatable) {
-    const Duration patience = std::max<Duration>(
-        Times(candidate.expected, kHedgeAfter), Duration(kHedgeFloor));
-    hedges_.emplace(now + patience, ticket);
-  }
+  if (request.asked.repeatable) hedges_.emplace(HedgeTimeOf(request, candidate, now), ticket);
   return {ticket, server.config.id, server.config.endpoint,
           static_cast<uint32_t>(request.attempts.size()), Reason(candidate, usable, now)};
 }
 
+MonotonicTime Balancer::HedgeTimeOf(const Request& request, const Candidate& candidate,
+                                    MonotonicTime now) {
+  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
+  const Duration work = Times(WorkOf(request).Mean(), kHedgeWork);
+  const Duration patience =
+      std::clamp(target - work - now, Times(candidate.expected, kHedgeSoonest),
+                 Times(candidate.expected, kHedgeAfter));
+  return now + std::max<Duration>(patience, Duration(kHedgeFloor));
+}
+
 std::string Balancer::Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now) {
   const ServerLoad& load = candidate.server->load;
   const int64_t age =
@@ -381,6 +387,7 @@
   server.load.OnReport(report, sampled);
   server.health.OnReached();
   if (report.draining) server.leaving = true;
+  if (report.slowdown && *report.slowdown >= kTurnedSlow) HedgeWorkAt(server, sampled);
   const auto service = services_.find(server.config.service);
   if (service == services_.end() || !report.slowdown) return;
   constexpr double kTypicalWeight = 0.02;  // Of one report in the mean over a service's servers.
@@ -388,6 +395,16 @@
       kTypicalWeight * (*report.slowdown - service->second->typical_slowdown);
 }
 
+void Balancer::HedgeWorkAt(const Server& server, MonotonicTime now) {
+  for (const auto& [ticket, request] : requests_) {
+    if (request.finished || !request.asked.repeatable || request.attempts.empty()) continue;
+    const Attempt& newest = request.attempts.back();
+    const bool was_fast = newest.server == &server && newest.open && newest.slowdown < kTurnedSlow;
+    const bool worth_it = now - newest.sent < Times(newest.expected, kHedgeLatest);
+    if (was_fast && worth_it && now > newest.sent) hedges_.emplace(now, ticket);
+  }
+}
+
 void Balancer::OnSentElsewhere(const BackendServerId& id, MonotonicTime now) {
   const auto it = servers_.find(id);
   if (it != servers_.end()) it->second->load.OnSentElsewhere(now);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -54,7 +54,11 @@
   static constexpr double kRemoteCost = 0.25;    // Of the work: preference for the own place.
   static constexpr double kFailureCost = 3.0;    // Works lost by sending to a failing server.
   static constexpr double kDeadlineMargin = 0.9; // Share of the time left that may be planned for.
-  static constexpr double kHedgeAfter = 2.0;     // Times the expected time without an answer.
+  static constexpr double kHedgeAfter = 2.0;     // Times the expected time without an answer; or
+  static constexpr double kHedgeSoonest = 1.4;   // sooner, while a second attempt that takes
+  static constexpr double kHedgeWork = 1.3;      // so many times the work is still in time.
+  static constexpr double kTurnedSlow = 2.5;     // Slowdown from which work there is sent again,
+  static constexpr double kHedgeLatest = 0.7;    // unless so much of its time has passed.
   static constexpr std::chrono::milliseconds kHedgeFloor{20};
   static constexpr std::chrono::milliseconds kRetryAfterFloor{50};
   static constexpr std::chrono::milliseconds kQueuePoll{10};  // While requests wait.
@@ -129,6 +133,8 @@
   Choice Place(Ticket ticket, Request& request, MonotonicTime now);
   SendTo Send(Ticket ticket, Request& request, const Candidate& candidate, uint32_t usable,
               MonotonicTime now);
+  MonotonicTime HedgeTimeOf(const Request& request, const Candidate& candidate, MonotonicTime now);
+  void HedgeWorkAt(const Server& server, MonotonicTime now);
   static std::string Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now);
   Refuse Refused(Ticket ticket, const Request& request, RefusalCause cause, MonotonicTime now);
   WorkEstimate& WorkOf(const Request& request);
--- /dev/null
+++ b/standins/fleet_standin.cc
@@ -0,0 +1,298 @@
+#include "standins/fleet_standin.h"
+
+#include <openssl/evp.h>
+
+#include <asio.hpp>
+#include <deque>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "standins/http_server.h"
+
+namespace cowsliphill::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr const char* kServersTable = "servers";
+
+std::string Base64(const std::string& bytes) {
+  std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+  const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                reinterpret_cast<const unsigned char*>(bytes.data()),
+                                static_cast<int>(bytes.size()));
+  out.resize(static_cast<size_t>(n));
+  return out;
+}
+
+uint64_t NumberOr(const std::string& text, uint64_t fallback) {
+  return text.empty() ? fallback : std::stoull(text);
+}
+
+HttpAnswer JsonAnswer(int status, const Json& json) {
+  return {status, {{"Content-Type", "application/json"}}, json.dump(), {}};
+}
+
+void Later(asio::io_context& loop, milliseconds delay, std::function<void()> task) {
+  const auto timer = std::make_shared<asio::steady_timer>(loop, delay);
+  timer->async_wait([timer, task = std::move(task)](std::error_code) { task(); });
+}
+
+// The platform's store, without writes from outside.
+class RowStore {
+ public:
+  explicit RowStore(asio::io_context& loop) : loop_(loop) {}
+
+  void Put(const std::string& table, const std::string& key, const std::string& value) {
+    Change({table, key, Base64(value), ++version_, false});
+  }
+  void Erase(const std::string& table, const std::string& key) {
+    Change({table, key, "", ++version_, true});
+  }
+  void Compact() { forgotten_ = version_; }
+  void SetMode(const std::string& mode) { mode_ = mode; }
+  uint64_t Reads() const { return reads_; }
+
+  void OnRequest(const HttpExchange& exchange) {
+    ++reads_;
+    if (mode_ == "busy") return exchange.Answer({503, {}, "", {}});
+    if (mode_ == "reset") return exchange.Drop();
+    if (mode_ == "silent") return silent_.push_back(exchange);
+    const HttpRequest& request = exchange.Request();
+    if (request.path == "/-/rows-get") return exchange.Answer(Range(request));
+    if (request.path != "/-/rows-feed") return exchange.Answer({404, {}, "", {}});
+    const uint64_t after = NumberOr(request.Query("after"), 0);
+    if (after < forgotten_) return exchange.Answer({410, {}, "", {}});
+    const std::string table = request.Query("table");
+    if (HasChanges(table, after)) return exchange.Answer(Changes(table, after));
+    waiting_.push_back({exchange, table, after});
+    const auto it = std::prev(waiting_.end());
+    Later(loop_, milliseconds(NumberOr(request.Query("wait-ms"), 0)), [this, it] { EndWait(it); });
+  }
+
+ private:
+  struct Row {
+    std::string table;
+    std::string key;
+    std::string value;
+    uint64_t version = 0;
+    bool deleted = false;
+  };
+  struct Waiting {
+    HttpExchange exchange;
+    std::string table;
+    uint64_t after = 0;
+    bool answered = false;
+  };
+
+  static Json ToJson(const Row& row) {
+    Json json = {{"table", row.table}, {"part", ""}, {"key", row.key}, {"ver", row.version}};
+    if (row.deleted) {
+      json["deleted"] = true;
+    } else {
+      json["value"] = row.value;
+    }
+    return json;
+  }
+  HttpAnswer Page(Json rows) const {
+    return JsonAnswer(200, {{"rows", std::move(rows)},
+                            {"has-more", false},
+                            {"ver", version_},
+                            {"now-ms", 1}});
+  }
+  void Change(const Row& row) {
+    rows_[{row.table, row.key}] = row;
+    for (Waiting& waiting : waiting_) {
+      if (waiting.answered || waiting.table != row.table) continue;
+      waiting.answered = true;
+      if (mode_ != "silent") waiting.exchange.Answer(Changes(waiting.table, waiting.after));
+    }
+  }
+  void EndWait(std::list<Waiting>::iterator it) {
+    if (!it->answered && mode_ != "silent") it->exchange.Answer(Changes(it->table, it->after));
+    waiting_.erase(it);
+  }
+  bool HasChanges(const std::string& table, uint64_t after) const {
+    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
+      return item.second.table == table && item.second.version > after;
+    });
+  }
+  HttpAnswer Changes(const std::string& table, uint64_t after) const {
+    Json rows = Json::array();
+    for (const auto& [key, row] : rows_) {
+      if (row.table == table && row.version > after) rows.push_back(ToJson(row));
+    }
+    return Page(std::move(rows));
+  }
+  HttpAnswer Range(const HttpRequest& request) const {
+    Json rows = Json::array();
+    for (const auto& [key, row] : rows_) {
+      if (row.table != request.Query("table") || row.deleted) continue;
+      if (row.key >= request.Query("from")) rows.push_back(ToJson(row));
+    }
+    return Page(std::move(rows));
+  }
+
+  asio::io_context& loop_;
+  std::map<std::pair<std::string, std::string>, Row> rows_;
+  std::list<Waiting> waiting_;
+  std::vector<HttpExchange> silent_;  // Kept open, never answered.
+  std::string mode_ = "ok";
+  uint64_t version_ = 0;
+  uint64_t forgotten_ = 0;  // Changes up to this version can't be asked for.
+  uint64_t reads_ = 0;
+};
+
+struct JournalEntry {
+  std::string request;
+  std::string server;
+  bool ended = false;
+};
+
+// One backend server.
+class Server {
+ public:
+  Server(asio::io_context& loop, std::string name, const FleetOptions& options,
+         std::vector<JournalEntry>& journal)
+      : loop_(loop),
+        name_(std::move(name)),
+        slots_(options.slots),
+        work_(options.work),
+        journal_(journal),
+        server_(loop, {"127.0.0.1", 0}, [this](const HttpExchange& it) { OnRequest(it); }) {}
+
+  Endpoint Address() const { return server_.Address(); }
+  void Set(const HttpRequest& control) {
+    mode_ = control.Query("mode").empty() ? mode_ : control.Query("mode");
+    work_ = milliseconds(
+        NumberOr(control.Query("work_ms"), static_cast<uint64_t>(work_.count())));
+    slowdown_ = NumberOr(control.Query("slowdown"), slowdown_);
+  }
+
+ private:
+  std::vector<HttpHeader> Headers() const {
+    return {{"X-Instance-Id", name_},
+            {"X-Server-Load", std::to_string(running_) + ",0," + std::to_string(slots_) + "," +
+                                  std::to_string(slowdown_)}};
+  }
+  void OnRequest(const HttpExchange& exchange) {
+    const HttpRequest& request = exchange.Request();
+    if (request.path == "/health") return exchange.Answer({200, Headers(), "", {}});
+    if (request.Header("x-target-instance") != name_) {
+      return exchange.Answer({421, Headers(), "", {}});
+    }
+    if (mode_ == "hang") return hung_.push_back(exchange);
+    if (mode_ == "shed" || running_ >= slots_) {
+      std::vector<HttpHeader> headers = Headers();
+      headers.push_back({"X-Not-Executed", "1"});
+      return exchange.Answer({503, headers, "", {}});
+    }
+    Run(exchange);
+  }
+  void Run(const HttpExchange& exchange) {
+    ++running_;
+    const size_t entry = journal_.size();
+    journal_.push_back({exchange.Request().Header("x-request-id"), name_, false});
+    Later(loop_, work_ * slowdown_ / 100, [this, exchange, entry] {
+      --running_;
+      journal_[entry].ended = true;
+      if (mode_ == "cut") return exchange.Drop();
+      exchange.Answer(AnswerOf(exchange.Request()));
+    });
+  }
+  HttpAnswer AnswerOf(const HttpRequest& request) const {
+    HttpAnswer answer{mode_ == "error" ? 500 : 200, Headers(), "", {}};
+    const std::string id = request.Header("x-request-id");
+    answer.headers.push_back({"X-Request-Id", mode_ == "stray" ? id + "-other" : id});
+    answer.headers.push_back({"X-Response-Signature", "signed." + name_ + "." + id});
+    answer.body = "body of " + id + " by " + name_;
+    return answer;
+  }
+
+  asio::io_context& loop_;
+  std::string name_;
+  uint32_t slots_;
+  milliseconds work_;
+  uint64_t slowdown_ = 100;  // Percent.
+  uint32_t running_ = 0;
+  std::string mode_ = "ok";
+  std::vector<JournalEntry>& journal_;
+  std::vector<HttpExchange> hung_;
+  HttpServer server_;
+};
+
+}  // namespace
+
+struct FleetStandin::State {
+  State(asio::io_context& loop, const Clock& clock, const FleetOptions& options) : store(loop) {
+    for (size_t i = 0; i < options.servers; ++i) {
+      const std::string name = "s-" + std::to_string(i);
+      servers[name] = std::make_unique<Server>(loop, name, options, journal);
+      const Json row = {{"service", options.service},
+                        {"address", servers[name]->Address().ToString()},
+                        {"zone", options.place},
+                        {"version", "v1"},
+                        {"slots", options.slots},
+                        {"state", "ready"},
+                        {"warmup-left-ms", 0},
+                        {"seq-no", 1},
+                        {"born", clock.WallNow().time_since_epoch().count()}};
+      store.Put(kServersTable, name, row.dump());
+    }
+    http = std::make_unique<HttpServer>(loop, options.listen,
+                                        [this](const HttpExchange& it) { OnRequest(it); });
+  }
+
+  void OnRequest(const HttpExchange& exchange) {
+    const HttpRequest& request = exchange.Request();
+    if (request.path.rfind("/control/", 0) == 0) return exchange.Answer(Control(request));
+    store.OnRequest(exchange);
+  }
+
+  HttpAnswer Control(const HttpRequest& request) {
+    const std::string& path = request.path;
+    if (path == "/control/journal") return Journal();
+    if (path == "/control/counts") return JsonAnswer(200, {{"reads", store.Reads()}});
+    if (path == "/control/row" && request.method == "PUT") {
+      store.Put(request.Query("table"), request.Query("key"), request.body);
+    } else if (path == "/control/row") {
+      store.Erase(request.Query("table"), request.Query("key"));
+    } else if (path == "/control/store") {
+      store.SetMode(request.Query("mode"));
+    } else if (path == "/control/compact") {
+      store.Compact();
+    } else if (path == "/control/server" && servers.count(request.Query("name")) > 0) {
+      servers.at(request.Query("name"))->Set(request);
+    } else {
+      return {404, {}, "no such control\n", {}};
+    }
+    return {200, {}, "ok\n", {}};
+  }
+
+  HttpAnswer Journal() const {
+    Json list = Json::array();
+    for (const JournalEntry& it : journal) {
+      list.push_back({{"request", it.request}, {"server", it.server}, {"ended", it.ended}});
+    }
+    return JsonAnswer(200, list);
+  }
+
+  RowStore store;
+  std::vector<JournalEntry> journal;
+  std::map<std::string, std::unique_ptr<Server>> servers;
+  std::unique_ptr<HttpServer> http;
+};
+
+FleetStandin::FleetStandin(asio::io_context& loop, const Clock& clock, const FleetOptions& options)
+    : state_(std::make_shared<State>(loop, clock, options)) {}
+
+FleetStandin::~FleetStandin() = default;
+
+Endpoint FleetStandin::StoreAddress() const { return state_->http->Address(); }
+
+}  // namespace cowsliphill::standins
--- a/standins/main.cc
+++ b/standins/main.cc
@@ -16,6 +16,7 @@
 #include "src/base/toml_reader.h"
 #include "standins/backend_standin.h"
 #include "standins/caller.h"
+#include "standins/fleet_standin.h"
 #include "standins/platform_standin.h"
 #include "standins/proxy.h"
 
@@ -108,6 +109,23 @@
   return 0;
 }
 
+int RunFleet(cxxopts::Options& options, int argc, char** argv) {
+  options.add_options()("listen", "IP:PORT of the store",
+                        cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+      "servers", "backend servers", cxxopts::value<size_t>()->default_value("3"))(
+      "work-ms", "work of a request", cxxopts::value<int64_t>()->default_value("5"));
+  const auto args = options.parse(argc, argv);
+  const SystemClock clock;
+  asio::io_context loop;
+  FleetOptions fleet;
+  fleet.listen = ListenOf(args["listen"].as<std::string>());
+  fleet.servers = args["servers"].as<size_t>();
+  fleet.work = MillisecondsOf(args, "work-ms");
+  const FleetStandin standin(loop, clock, fleet);
+  PrintAddress("listening", standin.StoreAddress());
+  return RunUntilSignal(loop);
+}
+
 int RunProxy(cxxopts::Options& options, int argc, char** argv) {
   options.add_options()("listen", "IP:PORT",
                         cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
@@ -198,7 +216,7 @@
 }
 
 void PrintUsage() {
-  std::cerr << "usage: standins platform|backend|proxy|caller [OPTIONS]; each has --help\n";
+  std::cerr << "usage: standins platform|fleet|backend|proxy|caller [OPTIONS]; each has --help\n";
 }
 
 int Run(int argc, char** argv) {
@@ -213,6 +231,7 @@
   Runner runner = nullptr;
   if (command == "platform") runner = RunPlatform;
   if (command == "backend") runner = RunBackend;
+  if (command == "fleet") runner = RunFleet;
   if (command == "proxy") runner = RunProxy;
   if (command == "caller") runner = RunCaller;
   if (runner == nullptr) {
--- /dev/null
+++ b/tests/platform_path_test.cc
@@ -0,0 +1,381 @@
+// Entry VMs on the users' platform as real processes: the stand-in for store and backend servers on
+// one side, plain HTTP callers on the other.
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <thread>
+
+#include "tests/process_harness.h"
+
+namespace cowsliphill {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kManifestBound{2000};  // From the store's word to every entry VM.
+constexpr milliseconds kDrainBound{2000};     // The same for a backend server that leaves.
+
+struct FleetEntry {
+  Endpoint edge = FreeEndpoint();
+  Endpoint peer = FreeEndpoint();
+  Endpoint lookup = FreeEndpoint();
+  Endpoint readiness = FreeEndpoint();
+  Endpoint metrics = FreeEndpoint();
+  std::unique_ptr<Process> process;
+};
+
+httplib::Client ClientOf(const Endpoint& at) {
+  httplib::Client client(at.ip, at.port);
+  client.set_read_timeout(std::chrono::seconds(10));
+  return client;
+}
+
+class Fleet {
+ public:
+  explicit Fleet(size_t entries, size_t servers = 3) : folder_(NewFolder()), entries_(entries) {
+    standin_ = std::make_unique<Process>(
+        std::vector<std::string>{BuildFolder() + "/standins", "fleet", "--servers",
+                                 std::to_string(servers)},
+        folder_ + "/fleet.log");
+    store_ = standin_->AwaitAddress("listening");
+    PutManifest(1, "/a/");
+    for (size_t i = 0; i < entries; ++i) Start(i);
+    for (const FleetEntry& entry : entries_) {
+      CPPUNIT_ASSERT(WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; }));
+    }
+  }
+  ~Fleet() {
+    entries_.clear();
+    standin_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+
+  void Start(size_t i) {
+    FleetEntry& entry = entries_[i];
+    const std::string file = folder_ + "/entry-" + std::to_string(i);
+    std::string text = "place = \"place-a\"\nstop_timeout_ms = 4000\n[edge]\nlisten = \"" +
+                       entry.edge.ToString() + "\"\n[peer]\nlisten = \"" + entry.peer.ToString() +
+                       "\"\nseeds = [\"" + entries_[0].peer.ToString() +
+                       "\"]\n[platform]\nkind = \"store\"\nendpoint = \"" + store_.ToString() +
+                       "\"\nlookup_listen = \"" + entry.lookup.ToString() +
+                       "\"\nreadiness_listen = \"" + entry.readiness.ToString() +
+                       "\"\nmetrics_listen = \"" + entry.metrics.ToString() + "\"\n";
+    WriteFile(file + ".toml", text);
+    entry.process = std::make_unique<Process>(
+        std::vector<std::string>{BuildFolder() + "/cowsliphill", "serve", "--settings",
+                                 file + ".toml"},
+        file + ".log");
+  }
+
+  FleetEntry& Entry(size_t i) { return entries_[i]; }
+
+  static int StatusOf(const Endpoint& at, const std::string& path) {
+    const auto result = ClientOf(at).Get(path);
+    return result ? result->status : 0;
+  }
+  // One request; `kind` is the route's first part: "a" may be repeated, "u" may not.
+  httplib::Result Send(size_t entry, const std::string& path, const std::string& id,
+                       int64_t time_limit_ms = 3000) const {
+    const httplib::Headers headers = {{"Host", "fleet.example"},
+                                      {"X-Request-Id", id},
+                                      {"X-Deadline-Ms", std::to_string(time_limit_ms)}};
+    auto client = ClientOf(entries_[entry].edge);
+    const bool unsafe = path.rfind("/u/", 0) == 0;
+    return unsafe ? client.Post(path, headers, "body", "text/plain") : client.Get(path, headers);
+  }
+  int StatusOfSend(size_t entry, const std::string& path, const std::string& id) const {
+    const auto result = Send(entry, path, id);
+    return result ? result->status : 0;
+  }
+
+  void Control(const std::string& method, const std::string& path, const std::string& body = "") {
+    auto client = ClientOf(store_);
+    const auto result = method == "PUT"      ? client.Put(path, body, "text/plain")
+                        : method == "DELETE" ? client.Delete(path)
+                                             : client.Post(path, body, "text/plain");
+    CPPUNIT_ASSERT_MESSAGE(path, result && result->status == 200);
+  }
+  void PutManifest(uint64_t version, const std::string& prefix) {
+    const auto route = [](const std::string& at, const char* type) {
+      return json{{"host", "fleet.example"}, {"prefix", at},       {"route-type", type},
+                  {"timeout-ms", 2500},      {"priority", 1},      {"target-latency-ms", 500},
+                  {"service", "service-a"},  {"max-attempts", 2}};
+    };
+    const json config = {
+        {"version", version},
+        {"routes", {{"r-1", route(prefix, "safe")}, {"r-2", route("/u/", "unsafe")}}},
+        {"services", {{"service-a", {{"health-path", "/health"}}}}},
+        {"limits", {{"max-body-bytes", 1000}}}};
+    Control("PUT", "/control/row?table=op&key=config", config.dump());
+  }
+  json Journal() const { return json::parse(ClientOf(store_).Get("/control/journal")->body); }
+  size_t RunsOf(const std::string& id) const {
+    const json journal = Journal();
+    return static_cast<size_t>(std::count_if(journal.begin(), journal.end(),
+                                             [&id](const json& it) { return it["request"] == id; }));
+  }
+  uint64_t StoreReads() const {
+    return json::parse(ClientOf(store_).Get("/control/counts")->body).at("reads").get<uint64_t>();
+  }
+
+ private:
+  std::string folder_;
+  std::unique_ptr<Process> standin_;
+  Endpoint store_;
+  std::vector<FleetEntry> entries_;
+};
+
+class PlatformPathTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformPathTest);
+  CPPUNIT_TEST(Request_AtEachEntryVm_GetsItsOwnSignedAnswer);
+  CPPUNIT_TEST(Lookup_AtAnEntryVm_NamesAllOfThePlace);
+  CPPUNIT_TEST(Manifest_Changed_IsInForceEverywhereInTime);
+  CPPUNIT_TEST(Manifest_Malformed_ChangesNothing);
+  CPPUNIT_TEST(Server_Leaving_GetsNoNewWorkInTime);
+  CPPUNIT_TEST(Server_WithAForgedRow_IsNotUsed);
+  CPPUNIT_TEST(Store_Silent_ServesOnAndCatchesUp);
+  CPPUNIT_TEST(Store_ThatForgotItsHistory_IsReadAgain);
+  CPPUNIT_TEST(Store_WithQuietTables_IsAskedByOneEntryVm);
+  CPPUNIT_TEST(UnsafeRequest_WithACutAnswer_RunsOnceAndPromisesNothing);
+  CPPUNIT_TEST(UnsafeRequest_RefusedByAllServers_IsToldNotRun);
+  CPPUNIT_TEST(SafeRequest_WithAFailingServer_IsAnsweredByAnother);
+  CPPUNIT_TEST(Answer_OfAnotherRequest_NeverReachesTheCaller);
+  CPPUNIT_TEST(Request_WithTooLargeABody_Is413);
+  CPPUNIT_TEST(Sighup_ToAnEntryVm_ChangesNothing);
+  CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndEnds);
+  CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
+  CPPUNIT_TEST(Metrics_OfAnEntryVm_ShowTheStoreCalls);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void Request_AtEachEntryVm_GetsItsOwnSignedAnswer() {
+    const Fleet fleet(3);
+    for (size_t i = 0; i < 3; ++i) {
+      for (int n = 0; n < 5; ++n) {
+        const std::string id = "r" + std::to_string(i) + "-" + std::to_string(n);
+        const auto result = fleet.Send(i, "/a/x?q=1", id);
+        CPPUNIT_ASSERT(result);
+        CPPUNIT_ASSERT_EQUAL(200, result->status);
+        CPPUNIT_ASSERT_EQUAL(id, result->get_header_value("X-Request-Id"));
+        CPPUNIT_ASSERT(result->get_header_value("X-Response-Signature").find(id) !=
+                       std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, result->body.find("body of " + id));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(404, fleet.StatusOfSend(0, "/none/", "r"));
+  }
+
+  void Lookup_AtAnEntryVm_NamesAllOfThePlace() {
+    Fleet fleet(3);
+    CPPUNIT_ASSERT(WaitUntil([&fleet] { return Addresses(fleet, 1).size() == 3; }));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Addresses(fleet, 1).count(fleet.Entry(2).edge.ToString()));
+  }
+
+  void Manifest_Changed_IsInForceEverywhereInTime() {
+    Fleet fleet(3);
+    fleet.PutManifest(5, "/b/");
+    std::this_thread::sleep_for(kManifestBound);
+    for (size_t i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(i, "/b/x", "new-" + std::to_string(i)));
+      CPPUNIT_ASSERT_EQUAL(404, fleet.StatusOfSend(i, "/a/x", "old-" + std::to_string(i)));
+    }
+    // An older version never comes back.
+    fleet.PutManifest(4, "/a/");
+    std::this_thread::sleep_for(milliseconds(1000));
+    for (size_t i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(i, "/b/x", "kept-" + std::to_string(i)));
+    }
+  }
+
+  void Manifest_Malformed_ChangesNothing() {
+    Fleet fleet(1);
+    fleet.Control("PUT", "/control/row?table=op&key=config", "{\"version\":9,");
+    fleet.Control("PUT", "/control/row?table=op&key=other", "{}");
+    std::this_thread::sleep_for(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(0, "/a/x", "r1"));
+  }
+
+  void Server_Leaving_GetsNoNewWorkInTime() {
+    Fleet fleet(2);
+    json row = ServerRow("s-0");
+    row["state"] = "draining";
+    fleet.Control("PUT", "/control/row?table=servers&key=s-0", row.dump());
+    std::this_thread::sleep_for(kDrainBound);
+    const size_t before = fleet.Journal().size();
+    for (int n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(static_cast<size_t>(n % 2), "/a/x",
+                                                   "r" + std::to_string(n)));
+    }
+    const json journal = fleet.Journal();
+    for (size_t i = before; i < journal.size(); ++i) CPPUNIT_ASSERT(journal[i]["server"] != "s-0");
+  }
+
+  void Server_WithAForgedRow_IsNotUsed() {
+    Fleet fleet(1);
+    json forged = ServerRow("s-9");
+    forged["slots"] = "many";
+    fleet.Control("PUT", "/control/row?table=servers&key=s-9", forged.dump());
+    fleet.Control("PUT", "/control/row?table=servers&key=s-8", "\xff\x00{");
+    std::this_thread::sleep_for(milliseconds(1000));
+    for (int n = 0; n < 10; ++n) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(0, "/a/x", "r" + std::to_string(n)));
+    }
+  }
+
+  void Store_Silent_ServesOnAndCatchesUp() {
+    Fleet fleet(3);
+    fleet.Control("PUT", "/control/store?mode=silent");
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    for (size_t i = 0; i < 3; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(i, "/a/x", "r" + std::to_string(i)));
+    }
+    fleet.PutManifest(2, "/b/");
+    fleet.Control("PUT", "/control/store?mode=ok");
+    CPPUNIT_ASSERT(WaitUntil(
+        [&fleet] {
+          for (size_t i = 0; i < 3; ++i) {
+            if (fleet.StatusOfSend(i, "/b/x", "s" + std::to_string(i)) != 200) return false;
+          }
+          return true;
+        },
+        milliseconds(3000) + kManifestBound));
+  }
+
+  void Store_ThatForgotItsHistory_IsReadAgain() {
+    Fleet fleet(2);
+    fleet.Control("PUT", "/control/store?mode=busy");
+    std::this_thread::sleep_for(milliseconds(1500));
+    fleet.PutManifest(2, "/b/");
+    fleet.Control("DELETE", "/control/row?table=servers&key=s-1");
+    fleet.Control("POST", "/control/compact");
+    fleet.Control("PUT", "/control/store?mode=ok");
+    CPPUNIT_ASSERT(WaitUntil([&fleet] {
+      return fleet.StatusOfSend(0, "/b/x", "r0") == 200 && fleet.StatusOfSend(1, "/b/x", "r1") == 200;
+    }));
+  }
+
+  void Store_WithQuietTables_IsAskedByOneEntryVm() {
+    const Fleet fleet(6);
+    std::this_thread::sleep_for(std::chrono::seconds(3));  // They find each other.
+    const uint64_t before = fleet.StoreReads();
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    // One reader asks for two tables twice a second; six would ask for 96.
+    CPPUNIT_ASSERT(fleet.StoreReads() - before <= 32);
+  }
+
+  void UnsafeRequest_WithACutAnswer_RunsOnceAndPromisesNothing() {
+    Fleet fleet(1);
+    SetAll(fleet, "cut");
+    const int status = fleet.StatusOfSend(0, "/u/x", "u1");
+    CPPUNIT_ASSERT(status != 503 && status != 429 && status != 408 && status != 421);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.RunsOf("u1"));
+  }
+
+  void UnsafeRequest_RefusedByAllServers_IsToldNotRun() {
+    Fleet fleet(1);
+    SetAll(fleet, "shed");
+    const auto result = fleet.Send(0, "/u/x", "u1");
+    CPPUNIT_ASSERT(result);
+    CPPUNIT_ASSERT_EQUAL(503, result->status);
+    CPPUNIT_ASSERT(!result->get_header_value("Retry-After").empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.RunsOf("u1"));
+  }
+
+  void SafeRequest_WithAFailingServer_IsAnsweredByAnother() {
+    Fleet fleet(1);
+    fleet.Control("PUT", "/control/server?name=s-0&mode=cut");
+    fleet.Control("PUT", "/control/server?name=s-1&mode=error");
+    int good = 0;
+    for (int n = 0; n < 12; ++n) {
+      if (fleet.StatusOfSend(0, "/a/x", "r" + std::to_string(n)) == 200) ++good;
+    }
+    CPPUNIT_ASSERT(good >= 9);
+  }
+
+  void Answer_OfAnotherRequest_NeverReachesTheCaller() {
+    Fleet fleet(1);
+    SetAll(fleet, "stray");
+    const auto result = fleet.Send(0, "/a/x", "r1", 500);
+    CPPUNIT_ASSERT(!result || result->status >= 500);
+  }
+
+  void Request_WithTooLargeABody_Is413() {
+    const Fleet fleet(1);
+    const auto result = ClientOf(const_cast<Fleet&>(fleet).Entry(0).edge)
+                            .Post("/u/x", {{"Host", "fleet.example"}, {"X-Request-Id", "r"}},
+                                  std::string(2000, 'x'), "text/plain");
+    CPPUNIT_ASSERT(result);
+    CPPUNIT_ASSERT_EQUAL(413, result->status);
+  }
+
+  void Sighup_ToAnEntryVm_ChangesNothing() {
+    Fleet fleet(1);
+    fleet.Entry(0).process->Signal(SIGHUP);
+    std::this_thread::sleep_for(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(0, "/a/x", "r1"));
+  }
+
+  void Sigterm_WithARequestOpen_AnswersItAndEnds() {
+    Fleet fleet(2);
+    SetAll(fleet, "ok&work_ms=1500");
+    int status = 0;
+    std::thread caller([&] { status = fleet.StatusOfSend(1, "/u/x", "u1"); });
+    std::this_thread::sleep_for(milliseconds(300));
+    fleet.Entry(1).process->Signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(503, Fleet::StatusOf(fleet.Entry(1).readiness, "/-/readiness"));
+    caller.join();
+    CPPUNIT_ASSERT_EQUAL(200, status);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(1).process->Wait(milliseconds(6000)));
+  }
+
+  void Kill_OfTheReader_LeavesTheOthersUpToDate() {
+    Fleet fleet(3);
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    fleet.Entry(1).process->Signal(SIGKILL);
+    fleet.PutManifest(2, "/b/");
+    std::this_thread::sleep_for(kManifestBound);
+    CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(0, "/b/x", "r0"));
+    CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(2, "/b/x", "r2"));
+  }
+
+  void Metrics_OfAnEntryVm_ShowTheStoreCalls() {
+    Fleet fleet(1);
+    const auto result = ClientOf(fleet.Entry(0).metrics).Get("/metrics");
+    CPPUNIT_ASSERT(result);
+    CPPUNIT_ASSERT(result->body.find("cowsliphill_store_calls") != std::string::npos);
+  }
+
+ private:
+  static std::set<std::string> Addresses(Fleet& fleet, size_t entry) {
+    const auto result = ClientOf(fleet.Entry(entry).lookup)
+                            .Get("/-/resolve?name=fleet.example&region=r&zone=place-a");
+    std::set<std::string> addresses;
+    if (!result) return addresses;
+    const json answer = json::parse(result->body);
+    for (const json& it : answer.at("addresses")) addresses.insert(it.get<std::string>());
+    return addresses;
+  }
+  static json ServerRow(const std::string& name) {
+    return {{"service", "service-a"}, {"address", "127.0.0.1:9"}, {"zone", "place-a"},
+            {"version", "v1"},        {"slots", 3},               {"state", "ready"},
+            {"warmup-left-ms", 0},    {"seq-no", 2},              {"name", name}};
+  }
+  static void SetAll(Fleet& fleet, const std::string& mode) {
+    for (const char* name : {"s-0", "s-1", "s-2"}) {
+      fleet.Control("PUT", std::string("/control/server?name=") + name + "&mode=" + mode);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformPathTest);
+
+}  // namespace
+}  // namespace cowsliphill
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -30,10 +30,6 @@
 constexpr milliseconds kLook{10};  // Between looks at a condition.
 const char* const kService = "permit-register";
 
-std::string BuildFolder() {
-  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-}
-
 // A port that is free now. Entry VMs are told their ports by settings, so port 0 can't be used.
 uint16_t FreePort() {
   static std::set<uint16_t> given;
@@ -46,18 +42,28 @@
   }
 }
 
-Endpoint FreeEndpoint() { return {"127.0.0.1", FreePort()}; }
-
 std::string ReadFile(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
+}  // namespace
+
+std::string BuildFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+Endpoint FreeEndpoint() { return {"127.0.0.1", FreePort()}; }
+
 void WriteFile(const std::string& file, const std::string& text) {
   std::ofstream(file, std::ios::binary) << text;
 }
 
-}  // namespace
+std::string NewFolder() {
+  std::string pattern = std::filesystem::temp_directory_path().string() + "/cowsliphill-XXXXXX";
+  CPPUNIT_ASSERT_MESSAGE("no temporary folder", mkdtemp(pattern.data()) != nullptr);
+  return pattern;
+}
 
 bool WaitUntil(const std::function<bool()>& condition, milliseconds limit) {
   const auto end = std::chrono::steady_clock::now() + limit;
@@ -127,9 +133,7 @@
 }
 
 Stage::Stage(const StageOptions& options) : options_(options) {
-  std::string pattern = std::filesystem::temp_directory_path().string() + "/cowsliphill-XXXXXX";
-  CPPUNIT_ASSERT_MESSAGE("no temporary folder", mkdtemp(pattern.data()) != nullptr);
-  folder_ = pattern;
+  folder_ = NewFolder();
   platform_ = std::make_unique<Process>(
       std::vector<std::string>{BuildFolder() + "/standins", "platform"}, FileOf("platform.log"));
   platform_address_ = platform_->AwaitAddress("listening");
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -24,6 +24,13 @@
 bool WaitUntil(const std::function<bool()>& condition,
                std::chrono::milliseconds limit = kConditionLimit);
 
+// An address on loopback that nothing listens on.
+Endpoint FreeEndpoint();
+// The folder with the built programs.
+std::string BuildFolder();
+void WriteFile(const std::string& file, const std::string& text);
+std::string NewFolder();
+
 // One child process; its output goes to a file.
 class Process {
  public:
