--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -61,14 +61,16 @@
     }
     // The table holds other rows too: a new version of it need not be a new manifest.
     const bool same = manifest_ != nullptr && news.revision <= manifest_->revision;
-    manifest_watch_.OnNews(news.manifest_version, same, from_before_us, now - news.manifest_age,
+    manifest_watch_.OnNews({news.manifest_version, same, from_before_us, news.reaches_store,
+                            now - news.manifest_age},
                            now);
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
     if (covered && news.servers_version > before) {
       TakeServers({news.servers_version, false, news.changed, news.gone}, now);
     }
-    servers_watch_.OnNews(news.servers_version, covered, from_before_us, now - news.servers_age,
+    servers_watch_.OnNews({news.servers_version, covered, from_before_us, news.reaches_store,
+                           now - news.servers_age},
                           now);
     Tick();
   }
@@ -103,7 +105,7 @@
         manifest_ = page.manifest;
         listener_.on_manifest(manifest_);
       }
-      Tell(now);
+      Tell(true, now);
       Tick();
     };
     if (step == Step::kReadWhole) return store_.ReadManifest(done);
@@ -126,7 +128,7 @@
         told_.push_back({before, page.changed, page.gone});
         if (told_.size() > kToldAgain) told_.pop_front();
       }
-      Tell(now);
+      Tell(true, now);
       Tick();
     };
     if (step == Step::kReadWhole) return store_.ReadServers(done);
@@ -150,7 +152,7 @@
       return Tick();
     }
     watch.OnFailure(now);
-    if (rank_ < kMostLeaders) Tell(now);  // Others then leave the retries to us.
+    if (rank_ < kMostLeaders) Tell(false, now);  // Others then leave the retries to us.
     bool& lost = &watch == &manifest_watch_ ? manifest_lost_ : servers_lost_;
     if (!lost) listener_.on_store(table, error.detail);
     lost = true;
@@ -161,14 +163,15 @@
     lost = false;
   }
 
-  // Tells what this entry VM has just heard from the store itself.
-  void Tell(MonotonicTime now) {
+  // Tells what this entry VM knows; `reaches_store`: it has just heard from the store itself.
+  void Tell(bool reaches_store, MonotonicTime now) {
     if (!manifest_watch_.Known() || !servers_watch_.Known()) return;
     const auto millis = [](Duration d) {
       return std::chrono::duration_cast<std::chrono::milliseconds>(d);
     };
     CatalogNews news;
     news.sender = self_;
+    news.reaches_store = reaches_store;
     news.revision = manifest_ ? manifest_->revision : 0;
     news.manifest_version = manifest_watch_.Version();
     news.manifest_age = millis(now - manifest_watch_.Confirmed());
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -75,25 +75,33 @@
     calling_ = false;
     known_ = false;
   }
-  // Another entry VM stood at `version` at `confirmed`; `covered`: we now have all up to there.
-  // `from_first` when the news come from an entry VM before us in the order.
-  void OnNews(uint64_t version, bool covered, bool from_before_us, MonotonicTime confirmed,
-              MonotonicTime now) {
-    if (from_before_us) {
-      taking_over_ = false;
+  // News of another entry VM.
+  struct News {
+    uint64_t version = 0;
+    bool covered = false;         // We now have all up to `version`.
+    bool from_before_us = false;  // The sender is before us in the order.
+    bool reaches_store = true;    // The sender has just been answered by the store itself.
+    MonotonicTime confirmed;      // When the sender last knew `version` to be the newest.
+  };
+  void OnNews(const News& news, MonotonicTime now) {
+    if (news.from_before_us) {
       led_ = true;
       heard_ = now;
       // Whoever is before us and in touch with the store reads for all, even if a little behind.
-      if (now - confirmed < times_.patience) reading_ = false;
+      // One that can't reach it may have fresh news from us.
+      if (news.reaches_store) {
+        taking_over_ = false;
+        reading_ = false;
+      }
     }
-    if (!known_ || version < version_) return;
-    if (version > version_ && !covered) {
+    if (!known_ || news.version < version_) return;
+    if (news.version > version_ && !news.covered) {
       behind_ = true;
       not_before_ = std::min(not_before_, now);  // Others reach the store: so may we.
       return;
     }
-    version_ = version;
-    confirmed_ = std::max(confirmed_, confirmed);
+    version_ = news.version;
+    confirmed_ = std::max(confirmed_, news.confirmed);
   }
   void OnOthersFailure(MonotonicTime when) {
     last_failure_ = std::max(last_failure_, when);
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(Next_LaterInOrder_IsMorePatient);
   CPPUNIT_TEST(Next_WhenOthersKnowMore_ChecksAtOnce);
   CPPUNIT_TEST(OnNews_FromBeforeUs_EndsOurReading);
+  CPPUNIT_TEST(OnNews_FromALeaderThatCantReachTheStore_LeavesUsReading);
   CPPUNIT_TEST(OnAnswer_ToACallFromBeforeTheNews_DoesNotTakeOverAgain);
   CPPUNIT_TEST(OnHistoryGone_ReadsTheWholeAgain);
   CPPUNIT_TEST(OnFailure_CutOffFromAll_TriesAgainSoon);
@@ -45,14 +46,14 @@
     ReadWhole(3);
     for (int i = 0; i < 20; ++i) {
       Pass(milliseconds(500));
-      watch_.OnNews(10, true, true, now_, now_);
+      watch_.OnNews({10, true, true, true, now_}, now_);
       CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kNone);
     }
   }
 
   void Next_WithoutNewsForItsPatience_Checks() {
     ReadWhole(1);
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     Pass(milliseconds(1000));
     CPPUNIT_ASSERT(watch_.Next(1, now_) == Step::kNone);
     Pass(milliseconds(200));
@@ -61,7 +62,7 @@
 
   void Next_LaterInOrder_IsMorePatient() {
     ReadWhole(4);
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     Pass(milliseconds(1200));
     CPPUNIT_ASSERT(watch_.Next(4, now_) == Step::kNone);
     // Whatever the place, the bound of two seconds leaves time for the call.
@@ -72,7 +73,7 @@
   void Next_WhenOthersKnowMore_ChecksAtOnce() {
     ReadWhole(5);
     Pass(milliseconds(400));
-    watch_.OnNews(11, false, true, now_, now_);
+    watch_.OnNews({11, false, true, true, now_}, now_);
     CPPUNIT_ASSERT(watch_.Next(5, now_) == Step::kCheck);
   }
 
@@ -80,17 +81,28 @@
     ReadWhole(2);
     TakeOver(2);
     CPPUNIT_ASSERT(watch_.IsReading());
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     CPPUNIT_ASSERT(!watch_.IsReading());
   }
 
+  // Found by the day scale-2 of a measured site: a leader that was cut off from the store alone told
+  // the reader's own news back, and the reader yielded to it.
+  void OnNews_FromALeaderThatCantReachTheStore_LeavesUsReading() {
+    ReadWhole(2);
+    TakeOver(2);
+    watch_.OnNews({10, true, true, false, now_}, now_);
+    CPPUNIT_ASSERT(watch_.IsReading());
+    Pass(milliseconds(300));
+    CPPUNIT_ASSERT(watch_.Next(2, now_) == Step::kWatch);
+  }
+
   // Found at a site of 129 entry VMs: all that had ever taken over went on reading.
   void OnAnswer_ToACallFromBeforeTheNews_DoesNotTakeOverAgain() {
     ReadWhole(2);
     TakeOver(2);
     Pass(milliseconds(300));
     CPPUNIT_ASSERT(watch_.Next(2, now_) == Step::kWatch);
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     watch_.OnAnswer(10, now_);
     CPPUNIT_ASSERT(!watch_.IsReading());
     Pass(milliseconds(300));
@@ -110,7 +122,7 @@
   // from its peers asked again only three seconds after the cut had healed.
   void OnFailure_CutOffFromAll_TriesAgainSoon() {
     ReadWhole(6);
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     Pass(std::chrono::seconds(5));
     FailFor(std::chrono::seconds(6), 6);
     Pass(TableWatchTimes().longest_retry);
@@ -119,13 +131,13 @@
 
   void OnFailure_WhileLeadersAreHeard_BacksOffLonger() {
     ReadWhole(6);
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     const MonotonicTime confirmed = now_;
     Pass(std::chrono::seconds(2));
     int calls = 0;
     for (int i = 0; i < 100; ++i) {
       Pass(milliseconds(100));
-      watch_.OnNews(10, true, true, confirmed, now_);
+      watch_.OnNews({10, true, true, false, confirmed}, now_);
       if (watch_.Next(6, now_) == Step::kNone) continue;
       ++calls;
       watch_.OnFailure(now_);
@@ -136,16 +148,16 @@
   // Found by the same day: news of a new manifest came while the entry VM was backed off.
   void OnNews_OfAChangeWhileBackedOff_ChecksAtOnce() {
     ReadWhole(6);
-    watch_.OnNews(10, true, true, now_, now_);
+    watch_.OnNews({10, true, true, true, now_}, now_);
     const MonotonicTime confirmed = now_;
     Pass(std::chrono::seconds(2));
     for (int i = 0; i < 100; ++i) {
       Pass(milliseconds(100));
-      watch_.OnNews(10, true, true, confirmed, now_);
+      watch_.OnNews({10, true, true, false, confirmed}, now_);
       if (watch_.Next(6, now_) != Step::kNone) watch_.OnFailure(now_);
     }
     CPPUNIT_ASSERT(watch_.Next(6, now_) == Step::kNone);
-    watch_.OnNews(11, false, true, now_, now_);
+    watch_.OnNews({11, false, true, true, now_}, now_);
     CPPUNIT_ASSERT(watch_.Next(6, now_) == Step::kCheck);
   }
 
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -105,7 +105,8 @@
           std::move(gone),
           news.sender.Text(),
           news.revision,
-          news.relay};
+          news.relay,
+          news.reaches_store};
 }
 
 ZoneMessage DecodeFields(const json& message) {
@@ -133,6 +134,7 @@
   news.sender = EntryVmId(message.at(9).get<std::string>());
   news.revision = message.at(10).get<uint64_t>();
   news.relay = message.at(11).get<bool>();
+  news.reaches_store = message.at(12).get<bool>();
   return news;
 }
 
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -40,6 +40,7 @@
 // span that `changed` and `gone` cover; who stands before `from` must ask the store.
 struct CatalogNews {
   EntryVmId sender;
+  bool reaches_store = false;     // It has just been answered by the store itself.
   uint64_t manifest_version = 0;  // Of the store's table.
   uint64_t revision = 0;          // Of the manifest in force at the sender.
   std::chrono::milliseconds manifest_age{0};
