--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -18,8 +18,8 @@
 
 #include "src/claims/claim_keeper.h"
 #include "src/claims/grouped_table.h"
-#include "src/storage/memory_platform.h"
 #include "src/records/record_keeper.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 namespace {
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "src/base/ids.h"
-#include "src/storage/platform.h"
 #include "src/settings/settings.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -34,7 +34,7 @@
   // Waiting requests in the order in which they go out: most urgent first, then by target.
   using Turn = std::tuple<uint32_t, MonotonicTime, Ticket>;
 
-  std::vector<Server*> servers;                        // That may take new work.
+  std::vector<Server*> servers;                            // That may take new work.
   std::map<std::pair<uint32_t, bool>, WorkEstimate> work;  // By rank and bulk.
   std::set<Turn> waiting;
   SharedRetryBudget budget;
@@ -102,11 +102,12 @@
   const double ahead = candidate.in_flight >= slots ? (candidate.in_flight - slots + 1) / slots : 0;
   candidate.expected = own + Times(own, ahead);
   const bool remote = server.config.place != place_;
-  const double preference = (remote ? kRemoteCost * static_cast<double>(work.count()) : 0) +
-                            kFailureCost * server.health.Failing() * static_cast<double>(own.count());
-  candidate.cost = static_cast<double>(candidate.expected.count()) *
-                       (1 + kCrowdCost * candidate.in_flight) +
-                   preference;
+  const double preference =
+      (remote ? kRemoteCost * static_cast<double>(work.count()) : 0) +
+      kFailureCost * server.health.Failing() * static_cast<double>(own.count());
+  candidate.cost =
+      static_cast<double>(candidate.expected.count()) * (1 + kCrowdCost * candidate.in_flight) +
+      preference;
   // Large answers stay in their place as long as that is in time.
   const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
   const bool in_time = now + candidate.expected <= target;
@@ -177,8 +178,8 @@
   }
   const bool any = std::any_of(request.service->servers.begin(), request.service->servers.end(),
                                [now](const Server* s) { return !s->health.IsDown(now); });
-  return Refused(ticket, request,
-                 any ? RefusalCause::kOverload : RefusalCause::kNoBackendServer, now);
+  return Refused(ticket, request, any ? RefusalCause::kOverload : RefusalCause::kNoBackendServer,
+                 now);
 }
 
 SendTo Balancer::Send(Ticket ticket, Request& request, const Candidate& candidate, uint32_t usable,
@@ -210,8 +211,7 @@
 
 std::string Balancer::Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now) {
   const ServerLoad& load = candidate.server->load;
-  const int64_t age =
-      load.Known() ? duration_cast<milliseconds>(now - load.Sampled()).count() : -1;
+  const int64_t age = load.Known() ? duration_cast<milliseconds>(now - load.Sampled()).count() : -1;
   return fmt::format("expected_ms={} in_flight={} slowdown={:.2f} report_age_ms={} usable={}",
                      duration_cast<milliseconds>(candidate.expected).count(), candidate.in_flight,
                      candidate.slowdown, age, usable);
@@ -273,9 +273,8 @@
   if (it == requests_.end()) return;
   Request& request = it->second;
   const auto attempt =
-      std::find_if(request.attempts.begin(), request.attempts.end(), [&id](const Attempt& a) {
-        return a.open && a.server->config.id == id;
-      });
+      std::find_if(request.attempts.begin(), request.attempts.end(),
+                   [&id](const Attempt& a) { return a.open && a.server->config.id == id; });
   if (attempt == request.attempts.end()) return;
   attempt->open = false;
   Server& server = *attempt->server;
@@ -366,7 +365,8 @@
   const auto it = requests_.find(ticket);
   if (it == requests_.end() || !it->second.finished) return;
   const auto& attempts = it->second.attempts;
-  if (std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; })) return;
+  if (std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; }))
+    return;
   requests_.erase(it);
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -16,10 +16,10 @@
 #define COWSLIPHILL_BALANCE_BALANCER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <functional>
 #include <queue>
 #include <random>
 #include <string>
@@ -43,26 +43,26 @@
 
 class Balancer {
  public:
-  static constexpr double kQueuePerSlot = 1.0;   // Requests queued at a server per slot, at most.
-  static constexpr double kTie = 0.05;           // Expected times this near count as equal.
+  static constexpr double kQueuePerSlot = 1.0;  // Requests queued at a server per slot, at most.
+  static constexpr double kTie = 0.05;          // Expected times this near count as equal.
   static constexpr std::chrono::milliseconds kTieFloor{2};
-  static constexpr double kNearlyFull = 0.8;     // Share of slots from which servers slow down.
+  static constexpr double kNearlyFull = 0.8;  // Share of slots from which servers slow down.
   static constexpr double kNearlyFullCost = 1.5;
-  static constexpr double kCrowdCost = 0.12;     // Of the time, per request there: reports are old
-                                                 // by some arrivals, so the emptier one is safer.
-  static constexpr double kColdCost = 2.0;       // Times as long at a server that has just started.
-  static constexpr double kRemoteCost = 0.25;    // Of the work: preference for the own place.
-  static constexpr double kFailureCost = 3.0;    // Works lost by sending to a failing server.
-  static constexpr double kDeadlineMargin = 0.9; // Share of the time left that may be planned for.
-  static constexpr double kHedgeAfter = 2.0;     // Times the expected time without an answer; or
-  static constexpr double kHedgeSoonest = 1.4;   // sooner, while a second attempt that takes
-  static constexpr double kHedgeWork = 1.3;      // so many times the work is still in time.
-  static constexpr double kTurnedSlow = 2.5;     // Slowdown from which work there is sent again,
-  static constexpr double kHedgeLatest = 0.7;    // unless so much of its time has passed.
+  static constexpr double kCrowdCost = 0.12;   // Of the time, per request there: reports are old
+                                               // by some arrivals, so the emptier one is safer.
+  static constexpr double kColdCost = 2.0;     // Times as long at a server that has just started.
+  static constexpr double kRemoteCost = 0.25;  // Of the work: preference for the own place.
+  static constexpr double kFailureCost = 3.0;  // Works lost by sending to a failing server.
+  static constexpr double kDeadlineMargin = 0.9;  // Share of the time left that may be planned for.
+  static constexpr double kHedgeAfter = 2.0;      // Times the expected time without an answer; or
+  static constexpr double kHedgeSoonest = 1.4;    // sooner, while a second attempt that takes
+  static constexpr double kHedgeWork = 1.3;       // so many times the work is still in time.
+  static constexpr double kTurnedSlow = 2.5;      // Slowdown from which work there is sent again,
+  static constexpr double kHedgeLatest = 0.7;     // unless so much of its time has passed.
   static constexpr std::chrono::milliseconds kHedgeFloor{20};
   static constexpr std::chrono::milliseconds kRetryAfterFloor{50};
   static constexpr std::chrono::milliseconds kQueuePoll{10};  // While requests wait.
-  static constexpr size_t kMostWaiting = 500;    // Requests per service.
+  static constexpr size_t kMostWaiting = 500;                 // Requests per service.
 
   Balancer(PlaceId place, uint64_t seed, RetrySettings terms);
   ~Balancer();
--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -72,25 +72,26 @@
   MonotonicTime Sampled() const { return sampled_; }
 
  private:
-  bool known_ = false;         // There was a report.
-  uint32_t reported_ = 0;      // Requests there, by the report.
-  uint32_t ended_since_ = 0;   // Ours, counted by the report and over since.
-  double slowdown_ = 1.0;      // By the report.
-  MonotonicTime sampled_{};    // When the report was true.
-  std::vector<MonotonicTime> sent_;  // Our open requests.
+  bool known_ = false;                         // There was a report.
+  uint32_t reported_ = 0;                      // Requests there, by the report.
+  uint32_t ended_since_ = 0;                   // Ours, counted by the report and over since.
+  double slowdown_ = 1.0;                      // By the report.
+  MonotonicTime sampled_{};                    // When the report was true.
+  std::vector<MonotonicTime> sent_;            // Our open requests.
   std::vector<MonotonicTime> sent_elsewhere_;  // Requests of others, newer than the report.
 };
 
 // Whether a server answers at all: failures of requests, ours and our zone's, and missed probes.
 class ServerHealth {
  public:
-  static constexpr double kWeight = 0.2;                          // Of one request's outcome.
-  static constexpr uint32_t kMissedProbes = 2;                    // In a row: it is down.
-  static constexpr std::chrono::milliseconds kFirstPause{200};    // After a failed connect; doubles.
+  static constexpr double kWeight = 0.2;                        // Of one request's outcome.
+  static constexpr uint32_t kMissedProbes = 2;                  // In a row: it is down.
+  static constexpr std::chrono::milliseconds kFirstPause{200};  // After a failed connect; doubles.
   static constexpr std::chrono::milliseconds kLongestPause{2000};
 
   void OnOutcome(double failures, double successes) {
-    for (; failures > 0; failures -= 1) failing_ += std::min(failures, 1.0) * kWeight * (1 - failing_);
+    for (; failures > 0; failures -= 1)
+      failing_ += std::min(failures, 1.0) * kWeight * (1 - failing_);
     for (; successes > 0; successes -= 1) failing_ -= std::min(successes, 1.0) * kWeight * failing_;
   }
   void OnUnreachable(MonotonicTime now) {
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -17,8 +17,8 @@
 namespace cowsliphill {
 
 enum class CatalogErrorKind {
-  kUnavailable,   // No answer, or the store turned the call away.
-  kHistoryGone,   // Changes since that version are no longer kept: read the whole.
+  kUnavailable,  // No answer, or the store turned the call away.
+  kHistoryGone,  // Changes since that version are no longer kept: read the whole.
 };
 
 struct CatalogError {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -56,22 +56,19 @@
 
   void OnNews(const CatalogNews& news, bool from_before_us) {
     const MonotonicTime now = clock_.Now();
-    if (news.since_failure < std::chrono::minutes(1)) {
-      servers_watch_.OnOthersFailure(now - news.since_failure);
-    }
     // The table holds other rows too: a new version of it need not be a new manifest.
     const bool same = manifest_ != nullptr && news.revision <= manifest_->revision;
-    manifest_watch_.OnNews({news.manifest_version, same, from_before_us, news.reaches_store,
-                            now - news.manifest_age},
-                           now);
+    manifest_watch_.OnNews(
+        {news.manifest_version, same, from_before_us, news.reaches_store, now - news.manifest_age},
+        now);
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
     if (covered && news.servers_version > before) {
       TakeServers({news.servers_version, false, news.changed, news.gone}, now);
     }
-    servers_watch_.OnNews({news.servers_version, covered, from_before_us, news.reaches_store,
-                           now - news.servers_age},
-                          now);
+    servers_watch_.OnNews(
+        {news.servers_version, covered, from_before_us, news.reaches_store, now - news.servers_age},
+        now);
     Tick();
   }
 
@@ -85,12 +82,12 @@
 
  private:
   using Step = TableWatch::Step;
-  static constexpr uint32_t kMostLeaders = 2;       // First in the order; they retry most often.
-  static constexpr size_t kToldAgain = 4;           // Changes go out so many times: datagrams get lost.
-  static constexpr size_t kMostToldServers = 100;   // More than fit into a datagram.
+  static constexpr uint32_t kMostLeaders = 2;  // First in the order; they retry most often.
+  static constexpr size_t kToldAgain = 4;      // Changes go out so many times: datagrams get lost.
+  static constexpr size_t kMostToldServers = 100;  // More than fit into a datagram.
 
   bool Outage(MonotonicTime now) const {
-    return servers_watch_.FailedWithin(ServerList::kReturnTime, now);
+    return servers_watch_.OutageWithin(ServerList::kReturnTime, now);
   }
 
   void AskManifest(Step step) {
@@ -177,7 +174,6 @@
     news.manifest_age = millis(now - manifest_watch_.Confirmed());
     news.servers_version = servers_watch_.Version();
     news.servers_age = millis(now - servers_watch_.Confirmed());
-    news.since_failure = millis(servers_watch_.SinceFailure(now));
     news.from = told_.empty() ? news.servers_version : told_.front().from;
     for (const Told& told : told_) {
       news.changed.insert(news.changed.end(), told.changed.begin(), told.changed.end());
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -17,16 +17,18 @@
 namespace cowsliphill {
 
 struct TableWatchTimes {
-  std::chrono::milliseconds hold{500};            // The store may hold a call for so long.
-  std::chrono::milliseconds patience{1000};       // Without news; then one asks for itself.
-  std::chrono::milliseconds patience_step{120};   // More for each place in the order.
-  std::chrono::milliseconds retry{200};           // After a failed call; doubles.
+  std::chrono::milliseconds hold{500};           // The store may hold a call for so long.
+  std::chrono::milliseconds patience{1000};      // Without news; then one asks for itself.
+  std::chrono::milliseconds patience_step{120};  // More for each place in the order.
+  std::chrono::milliseconds retry{200};          // After a failed call; doubles.
   std::chrono::milliseconds longest_retry{600};
-  std::chrono::milliseconds led_retry{3000};      // Longest while those before us are heard: they
-                                                  // try too and tell when they succeed.
-  std::chrono::milliseconds heard{1500};          // After their last news they count as heard.
-  uint32_t most_steps = 4;                        // Places beyond it are as patient as this one.
-  std::chrono::milliseconds spacing{250};         // Least time between the starts of two calls.
+  std::chrono::milliseconds led_retry{3000};  // Longest while those before us are heard: they
+                                              // try too and tell when they succeed.
+  std::chrono::milliseconds heard{1500};      // After their last news they count as heard.
+  std::chrono::milliseconds outage{2000};     // Longer without word from the store, by any way,
+                                              // is an outage: a dead reader is replaced sooner.
+  uint32_t most_steps = 4;                    // Places beyond it are as patient as this one.
+  std::chrono::milliseconds spacing{250};     // Least time between the starts of two calls.
 };
 
 class TableWatch {
@@ -54,6 +56,7 @@
   void OnAnswer(uint64_t version, MonotonicTime now) {
     calling_ = false;
     retry_ = Duration{};
+    NoteOutage(now);
     known_ = true;
     behind_ = false;
     version_ = std::max(version_, version);
@@ -68,8 +71,6 @@
     const Duration longest = led ? times_.led_retry : times_.longest_retry;
     retry_ = std::clamp<Duration>(retry_ * 2, times_.retry, longest);
     not_before_ = now + retry_;
-    last_failure_ = now;
-    failed_ = true;
   }
   void OnHistoryGone() {
     calling_ = false;
@@ -100,25 +101,19 @@
       not_before_ = std::min(not_before_, now);  // Others reach the store: so may we.
       return;
     }
+    NoteOutage(now);
     version_ = news.version;
     confirmed_ = std::max(confirmed_, news.confirmed);
   }
-  void OnOthersFailure(MonotonicTime when) {
-    last_failure_ = std::max(last_failure_, when);
-    failed_ = true;
-  }
 
   bool Known() const { return known_; }
   uint64_t Version() const { return version_; }
   MonotonicTime Confirmed() const { return confirmed_; }
   bool IsReading() const { return reading_; }
   std::chrono::milliseconds Hold() const { return times_.hold; }
-  // Whether the store was out of reach within `span` before now.
-  bool FailedWithin(Duration span, MonotonicTime now) const {
-    return failed_ && now - last_failure_ < span;
-  }
-  Duration SinceFailure(MonotonicTime now) const {
-    return failed_ ? now - last_failure_ : Duration(std::chrono::hours(1));
+  // Whether the store is out of reach, or was until less than `span` ago.
+  bool OutageWithin(Duration span, MonotonicTime now) const {
+    return known_ && (now - confirmed_ > times_.outage || now - outage_end_ < span);
   }
 
  private:
@@ -128,19 +123,22 @@
     return step;
   }
 
+  void NoteOutage(MonotonicTime now) {
+    if (known_ && now - confirmed_ > times_.outage) outage_end_ = now;
+  }
+
   TableWatchTimes times_;
-  bool known_ = false;    // The whole was read once.
-  bool behind_ = false;   // Others know more.
-  bool calling_ = false;  // A call is open.
-  bool reading_ = false;  // Took over from those before us.
+  bool known_ = false;        // The whole was read once.
+  bool behind_ = false;       // Others know more.
+  bool calling_ = false;      // A call is open.
+  bool reading_ = false;      // Took over from those before us.
   bool taking_over_ = false;  // The open call is to take over.
-  bool failed_ = false;   // A call has failed.
-  bool led_ = false;      // Somebody before us in the order was heard, at `heard_`.
+  bool led_ = false;          // Somebody before us in the order was heard, at `heard_`.
   uint64_t version_ = 0;
   Duration retry_{};
   MonotonicTime confirmed_{};   // When the version was last known to be the newest.
   MonotonicTime not_before_{};  // No call before this.
-  MonotonicTime last_failure_{};
+  MonotonicTime outage_end_{};  // When the last outage was over.
   MonotonicTime heard_{};
 };
 
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(Next_LaterInOrder_IsMorePatient);
   CPPUNIT_TEST(Next_WhenOthersKnowMore_ChecksAtOnce);
   CPPUNIT_TEST(OnNews_FromBeforeUs_EndsOurReading);
+  CPPUNIT_TEST(OutageWithin_OthersCutOff_IsNoOutage);
+  CPPUNIT_TEST(OutageWithin_AfterALongSilence_HoldsForTheSpan);
   CPPUNIT_TEST(OnNews_FromALeaderThatCantReachTheStore_LeavesUsReading);
   CPPUNIT_TEST(OnAnswer_ToACallFromBeforeTheNews_DoesNotTakeOverAgain);
   CPPUNIT_TEST(OnHistoryGone_ReadsTheWholeAgain);
@@ -85,8 +87,34 @@
     CPPUNIT_ASSERT(!watch_.IsReading());
   }
 
-  // Found by the day scale-2 of a measured site: a leader that was cut off from the store alone told
-  // the reader's own news back, and the reader yielded to it.
+  // Found by the day scale-2 of a measured site: others that were cut off told of their failures,
+  // and a backend server that had left the store was kept as if the store had been down.
+  void OutageWithin_OthersCutOff_IsNoOutage() {
+    ReadWhole(5);
+    for (int i = 0; i < 10; ++i) {
+      Pass(milliseconds(500));
+      watch_.OnNews({10, true, true, true, now_}, now_);
+      watch_.OnNews({10, true, true, false, now_ - std::chrono::seconds(5)}, now_);
+      CPPUNIT_ASSERT(!watch_.OutageWithin(milliseconds(2200), now_));
+    }
+  }
+
+  void OutageWithin_AfterALongSilence_HoldsForTheSpan() {
+    ReadWhole(5);
+    Pass(std::chrono::seconds(4));
+    CPPUNIT_ASSERT(watch_.OutageWithin(milliseconds(2200), now_));
+    watch_.OnNews({10, true, true, true, now_}, now_);
+    for (int i = 0; i < 3; ++i) {
+      Pass(milliseconds(700));
+      watch_.OnNews({10, true, true, true, now_}, now_);
+    }
+    CPPUNIT_ASSERT(watch_.OutageWithin(milliseconds(2200), now_));
+    Pass(milliseconds(200));
+    CPPUNIT_ASSERT(!watch_.OutageWithin(milliseconds(2200), now_));
+  }
+
+  // Found by the day scale-2 of a measured site: a leader that was cut off from the store alone
+  // told the reader's own news back, and the reader yielded to it.
   void OnNews_FromALeaderThatCantReachTheStore_LeavesUsReading() {
     ReadWhole(2);
     TakeOver(2);
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -1,8 +1,8 @@
 #include "src/cli/commands.h"
 
-#include <cstdlib>
 #include <httplib.h>
 
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <functional>
--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -65,15 +65,15 @@
       admin_(settings_.admin, on_loop_),
       peers_(io_, clock_, id_, settings_.peer),
       record_reader_(platform_),
-      probe_client_(io_, clock_, settings_.backend,
-                    [](const HttpHead& answer, const ProbeTarget& target) {
-                      return ParseReport(target.format, [&answer](const std::string& name) {
-                        return answer.Find(name);
-                      });
-                    },
-                    [this](const ProbeTarget& target, const std::optional<Report>& report) {
-                      OnProbed(target, report);
-                    }),
+      probe_client_(
+          io_, clock_, settings_.backend,
+          [](const HttpHead& answer, const ProbeTarget& target) {
+            return ParseReport(target.format,
+                               [&answer](const std::string& name) { return answer.Find(name); });
+          },
+          [this](const ProbeTarget& target, const std::optional<Report>& report) {
+            OnProbed(target, report);
+          }),
       prober_(id_, platform_, clock_,
               [this](const ProbeTarget& target) { probe_client_.Send(target); }),
       signals_(io_, SIGTERM, SIGINT),
--- a/src/cli/entry_vm.h
+++ b/src/cli/entry_vm.h
@@ -34,10 +34,10 @@
 #include "src/members/leaving_spread.h"
 #include "src/members/members.h"
 #include "src/members/peer_transport.h"
-#include "src/storage/any_platform.h"
 #include "src/records/record_keeper.h"
 #include "src/records/record_reader.h"
 #include "src/settings/settings.h"
+#include "src/storage/any_platform.h"
 
 namespace cowsliphill {
 
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -14,23 +14,23 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{25};                // Resolution of probes and of the catalog's calls.
-constexpr milliseconds kShareDelay{10};          // Gathers the answers of probes sent together.
-constexpr milliseconds kOutcomeInterval{500};    // Between tellings when no report goes out.
-constexpr milliseconds kProbeTimeout{300};       // Servers answer probes at once.
-constexpr milliseconds kSettleTime{5000};        // Until members have found each other.
-constexpr uint32_t kUnsettledRank = 4;           // Until then: as patient as the last.
-constexpr size_t kSharesPerRelay = 2;            // Other domains are told half as often.
-constexpr size_t kFewPeers = 20;                 // Each is told of everything at once; among more
-                                                 // the messages would cost more than they save.
+constexpr milliseconds kTick{25};              // Resolution of probes and of the catalog's calls.
+constexpr milliseconds kShareDelay{10};        // Gathers the answers of probes sent together.
+constexpr milliseconds kOutcomeInterval{500};  // Between tellings when no report goes out.
+constexpr milliseconds kProbeTimeout{300};     // Servers answer probes at once.
+constexpr milliseconds kSettleTime{5000};      // Until members have found each other.
+constexpr uint32_t kUnsettledRank = 4;         // Until then: as patient as the last.
+constexpr size_t kSharesPerRelay = 2;          // Other domains are told half as often.
+constexpr size_t kFewPeers = 20;               // Each is told of everything at once; among more
+                                               // the messages would cost more than they save.
 constexpr milliseconds kSecond{1000};
-constexpr milliseconds kStopPollInterval{50};    // Between looks whether the last request ended.
-constexpr milliseconds kFarewell{150};           // For the last peer messages to go out.
-constexpr double kAcceptShare = 0.7;             // Of the stop time, in which callers still come.
-constexpr double kWorkShare = 0.93;              // Of the stop time, after which requests are cut.
-constexpr double kUnusualLines = 20;             // A second.
-constexpr double kUsualLines = 2;                // A second; a sample.
-constexpr double kBurstSeconds = 5;              // Worth of lines that may come at once.
+constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request ended.
+constexpr milliseconds kFarewell{150};         // For the last peer messages to go out.
+constexpr double kAcceptShare = 0.7;           // Of the stop time, in which callers still come.
+constexpr double kWorkShare = 0.93;            // Of the stop time, after which requests are cut.
+constexpr double kUnusualLines = 20;           // A second.
+constexpr double kUsualLines = 2;              // A second; a sample.
+constexpr double kBurstSeconds = 5;            // Worth of lines that may come at once.
 
 // Other systems' and damaged datagrams are kept out by this key.
 std::string DatagramKey(const Settings& settings) { return settings.peer.key + " datagram"; }
@@ -54,12 +54,12 @@
       clock_(clock),
       id_(settings_.place.Text() + "-" + fmt::format("{:016x}", seed)),
       log_(clock_, settings_.log),
-      store_(adapter_.open_store(io_, clock_, settings_.platform.endpoint,
-                                 [this](const std::string& key, const std::string& why) {
-                                   metrics_.OnBadInput("row");
-                                   log_.Write(LogLevel::kWarning, "store row left out",
-                                              {{"key", key}, {"detail", why}});
-                                 })),
+      store_(adapter_.open_store(
+          io_, clock_, settings_.platform.endpoint,
+          [this](const std::string& key, const std::string& why) {
+            metrics_.OnBadInput("row");
+            log_.Write(LogLevel::kWarning, "store row left out", {{"key", key}, {"detail", why}});
+          })),
       follower_(id_, store_, clock_, MakeListener()),
       balancer_(settings_.place, seed, settings_.retries),
       dispatcher_(io_, clock_, &balancer_),
@@ -71,19 +71,20 @@
                                  const std::string& query) { return AnswerLookup(path, query); }),
       readiness_server_(io_, [this](const std::string& path,
                                     const std::string&) { return AnswerReadiness(path); }),
-      metrics_server_(io_, [this](const std::string& path,
-                                  const std::string&) { return AnswerMetrics(path); }),
+      metrics_server_(
+          io_, [this](const std::string& path, const std::string&) { return AnswerMetrics(path); }),
       peers_(io_, clock_, id_, settings_.peer),
       datagrams_(io_, DatagramKey(settings_),
                  [this](const std::string& payload) { OnDatagram(payload); }),
       prober_(id_),
-      probe_client_(io_, clock_, settings_.backend,
-                    [this](const HttpHead& answer, const ProbeTarget& target) {
-                      return adapter_.probe_report(answer, target.server);
-                    },
-                    [this](const ProbeTarget& target, const std::optional<Report>& report) {
-                      OnProbed(target, report);
-                    }),
+      probe_client_(
+          io_, clock_, settings_.backend,
+          [this](const HttpHead& answer, const ProbeTarget& target) {
+            return adapter_.probe_report(answer, target.server);
+          },
+          [this](const ProbeTarget& target, const std::optional<Report>& report) {
+            OnProbed(target, report);
+          }),
       unusual_lines_(kUnusualLines, kUnusualLines * kBurstSeconds),
       usual_lines_(kUsualLines, kUsualLines * kBurstSeconds),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
@@ -513,8 +514,7 @@
   members_->SetLeaving();  // From now on no lookup answer names this entry VM.
   context_.leaving = true;
   // Callers may keep an answer, so new connections are taken for most of the time.
-  stop_timer_.expires_after(
-      duration_cast<milliseconds>(settings_.stop_timeout * kAcceptShare));
+  stop_timer_.expires_after(duration_cast<milliseconds>(settings_.stop_timeout * kAcceptShare));
   stop_timer_.async_wait([this](std::error_code ec) {
     if (ec) return;
     edge_.StopAccepting();
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -57,9 +57,7 @@
  private:
   // Other entry VMs are found by seeds and by each other.
   struct NoVmList {
-    void ListVms(const std::function<void(VmListResult)>& done) {
-      done(std::vector<ListedVm>());
-    }
+    void ListVms(const std::function<void(VmListResult)>& done) { done(std::vector<ListedVm>()); }
   };
   using EntryMembers = Members<PeerNode, NoVmList>;
 
@@ -118,8 +116,9 @@
   Balancer balancer_;
   Dispatcher dispatcher_;
   BackendPool pool_;
-  std::shared_ptr<const Manifest> manifest_;  // In force; never null, revision 0 until there is one.
-  std::vector<BackendServer> servers_;        // As last heard.
+  std::shared_ptr<const Manifest>
+      manifest_;                        // In force; never null, revision 0 until there is one.
+  std::vector<BackendServer> servers_;  // As last heard.
   ForwardContext context_;
   EdgeServer edge_;
   PlainServer lookup_server_;
@@ -129,12 +128,12 @@
   NoVmList no_vm_list_;
   std::optional<EntryMembers> members_;
   DatagramLink datagrams_;
-  std::vector<Endpoint> all_peers_;   // Of the other entry VMs that are alive.
-  std::vector<Endpoint> near_peers_;  // Of those in our failure domain.
+  std::vector<Endpoint> all_peers_;                     // Of the other entry VMs that are alive.
+  std::vector<Endpoint> near_peers_;                    // Of those in our failure domain.
   std::map<PlaceId, std::vector<Endpoint>> far_peers_;  // Of the others.
   size_t next_relay_ = 0;                               // Takes turns over far_peers_.
-  uint32_t rank_ = 0;         // Place in the order of election.
-  MonotonicTime started_{};   // When this process began to serve.
+  uint32_t rank_ = 0;                                   // Place in the order of election.
+  MonotonicTime started_{};                             // When this process began to serve.
   ZoneProber prober_;
   ProbeClient probe_client_;
   std::map<BackendServerId, ServerReport> to_share_;  // Since the last Share.
--- a/src/forward/dispatcher.h
+++ b/src/forward/dispatcher.h
@@ -1,4 +1,5 @@
-// Ties a pure policy, Chooser or Balancer, to the loop: hands out the turns of waiting requests and keeps its timer.
+// Ties a pure policy, Chooser or Balancer, to the loop: hands out the turns of waiting requests and
+// keeps its timer.
 
 #ifndef COWSLIPHILL_FORWARD_DISPATCHER_H_
 #define COWSLIPHILL_FORWARD_DISPATCHER_H_
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -115,7 +115,10 @@
   const bool has_limit = meta_.answer_within.count() > 0;
   deadline_ = started_ + (has_limit ? std::min(meta_.timeout, meta_.answer_within) : meta_.timeout);
   if (head_.content_length.value_or(0) > manifest_->entry.max_body_bytes) {
-    return AnswerVerdict({413, Outcome::kNotRun, {}, "http_request_error",
+    return AnswerVerdict({413,
+                          Outcome::kNotRun,
+                          {},
+                          "http_request_error",
                           "the body is larger than the manifest allows"});
   }
   if (context_.open_requests > manifest_->entry.max_requests) {
@@ -294,8 +297,8 @@
     return FormatResumeRequest(head_, meta_, context_.settings.backend.silence_timeout,
                                target.endpoint, *resume_);
   }
-  std::string bytes = context_.wire.backend_request(head_, meta_, left,
-                                                         {target.server, target.endpoint});
+  std::string bytes =
+      context_.wire.backend_request(head_, meta_, left, {target.server, target.endpoint});
   if (body_.empty()) return bytes;
   return bytes += head_.chunked ? AsChunk(body_) : body_;
 }
@@ -438,8 +441,8 @@
   answer_chunked_ = answer.head.chunked;
   answer_status_ = answer.head.status;
   end_.first_byte = context_.clock.Now() - started_;
-  const std::string head = context_.wire.caller_answer(
-      answer.head, meta_.id, FateAfterAnswer() == ConnectionFate::kKeep);
+  const std::string head = context_.wire.caller_answer(answer.head, meta_.id,
+                                                       FateAfterAnswer() == ConnectionFate::kKeep);
   Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
   caller_->Write(head + (answer_chunked_ ? AsChunk(answer.body) : answer.body),
                  [self = shared_from_this()](bool ok) {
@@ -468,10 +471,13 @@
   if (!spare_) return false;
   GatheredAnswer answer = std::move(*spare_);
   spare_.reset();
-  const bool false_promise = context_.wire.status_tells_outcome && !meta_.idempotent &&
-                             PromisesNotRun(answer.head.status);
+  const bool false_promise =
+      context_.wire.status_tells_outcome && !meta_.idempotent && PromisesNotRun(answer.head.status);
   if (false_promise) {
-    AnswerVerdict({502, Outcome::kRan, {}, "http_response_incomplete",
+    AnswerVerdict({502,
+                   Outcome::kRan,
+                   {},
+                   "http_response_incomplete",
                    "the backend server failed after it had started"});
     return true;
   }
@@ -493,15 +499,14 @@
   end_.first_byte = context_.clock.Now() - started_;
   end_.late = context_.clock.Now() > deadline_;
   Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
-  caller_->Write(context_.wire.caller_answer(answer, meta_.id,
-                                             FateAfterAnswer() == ConnectionFate::kKeep),
-                 [self = shared_from_this()](bool ok) {
-                   if (self->ended_) return;
-                   if (!ok) return self->OnCallerGone();
-                   self->Arm(TimerUse::kBackendSilence,
-                             self->context_.settings.backend.silence_timeout);
-                   self->attempt_->ReadNext();
-                 });
+  caller_->Write(
+      context_.wire.caller_answer(answer, meta_.id, FateAfterAnswer() == ConnectionFate::kKeep),
+      [self = shared_from_this()](bool ok) {
+        if (self->ended_) return;
+        if (!ok) return self->OnCallerGone();
+        self->Arm(TimerUse::kBackendSilence, self->context_.settings.backend.silence_timeout);
+        self->attempt_->ReadNext();
+      });
 }
 
 void Exchange::ForwardBody(std::string_view bytes) {
@@ -551,7 +556,8 @@
 
 void Exchange::OnResumedHead(const HttpHead& answer) {
   if (!ContinuesAt(answer, *resume_)) {
-    ReportEnd(attempt_, AttemptEnd::kAnswered, context_.wire.report(answer, meta_.service->report_format));
+    ReportEnd(attempt_, AttemptEnd::kAnswered,
+              context_.wire.report(answer, meta_.service->report_format));
     failure_ = "the answer broke off and no backend server has the same one";
     attempt_->Close();
     return End(ConnectionFate::kAbort);
@@ -583,8 +589,8 @@
   DropAll(AttemptEnd::kTimedOut);
   if (DeliverSpare()) return;
   const bool promise = context_.wire.status_tells_outcome && !MayHaveRun();
-  AnswerVerdict({promise ? 503 : 504, MayHaveRun() ? Outcome::kUnknown : Outcome::kNotRun, kRetryAfterDeadline,
-                 "connection_timeout", "not answered within the deadline"});
+  AnswerVerdict({promise ? 503 : 504, MayHaveRun() ? Outcome::kUnknown : Outcome::kNotRun,
+                 kRetryAfterDeadline, "connection_timeout", "not answered within the deadline"});
 }
 
 void Exchange::OnCallerGone() {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -116,7 +116,7 @@
   Ticket ticket_ = 0;
   asio::steady_timer timer_;  // One limit at a time, see TimerUse.
   MonotonicTime started_;
-  MonotonicTime deadline_;  // The caller's, or the route's shorter limit.
+  MonotonicTime deadline_;             // The caller's, or the route's shorter limit.
   std::string body_;                   // First part of the body, up to buffer_bytes.
   bool body_whole_ = false;            // body_ is the whole body.
   bool body_open_ = false;             // The rest of the body is being passed on.
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -17,8 +17,8 @@
 #include "src/forward/dispatcher.h"
 #include "src/forward/request_headers.h"
 #include "src/manifest/manifest.h"
-#include "src/storage/any_platform.h"
 #include "src/settings/settings.h"
+#include "src/storage/any_platform.h"
 
 namespace cowsliphill {
 
--- a/src/forward/http_call.h
+++ b/src/forward/http_call.h
@@ -21,8 +21,8 @@
 };
 
 enum class HttpCallError {
-  kNotSent,  // No connection: certainly without effect.
-  kNoAnswer, // Sent; no whole answer in time.
+  kNotSent,   // No connection: certainly without effect.
+  kNoAnswer,  // Sent; no whole answer in time.
 };
 
 class HttpCaller {
--- a/src/forward/http_format.cc
+++ b/src/forward/http_format.cc
@@ -14,9 +14,8 @@
 }  // namespace
 
 bool IsHopHeader(std::string_view name) {
-  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), [name](std::string_view candidate) {
-    return HeaderNameIs(name, candidate);
-  });
+  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(),
+                     [name](std::string_view candidate) { return HeaderNameIs(name, candidate); });
 }
 
 bool IsListed(std::string_view name, std::string_view list) {
--- a/src/forward/request_headers.h
+++ b/src/forward/request_headers.h
@@ -29,8 +29,8 @@
   std::chrono::milliseconds timeout{};  // Granted by the service's rules.
   std::string key;                      // Idempotency-Key; empty if none.
   bool idempotent = false;
-  uint32_t depth = 0;              // Calls above this one in the call tree.
-  const Route* route = nullptr;    // Of the same manifest; null where requests name a service.
+  uint32_t depth = 0;            // Calls above this one in the call tree.
+  const Route* route = nullptr;  // Of the same manifest; null where requests name a service.
   std::chrono::milliseconds answer_within{};  // Shorter limit of the route; 0: `timeout` alone.
 };
 
@@ -104,8 +104,8 @@
 struct WireForm {
   std::function<Result<RequestMeta, BadRequest>(const HttpHead&, const Manifest&, RequestIdSource&)>
       read_request;
-  std::function<std::string(const HttpHead&, const RequestMeta&, std::chrono::milliseconds time_left,
-                            const BackendTarget&)>
+  std::function<std::string(const HttpHead&, const RequestMeta&,
+                            std::chrono::milliseconds time_left, const BackendTarget&)>
       backend_request;
   std::function<std::string(const Verdict&, const RequestId&, bool keep_alive)> own_answer;
   std::function<std::string(const HttpHead& answer, const RequestId&, bool keep_alive)>
--- a/src/manifest/route.h
+++ b/src/manifest/route.h
@@ -24,12 +24,12 @@
 
 struct Route {
   RouteId id;
-  std::string host;          // As in the Host header, without a port.
-  std::string prefix;        // Of the path; begins and ends with a slash.
-  bool repeatable = false;   // Idempotent: may run more than once.
-  bool bulk = false;         // Large answers.
-  uint32_t rank = 0;         // 0 is the most urgent.
-  uint32_t max_attempts = 1; // Backend servers that one request may be sent to.
+  std::string host;                      // As in the Host header, without a port.
+  std::string prefix;                    // Of the path; begins and ends with a slash.
+  bool repeatable = false;               // Idempotent: may run more than once.
+  bool bulk = false;                     // Large answers.
+  uint32_t rank = 0;                     // 0 is the most urgent.
+  uint32_t max_attempts = 1;             // Backend servers that one request may be sent to.
   std::chrono::milliseconds timeout{0};  // Longest time to an answer; 0: none of its own.
   std::chrono::milliseconds target_latency{1000};  // Answers within it are worth most.
   std::vector<WeightedService> services;           // At least one.
--- a/src/measure/zone_prober.cc
+++ b/src/measure/zone_prober.cc
@@ -45,9 +45,8 @@
 }
 
 bool ZoneProber::IsOurs(const BackendServerId& server, const PlaceId& place) const {
-  const bool has_near = std::any_of(members_.begin(), members_.end(), [&](const Prober& member) {
-    return member.place == place;
-  });
+  const bool has_near = std::any_of(members_.begin(), members_.end(),
+                                    [&](const Prober& member) { return member.place == place; });
   const Prober* best = nullptr;
   uint64_t most = 0;
   for (const Prober& member : members_) {
--- a/src/measure/zone_prober.h
+++ b/src/measure/zone_prober.h
@@ -1,7 +1,7 @@
 // Decides which backend servers this entry VM asks for their load, and when: each server is asked
 // by one of a few entry VMs of its own failure domain, chosen by rendezvous hashing, which pass the
-// answers on. Servers of a domain without entry VMs are shared out among all. Entry VMs that disagree about
-// the members ask a server twice for a while; that costs a probe and no more. Pure.
+// answers on. Servers of a domain without entry VMs are shared out among all. Entry VMs that
+// disagree about the members ask a server twice for a while; that costs a probe and no more. Pure.
 
 #ifndef COWSLIPHILL_MEASURE_ZONE_PROBER_H_
 #define COWSLIPHILL_MEASURE_ZONE_PROBER_H_
--- a/src/records/record_keeper.h
+++ b/src/records/record_keeper.h
@@ -26,11 +26,11 @@
 #include "src/base/clock.h"
 #include "src/base/ids.h"
 #include "src/members/peer.h"
-#include "src/storage/platform.h"
 #include "src/records/note_holder.h"
 #include "src/records/note_sender.h"
 #include "src/records/partner.h"
 #include "src/records/record_buffer.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/records/record_reader.h
+++ b/src/records/record_reader.h
@@ -17,8 +17,8 @@
 #include <variant>
 #include <vector>
 
-#include "src/storage/platform.h"
 #include "src/records/record_query.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/records/records_test.cc
+++ b/src/records/records_test.cc
@@ -9,9 +9,9 @@
 #include <functional>
 #include <map>
 
-#include "src/storage/memory_platform.h"
 #include "src/records/record_keeper.h"
 #include "src/records/record_reader.h"
+#include "src/storage/memory_platform.h"
 
 namespace cowsliphill {
 namespace {
--- a/src/storage/http_platform.h
+++ b/src/storage/http_platform.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "src/base/clock.h"
-#include "src/storage/platform.h"
 #include "src/settings/settings.h"
+#include "src/storage/platform.h"
 
 namespace cowsliphill {
 
--- a/src/zone/datagram_link.h
+++ b/src/zone/datagram_link.h
@@ -41,7 +41,7 @@
   const DatagramCounts& Counts() const { return counts_; }
 
  private:
-  static constexpr size_t kMostBytes = 65507;   // Of one datagram, by UDP.
+  static constexpr size_t kMostBytes = 65507;  // Of one datagram, by UDP.
   static constexpr size_t kChecksumBytes = 8;
 
   void ReadAll();
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -100,7 +100,6 @@
           news.from,
           news.servers_version,
           news.servers_age.count(),
-          news.since_failure.count(),
           std::move(changed),
           std::move(gone),
           news.sender.Text(),
@@ -128,13 +127,12 @@
   news.from = message.at(3).get<uint64_t>();
   news.servers_version = message.at(4).get<uint64_t>();
   news.servers_age = milliseconds(message.at(5).get<int64_t>());
-  news.since_failure = milliseconds(message.at(6).get<int64_t>());
-  for (const json& row : message.at(7)) news.changed.push_back(DecodeServer(row));
-  for (const json& id : message.at(8)) news.gone.emplace_back(id.get<std::string>());
-  news.sender = EntryVmId(message.at(9).get<std::string>());
-  news.revision = message.at(10).get<uint64_t>();
-  news.relay = message.at(11).get<bool>();
-  news.reaches_store = message.at(12).get<bool>();
+  for (const json& row : message.at(6)) news.changed.push_back(DecodeServer(row));
+  for (const json& id : message.at(7)) news.gone.emplace_back(id.get<std::string>());
+  news.sender = EntryVmId(message.at(8).get<std::string>());
+  news.revision = message.at(9).get<uint64_t>();
+  news.relay = message.at(10).get<bool>();
+  news.reaches_store = message.at(11).get<bool>();
   return news;
 }
 
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -1,5 +1,6 @@
 // What entry VMs tell each other in datagrams: fresh reports on backend servers within a failure
-// domain, and news of the catalog. Each message stands alone; a lost one is made up for by the next.
+// domain, and news of the catalog. Each message stands alone; a lost one is made up for by the
+// next.
 
 #ifndef COWSLIPHILL_ZONE_ZONE_MESSAGE_H_
 #define COWSLIPHILL_ZONE_ZONE_MESSAGE_H_
@@ -24,10 +25,10 @@
 
 struct ServerReport {
   ServerTag server = 0;
-  std::optional<Report> report;        // Of a probe or an answer; nullopt: none.
-  bool missed = false;                 // A probe got no answer.
-  std::chrono::milliseconds age{0};    // Since the report was true.
-  uint32_t answered = 0;               // Requests of the sender since it last told.
+  std::optional<Report> report;      // Of a probe or an answer; nullopt: none.
+  bool missed = false;               // A probe got no answer.
+  std::chrono::milliseconds age{0};  // Since the report was true.
+  uint32_t answered = 0;             // Requests of the sender since it last told.
   uint32_t failed = 0;
 };
 
@@ -47,8 +48,6 @@
   uint64_t from = 0;
   uint64_t servers_version = 0;
   std::chrono::milliseconds servers_age{0};
-  // Since the sender last failed to reach the store; the largest value when it never did.
-  std::chrono::milliseconds since_failure{0};
   std::vector<BackendServer> changed;
   std::vector<BackendServerId> gone;
   bool relay = false;  // As in ReportBatch.
--- a/src/zone/zone_message_test.cc
+++ b/src/zone/zone_message_test.cc
@@ -26,7 +26,8 @@
     report.slowdown = 7.0;
     report.draining = true;
     batch.reports.push_back({TagOf(BackendServerId("a")), report, false, milliseconds(12), 3, 1});
-    batch.reports.push_back({TagOf(BackendServerId("b")), std::nullopt, true, milliseconds(0), 0, 0});
+    batch.reports.push_back(
+        {TagOf(BackendServerId("b")), std::nullopt, true, milliseconds(0), 0, 0});
     const auto message = DecodeZoneMessage(EncodeZoneMessage(batch));
     const auto& back = std::get<ReportBatch>(message.value());
     CPPUNIT_ASSERT(back.relay);
@@ -46,7 +47,8 @@
     news.revision = 3;
     news.from = 7;
     news.servers_version = 9;
-    news.since_failure = milliseconds(40);
+    news.reaches_store = true;
+    news.servers_age = milliseconds(40);
     BackendServer server;
     server.id = BackendServerId("a");
     server.service = ServiceId("s");
@@ -62,6 +64,8 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{9}, back.servers_version);
     CPPUNIT_ASSERT(back.changed == news.changed);
     CPPUNIT_ASSERT(back.gone == news.gone);
+    CPPUNIT_ASSERT(back.reaches_store && !back.relay);
+    CPPUNIT_ASSERT(back.servers_age == milliseconds(40));
   }
 
   void Notice_Encoded_ComesBackTheSame() {
--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -100,10 +100,8 @@
     return json;
   }
   HttpAnswer Page(Json rows) const {
-    return JsonAnswer(200, {{"rows", std::move(rows)},
-                            {"has-more", false},
-                            {"ver", version_},
-                            {"now-ms", 1}});
+    return JsonAnswer(
+        200, {{"rows", std::move(rows)}, {"has-more", false}, {"ver", version_}, {"now-ms", 1}});
   }
   void Change(const Row& row) {
     rows_[{row.table, row.key}] = row;
@@ -169,8 +167,7 @@
   Endpoint Address() const { return server_.Address(); }
   void Set(const HttpRequest& control) {
     mode_ = control.Query("mode").empty() ? mode_ : control.Query("mode");
-    work_ = milliseconds(
-        NumberOr(control.Query("work_ms"), static_cast<uint64_t>(work_.count())));
+    work_ = milliseconds(NumberOr(control.Query("work_ms"), static_cast<uint64_t>(work_.count())));
     slowdown_ = NumberOr(control.Query("slowdown"), slowdown_);
   }
 
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -40,15 +40,16 @@
 class Fleet {
  public:
   explicit Fleet(size_t entries, size_t servers = 3) : folder_(NewFolder()), entries_(entries) {
-    standin_ = std::make_unique<Process>(
-        std::vector<std::string>{BuildFolder() + "/standins", "fleet", "--servers",
-                                 std::to_string(servers)},
-        folder_ + "/fleet.log");
+    standin_ =
+        std::make_unique<Process>(std::vector<std::string>{BuildFolder() + "/standins", "fleet",
+                                                           "--servers", std::to_string(servers)},
+                                  folder_ + "/fleet.log");
     store_ = standin_->AwaitAddress("listening");
     PutManifest(1, "/a/");
     for (size_t i = 0; i < entries; ++i) Start(i);
     for (const FleetEntry& entry : entries_) {
-      CPPUNIT_ASSERT(WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; }));
+      CPPUNIT_ASSERT(
+          WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; }));
     }
   }
   ~Fleet() {
@@ -68,10 +69,10 @@
                        "\"\nreadiness_listen = \"" + entry.readiness.ToString() +
                        "\"\nmetrics_listen = \"" + entry.metrics.ToString() + "\"\n";
     WriteFile(file + ".toml", text);
-    entry.process = std::make_unique<Process>(
-        std::vector<std::string>{BuildFolder() + "/cowsliphill", "serve", "--settings",
-                                 file + ".toml"},
-        file + ".log");
+    entry.process =
+        std::make_unique<Process>(std::vector<std::string>{BuildFolder() + "/cowsliphill", "serve",
+                                                           "--settings", file + ".toml"},
+                                  file + ".log");
   }
 
   FleetEntry& Entry(size_t i) { return entries_[i]; }
@@ -104,8 +105,8 @@
   }
   void PutManifest(uint64_t version, const std::string& prefix) {
     const auto route = [](const std::string& at, const char* type) {
-      return json{{"host", "fleet.example"}, {"prefix", at},       {"route-type", type},
-                  {"timeout-ms", 2500},      {"priority", 1},      {"target-latency-ms", 500},
+      return json{{"host", "fleet.example"}, {"prefix", at},     {"route-type", type},
+                  {"timeout-ms", 2500},      {"priority", 1},    {"target-latency-ms", 500},
                   {"service", "service-a"},  {"max-attempts", 2}};
     };
     const json config = {
@@ -118,8 +119,8 @@
   json Journal() const { return json::parse(ClientOf(store_).Get("/control/journal")->body); }
   size_t RunsOf(const std::string& id) const {
     const json journal = Journal();
-    return static_cast<size_t>(std::count_if(journal.begin(), journal.end(),
-                                             [&id](const json& it) { return it["request"] == id; }));
+    return static_cast<size_t>(std::count_if(
+        journal.begin(), journal.end(), [&id](const json& it) { return it["request"] == id; }));
   }
   uint64_t StoreReads() const {
     return json::parse(ClientOf(store_).Get("/control/counts")->body).at("reads").get<uint64_t>();
@@ -210,8 +211,8 @@
     std::this_thread::sleep_for(kDrainBound);
     const size_t before = fleet.Journal().size();
     for (int n = 0; n < 20; ++n) {
-      CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(static_cast<size_t>(n % 2), "/a/x",
-                                                   "r" + std::to_string(n)));
+      CPPUNIT_ASSERT_EQUAL(
+          200, fleet.StatusOfSend(static_cast<size_t>(n % 2), "/a/x", "r" + std::to_string(n)));
     }
     const json journal = fleet.Journal();
     for (size_t i = before; i < journal.size(); ++i) CPPUNIT_ASSERT(journal[i]["server"] != "s-0");
@@ -257,7 +258,8 @@
     fleet.Control("POST", "/control/compact");
     fleet.Control("PUT", "/control/store?mode=ok");
     CPPUNIT_ASSERT(WaitUntil([&fleet] {
-      return fleet.StatusOfSend(0, "/b/x", "r0") == 200 && fleet.StatusOfSend(1, "/b/x", "r1") == 200;
+      return fleet.StatusOfSend(0, "/b/x", "r0") == 200 &&
+             fleet.StatusOfSend(1, "/b/x", "r1") == 200;
     }));
   }
 
@@ -364,9 +366,15 @@
     return addresses;
   }
   static json ServerRow(const std::string& name) {
-    return {{"service", "service-a"}, {"address", "127.0.0.1:9"}, {"zone", "place-a"},
-            {"version", "v1"},        {"slots", 3},               {"state", "ready"},
-            {"warmup-left-ms", 0},    {"seq-no", 2},              {"name", name}};
+    return {{"service", "service-a"},
+            {"address", "127.0.0.1:9"},
+            {"zone", "place-a"},
+            {"version", "v1"},
+            {"slots", 3},
+            {"state", "ready"},
+            {"warmup-left-ms", 0},
+            {"seq-no", 2},
+            {"name", name}};
   }
   static void SetAll(Fleet& fleet, const std::string& mode) {
     for (const char* name : {"s-0", "s-1", "s-2"}) {
