--- a/src/admin/log.cc
+++ b/src/admin/log.cc
@@ -61,7 +61,7 @@
   explicit Writer(const LogSettings& settings)
       : pool(std::make_shared<spdlog::details::thread_pool>(settings.queue_entries, 1)),
         logger(std::make_shared<spdlog::async_logger>(
-            "cowsliphill", std::make_shared<spdlog::sinks::stderr_sink_mt>(), pool,
+            "cowsliphill", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool,
             spdlog::async_overflow_policy::overrun_oldest)) {
     logger->set_pattern("%v");
     logger->set_level(LevelOf(settings.level));
--- a/src/admin/log.h
+++ b/src/admin/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object a line on standard error. Writing is asynchronous and bounded:
+// Structured logs: one JSON object a line on standard output. Writing is asynchronous and bounded:
 // the loop never waits for the writer; when the queue is full the oldest lines go and are counted.
 
 #ifndef COWSLIPHILL_ADMIN_LOG_H_
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -111,9 +111,7 @@
   // Large answers stay in their place as long as that is in time.
   const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
   const bool in_time = now + candidate.expected <= target;
-  if (request.asked.bulk && remote) {
-    candidate.cost += static_cast<double>(std::max<Duration>(target - now, work).count());
-  } else if (request.asked.bulk && !in_time) {
+  if (request.asked.bulk && (remote || !in_time)) {
     candidate.cost += static_cast<double>(std::max<Duration>(target - now, work).count());
   }
   return candidate;
@@ -317,7 +315,7 @@
   if (!may || !request.service->budget.Affordable(terms_, entry_vms_, now)) {
     return Refused(ticket, request, RefusalCause::kRetryBudget, now);
   }
-  const Choice choice = Place(ticket, request, now);
+  Choice choice = Place(ticket, request, now);
   if (!std::holds_alternative<Refuse>(choice)) request.service->budget.OnRepeat(now);
   return choice;
 }
@@ -365,8 +363,9 @@
   const auto it = requests_.find(ticket);
   if (it == requests_.end() || !it->second.finished) return;
   const auto& attempts = it->second.attempts;
-  if (std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; }))
-    return;
+  const bool any_open =
+      std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
+  if (any_open) return;
   requests_.erase(it);
 }
 
@@ -390,7 +389,6 @@
   if (report.slowdown && *report.slowdown >= kTurnedSlow) HedgeWorkAt(server, sampled);
   const auto service = services_.find(server.config.service);
   if (service == services_.end() || !report.slowdown) return;
-  constexpr double kTypicalWeight = 0.02;  // Of one report in the mean over a service's servers.
   service->second->typical_slowdown +=
       kTypicalWeight * (*report.slowdown - service->second->typical_slowdown);
 }
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -62,7 +62,8 @@
   static constexpr std::chrono::milliseconds kHedgeFloor{20};
   static constexpr std::chrono::milliseconds kRetryAfterFloor{50};
   static constexpr std::chrono::milliseconds kQueuePoll{10};  // While requests wait.
-  static constexpr size_t kMostWaiting = 500;                 // Requests per service.
+  static constexpr double kTypicalWeight = 0.02;  // Of one report in the mean over a service.
+  static constexpr size_t kMostWaiting = 500;     // Requests per service.
 
   Balancer(PlaceId place, uint64_t seed, RetrySettings terms);
   ~Balancer();
--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -90,9 +90,12 @@
   static constexpr std::chrono::milliseconds kLongestPause{2000};
 
   void OnOutcome(double failures, double successes) {
-    for (; failures > 0; failures -= 1)
+    for (; failures > 0; failures -= 1) {
       failing_ += std::min(failures, 1.0) * kWeight * (1 - failing_);
-    for (; successes > 0; successes -= 1) failing_ -= std::min(successes, 1.0) * kWeight * failing_;
+    }
+    for (; successes > 0; successes -= 1) {
+      failing_ -= std::min(successes, 1.0) * kWeight * failing_;
+    }
   }
   void OnUnreachable(MonotonicTime now) {
     pause_ = std::clamp<Duration>(pause_ * 2, kFirstPause, kLongestPause);
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -21,7 +21,7 @@
   CPPUNIT_TEST(OutageWithin_AfterALongSilence_HoldsForTheSpan);
   CPPUNIT_TEST(OnNews_FromALeaderThatCantReachTheStore_LeavesUsReading);
   CPPUNIT_TEST(OnAnswer_ToACallFromBeforeTheNews_DoesNotTakeOverAgain);
-  CPPUNIT_TEST(OnHistoryGone_ReadsTheWholeAgain);
+  CPPUNIT_TEST(OnHistoryGone_Always_ReadsTheWholeAgain);
   CPPUNIT_TEST(OnFailure_CutOffFromAll_TriesAgainSoon);
   CPPUNIT_TEST(OnFailure_WhileLeadersAreHeard_BacksOffLonger);
   CPPUNIT_TEST(OnNews_OfAChangeWhileBackedOff_ChecksAtOnce);
@@ -137,7 +137,7 @@
     CPPUNIT_ASSERT(watch_.Next(2, now_) == Step::kNone);
   }
 
-  void OnHistoryGone_ReadsTheWholeAgain() {
+  void OnHistoryGone_Always_ReadsTheWholeAgain() {
     ReadWhole(0);
     Pass(milliseconds(300));
     CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kWatch);
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -168,7 +168,10 @@
   MembersOptions options;
   options.seed = context_.ids.prefix;
   members_.emplace(io_, clock_, peers_, no_vm_list_, membership, self, options);
-  members_->Subscribe([this](const MemberChange&) { OnMembers(); });
+  members_->Subscribe([this](const MemberChange& change) {
+    LogMemberChange(change);
+    OnMembers();
+  });
   OnMembers();
   return "";
 }
@@ -202,10 +205,35 @@
 }
 
 void RoutedEntry::OnServers(const std::vector<BackendServer>& servers) {
+  LogServerChanges(servers);
   servers_ = servers;
   ApplyCatalog();
 }
 
+void RoutedEntry::LogServerChanges(const std::vector<BackendServer>& servers) {
+  std::map<BackendServerId, const BackendServer*> before;
+  for (const BackendServer& server : servers_) before[server.id] = &server;
+  const auto write = [this](const BackendServerId& id, const char* change) {
+    if (!unusual_lines_.Allow(clock_.Now())) return;
+    log_.Write(LogLevel::kInfo, "backend server",
+               {{"backend_server", id.Text()},
+                {"change", std::string(change)},
+                {"servers_age_ms", Millis(follower_.ServersAge())}});
+  };
+  for (const BackendServer& server : servers) {
+    const auto it = before.find(server.id);
+    const bool leaving = server.state == BackendState::kLeaving;
+    if (it == before.end()) {
+      if (!servers_.empty()) write(server.id, "added");
+      continue;
+    }
+    if (it->second->started != server.started) write(server.id, "reborn");
+    if (leaving && it->second->state != BackendState::kLeaving) write(server.id, "leaving");
+    before.erase(it);
+  }
+  for (const auto& [id, server] : before) write(id, "gone");
+}
+
 void RoutedEntry::ApplyCatalog() {
   balancer_.Apply(manifest_->services, servers_, clock_.Now());
   prober_.SetServers(servers_);
@@ -250,6 +278,24 @@
   follower_.OnNews(news, ElectionOrder(news.sender) < ElectionOrder(id_));
 }
 
+void RoutedEntry::LogMemberChange(const MemberChange& change) {
+  if (!unusual_lines_.Allow(clock_.Now())) return;
+  const bool suspect = change.member.state == MemberState::kSuspect;
+  const bool leaving = change.member.state == MemberState::kLeaving;
+  const char* state = change.gone ? "gone" : suspect ? "suspect" : leaving ? "leaving" : "alive";
+  log_.Write(LogLevel::kInfo, "member",
+             {{"entry_vm", change.member.id.Text()},
+              {"state", std::string(state)},
+              {"members", static_cast<int64_t>(members_->Live().size())}});
+}
+
+void RoutedEntry::LogReaderChange() {
+  if (follower_.IsReader() == was_reader_) return;
+  was_reader_ = !was_reader_;
+  log_.Write(LogLevel::kInfo, was_reader_ ? "reads the store for all" : "relies on another reader",
+             {{"rank", int64_t{rank_}}, {"servers_age_ms", Millis(follower_.ServersAge())}});
+}
+
 void RoutedEntry::OnMembers() {
   all_peers_.clear();
   near_peers_.clear();
@@ -435,6 +481,7 @@
 void RoutedEntry::EveryTick() {
   UpdateRank();
   follower_.Tick();
+  LogReaderChange();
   SendProbes();
   if (clock_.Now() - last_share_ > kOutcomeInterval) Share();
   tick_timer_.expires_after(kTick);
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -69,6 +69,9 @@
   // 2. Catalog and members
   void OnManifest(const std::shared_ptr<const Manifest>& manifest);
   void OnServers(const std::vector<BackendServer>& servers);
+  void LogServerChanges(const std::vector<BackendServer>& servers);
+  void LogMemberChange(const MemberChange& change);
+  void LogReaderChange();
   void ApplyCatalog();
   void Tell(const CatalogNews& news);
   void OnNews(const CatalogNews& news);
@@ -152,6 +155,7 @@
   MonotonicTime stop_started_{};
   MonotonicTime last_share_{};
   bool stopping_ = false;
+  bool was_reader_ = false;  // As last logged.
 };
 
 }  // namespace cowsliphill
--- a/src/zone/datagram_link.cc
+++ b/src/zone/datagram_link.cc
@@ -56,7 +56,6 @@
 }
 
 void DatagramLink::ReadAll() {
-  constexpr int kMostAtOnce = 64;  // So that a flood does not keep the loop from its other work.
   for (int i = 0; i < kMostAtOnce && socket_.is_open(); ++i) {
     std::error_code ec;
     const size_t n = socket_.receive(asio::buffer(buffer_), 0, ec);
--- a/src/zone/datagram_link.h
+++ b/src/zone/datagram_link.h
@@ -43,6 +43,8 @@
  private:
   static constexpr size_t kMostBytes = 65507;  // Of one datagram, by UDP.
   static constexpr size_t kChecksumBytes = 8;
+  static constexpr int kMostAtOnce =
+      64;  // So that a flood leaves the loop time for its other work.
 
   void ReadAll();
   void Await();
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -223,7 +223,7 @@
     json forged = ServerRow("s-9");
     forged["slots"] = "many";
     fleet.Control("PUT", "/control/row?table=servers&key=s-9", forged.dump());
-    fleet.Control("PUT", "/control/row?table=servers&key=s-8", "\xff\x00{");
+    fleet.Control("PUT", "/control/row?table=servers&key=s-8", "\xff{");
     std::this_thread::sleep_for(milliseconds(1000));
     for (int n = 0; n < 10; ++n) {
       CPPUNIT_ASSERT_EQUAL(200, fleet.StatusOfSend(0, "/a/x", "r" + std::to_string(n)));
