--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -64,6 +64,8 @@
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
     if (covered && news.servers_version > before) {
+      // Whoever we tell next may stand before these changes too.
+      Remember({before, news.changed, news.gone});
       TakeServers({news.servers_version, false, news.changed, news.gone}, now);
     }
     servers_watch_.OnNews(
@@ -86,6 +88,17 @@
   static constexpr size_t kToldAgain = 4;      // Changes go out so many times: datagrams get lost.
   static constexpr size_t kMostToldServers = 100;  // More than fit into a datagram.
 
+  // What one answer of the store, or one piece of news, changed since version `from`.
+  struct Told {
+    uint64_t from = 0;
+    std::vector<BackendServer> changed;
+    std::vector<BackendServerId> gone;
+  };
+  void Remember(Told told) {
+    told_.push_back(std::move(told));
+    if (told_.size() > kToldAgain) told_.pop_front();
+  }
+
   bool Outage(MonotonicTime now) const {
     return servers_watch_.OutageWithin(ServerList::kReturnTime, now);
   }
@@ -122,8 +135,7 @@
       if (page.whole) {
         told_.clear();
       } else {
-        told_.push_back({before, page.changed, page.gone});
-        if (told_.size() > kToldAgain) told_.pop_front();
+        Remember({before, page.changed, page.gone});
       }
       Tell(true, now);
       Tick();
@@ -187,13 +199,6 @@
     listener_.tell(news);
   }
 
-  // What one answer of the store changed, since version `from`.
-  struct Told {
-    uint64_t from = 0;
-    std::vector<BackendServer> changed;
-    std::vector<BackendServerId> gone;
-  };
-
   EntryVmId self_;
   Store& store_;
   const Clock& clock_;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -151,6 +151,7 @@
   CPPUNIT_TEST(Request_WithTooLargeABody_Is413);
   CPPUNIT_TEST(Sighup_ToAnEntryVm_ChangesNothing);
   CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndEnds);
+  CPPUNIT_TEST(Sigterm_WithAnEndlessRequest_EndsWithinTheStopTime);
   CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
   CPPUNIT_TEST(Metrics_OfAnEntryVm_ShowTheStoreCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -338,6 +339,16 @@
     CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(1).process->Wait(milliseconds(6000)));
   }
 
+  void Sigterm_WithAnEndlessRequest_EndsWithinTheStopTime() {
+    Fleet fleet(2);
+    SetAll(fleet, "ok&work_ms=60000");
+    std::thread caller([&] { fleet.Send(1, "/u/x", "u1", 60000); });
+    std::this_thread::sleep_for(milliseconds(300));
+    fleet.Entry(1).process->Signal(SIGTERM);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(1).process->Wait(milliseconds(4000)));
+    caller.join();
+  }
+
   void Kill_OfTheReader_LeavesTheOthersUpToDate() {
     Fleet fleet(3);
     std::this_thread::sleep_for(std::chrono::seconds(2));
