One way to begin a streamed answer; unused names removed

Cause: Gather, for answers too large to keep, wrote again what ForwardHead does (status, framing, timers, the read that follows).

--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -68,7 +68,6 @@
 
   uint32_t Open() const { return static_cast<uint32_t>(sent_.size()); }
   bool Known() const { return known_; }
-  double LastSlowdown() const { return slowdown_; }
   MonotonicTime Sampled() const { return sampled_; }
 
  private:
--- a/src/balance/shared_retry_budget.h
+++ b/src/balance/shared_retry_budget.h
@@ -31,8 +31,6 @@
   }
   void OnRepeat(MonotonicTime now) { repeats_.push_back(now); }
 
-  size_t Repeats() const { return repeats_.size(); }
-
  private:
   static void Forget(std::deque<MonotonicTime>& times, MonotonicTime oldest) {
     while (!times.empty() && times.front() < oldest) times.pop_front();
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -427,7 +427,7 @@
   // Load is reported now; the request stays in flight until the answer's end.
   if (report) context_.on_report(attempt_->Target().server, *report);
   resume_ = ResumePointOf(head_, answer);
-  ForwardHead(answer);
+  ForwardHead(answer, "");
 }
 
 void Exchange::Gather(std::string_view bytes) {
@@ -437,21 +437,7 @@
   GatheredAnswer answer = std::move(*gathered_);
   gathered_.reset();
   answer.head.chunked = !answer.head.content_length;
-  answering_ = true;
-  answer_chunked_ = answer.head.chunked;
-  answer_status_ = answer.head.status;
-  end_.first_byte = context_.clock.Now() - started_;
-  const std::string head = context_.wire.caller_answer(answer.head, meta_.id,
-                                                       FateAfterAnswer() == ConnectionFate::kKeep);
-  Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
-  caller_->Write(head + (answer_chunked_ ? AsChunk(answer.body) : answer.body),
-                 [self = shared_from_this()](bool ok) {
-                   if (self->ended_) return;
-                   if (!ok) return self->OnCallerGone();
-                   self->Arm(TimerUse::kBackendSilence,
-                             self->context_.settings.backend.silence_timeout);
-                   self->attempt_->ReadNext();
-                 });
+  ForwardHead(answer.head, answer.body);
 }
 
 void Exchange::OnGathered() {
@@ -491,7 +477,7 @@
   return true;
 }
 
-void Exchange::ForwardHead(const HttpHead& answer) {
+void Exchange::ForwardHead(const HttpHead& answer, const std::string& first_bytes) {
   answering_ = true;
   kept_answer_.content_type = answer.Find("content-type").value_or("");
   answer_chunked_ = answer.chunked;
@@ -499,14 +485,15 @@
   end_.first_byte = context_.clock.Now() - started_;
   end_.late = context_.clock.Now() > deadline_;
   Arm(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
-  caller_->Write(
-      context_.wire.caller_answer(answer, meta_.id, FateAfterAnswer() == ConnectionFate::kKeep),
-      [self = shared_from_this()](bool ok) {
-        if (self->ended_) return;
-        if (!ok) return self->OnCallerGone();
-        self->Arm(TimerUse::kBackendSilence, self->context_.settings.backend.silence_timeout);
-        self->attempt_->ReadNext();
-      });
+  const bool keep_alive = FateAfterAnswer() == ConnectionFate::kKeep;
+  std::string out = context_.wire.caller_answer(answer, meta_.id, keep_alive);
+  if (!first_bytes.empty()) out += answer_chunked_ ? AsChunk(first_bytes) : first_bytes;
+  caller_->Write(std::move(out), [self = shared_from_this()](bool ok) {
+    if (self->ended_) return;
+    if (!ok) return self->OnCallerGone();
+    self->Arm(TimerUse::kBackendSilence, self->context_.settings.backend.silence_timeout);
+    self->attempt_->ReadNext();
+  });
 }
 
 void Exchange::ForwardBody(std::string_view bytes) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -85,7 +85,8 @@
   void Gather(std::string_view bytes);
   void OnGathered();
   bool DeliverSpare();
-  void ForwardHead(const HttpHead& answer);
+  // `first_bytes` of the body go out with the head.
+  void ForwardHead(const HttpHead& answer, const std::string& first_bytes);
   void ForwardBody(std::string_view bytes);
   void KeepBody(std::string_view bytes);
   void OnAnswerEnd();
--- a/src/measure/zone_prober.h
+++ b/src/measure/zone_prober.h
@@ -40,8 +40,6 @@
   // Servers to ask now. Each counts as being asked until OnEnded.
   std::vector<BackendServerId> Due(MonotonicTime now);
   void OnEnded(const BackendServerId& server);
-  std::chrono::milliseconds Interval() const { return interval_; }
-  size_t Assigned() const { return probed_.size(); }
 
  private:
   struct Probed {
