A hedge no longer starts once an answer has begun; fault soak

Cause: answers are gathered before the caller gets any of them, and while one was coming in the exchange still counted as unanswered, so a server that turned slow made it hedge.

OnSlow asks for no second attempt once an answer has begun; an answer that comes while another is being written is dropped; HttpStream gives up a connection rather than mix two writes.

Test: Answer_BegunAtAServerThatTurnsSlow_IsNotAskedForElsewhere. Before: 2 runs, expected 1.

The soak plays seeded kills, stops, freezes, outages of the store and faults of backend servers against real processes, several at once, and checks runs, refusals, bodies and recovery. The fleet of PlatformPathTest moved to fleet_harness.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cassert>
 #include <cinttypes>
 #include <cstdio>
 #include <utility>
@@ -292,8 +291,9 @@
 }
 
 void Exchange::OnSlow() {
-  const bool may_hedge = attempt_ && !hedge_ && !answering_ && !ended_ && meta_.idempotent;
-  if (!may_hedge || !body_whole_) return;
+  // Once an answer has begun, a second one is of no use.
+  const bool waits = attempt_ && !hedge_ && !gathered_ && !answering_ && !ended_;
+  if (!waits || !meta_.idempotent || !body_whole_) return;
   const std::optional<SendTo> target = context_.dispatcher.Hedge(ticket_);
   if (target) hedge_ = StartAttempt(*target);
 }
@@ -402,7 +402,10 @@
 
 void Exchange::OnAnswerHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& answer) {
   if (resuming_) return OnResumedHead(answer);
-  assert(!answering_ && "Exchange: drop every other attempt before an answer's head is forwarded");
+  if (answering_) {  // The caller gets one answer.
+    std::shared_ptr<Attempt> late = attempt;
+    return Drop(late, AttemptEnd::kCancelled);
+  }
   const std::optional<Report> report = context_.wire.report(answer, meta_.service->report_format);
   if (context_.wire.says_not_started(answer)) {
     const AttemptEnd refused = RefusalOf(report);
--- a/src/forward/http_stream.cc
+++ b/src/forward/http_stream.cc
@@ -69,6 +69,7 @@
 void HttpStream::Write(std::string bytes, std::function<void(bool ok)> done) {
   if (!open_) return;
   assert(!writing_ && "HttpStream::Write: wait for the open Write to end first");
+  if (writing_) return Close();  // Its bytes would mix with the open one's.
   writing_ = true;
   outgoing_ = std::move(bytes);
   asio::async_write(
--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -20,6 +20,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kServersTable = "servers";
+constexpr uint64_t kStreamedBytes = 100000;
 
 std::string Base64(const std::string& bytes) {
   std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
@@ -195,13 +196,26 @@
     ++running_;
     const size_t entry = journal_.size();
     journal_.push_back({exchange.Request().Header("x-request-id"), name_, false});
+    if (mode_ == "stream") exchange.Answer(StreamedAnswerOf(exchange.Request()));
     Later(loop_, work_ * slowdown_ / 100, [this, exchange, entry] {
       --running_;
       journal_[entry].ended = true;
+      if (mode_ == "stream") return;
       if (mode_ == "cut") return exchange.Drop();
       exchange.Answer(AnswerOf(exchange.Request()));
     });
   }
+  HttpAnswer StreamedAnswerOf(const HttpRequest& request) const {
+    HttpAnswer answer = AnswerOf(request);
+    answer.body.clear();
+    answer.generated.size = kStreamedBytes;
+    const auto work = static_cast<uint64_t>(std::max<int64_t>(work_.count(), 1));
+    answer.generated.bytes_per_second = kStreamedBytes * 1000 / work;
+    answer.generated.bytes = [](uint64_t at, size_t most) {
+      return std::string(std::min<uint64_t>(most, kStreamedBytes - at), 'x');
+    };
+    return answer;
+  }
   HttpAnswer AnswerOf(const HttpRequest& request) const {
     HttpAnswer answer{mode_ == "error" ? 500 : 200, Headers(), "", {}};
     const std::string id = request.Header("x-request-id");
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -7,7 +7,9 @@
 //   DELETE /control/row?table=T&key=K
 //   PUT /control/store?mode=ok|busy|silent|reset
 //   POST /control/compact              forgets the history
-//   PUT /control/server?name=N&mode=ok|shed|hang|error|cut|other|stray&work_ms=MS&slowdown=PERCENT
+//   PUT
+//   /control/server?name=N&mode=ok|shed|hang|error|cut|other|stray|stream&work_ms=MS&slowdown=PERCENT
+//     stream: the answer begins at once and its body takes the time of the work
 //   GET /control/journal               [{"request","server","ended"}], in order of their starts
 //   GET /control/counts                {"reads": N}
 //
--- /dev/null
+++ b/tests/fleet_harness.cc
@@ -0,0 +1,109 @@
+#include "tests/fleet_harness.h"
+
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
+#include <filesystem>
+
+namespace cowsliphill {
+
+using nlohmann::json;
+
+httplib::Client ClientOf(const Endpoint& at) {
+  httplib::Client client(at.ip, at.port);
+  client.set_read_timeout(std::chrono::seconds(10));
+  return client;
+}
+
+Fleet::Fleet(size_t entries, size_t servers) : folder_(NewFolder()), entries_(entries) {
+  standin_ =
+      std::make_unique<Process>(std::vector<std::string>{BuildFolder() + "/standins", "fleet",
+                                                         "--servers", std::to_string(servers)},
+                                folder_ + "/fleet.log");
+  store_ = standin_->AwaitAddress("listening");
+  PutManifest(1, "/a/");
+  for (size_t i = 0; i < entries; ++i) Start(i);
+  for (const FleetEntry& entry : entries_) {
+    CPPUNIT_ASSERT(
+        WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; }));
+  }
+}
+
+Fleet::~Fleet() {
+  entries_.clear();
+  standin_.reset();
+  std::filesystem::remove_all(folder_);
+}
+
+void Fleet::Start(size_t i) {
+  FleetEntry& entry = entries_[i];
+  const std::string file = folder_ + "/entry-" + std::to_string(i);
+  const std::string text = "place = \"place-a\"\nstop_timeout_ms = 4000\n[edge]\nlisten = \"" +
+                           entry.edge.ToString() + "\"\n[peer]\nlisten = \"" +
+                           entry.peer.ToString() + "\"\nseeds = [\"" + entries_[0].peer.ToString() +
+                           "\"]\n[platform]\nkind = \"store\"\nendpoint = \"" + store_.ToString() +
+                           "\"\nlookup_listen = \"" + entry.lookup.ToString() +
+                           "\"\nreadiness_listen = \"" + entry.readiness.ToString() +
+                           "\"\nmetrics_listen = \"" + entry.metrics.ToString() + "\"\n";
+  WriteFile(file + ".toml", text);
+  entry.process =
+      std::make_unique<Process>(std::vector<std::string>{BuildFolder() + "/cowsliphill", "serve",
+                                                         "--settings", file + ".toml"},
+                                file + ".log");
+}
+
+int Fleet::StatusOf(const Endpoint& at, const std::string& path) {
+  const auto result = ClientOf(at).Get(path);
+  return result ? result->status : 0;
+}
+
+httplib::Result Fleet::Send(size_t entry, const std::string& path, const std::string& id,
+                            std::chrono::milliseconds time_limit) const {
+  const httplib::Headers headers = {{"Host", "fleet.example"},
+                                    {"X-Request-Id", id},
+                                    {"X-Deadline-Ms", std::to_string(time_limit.count())}};
+  auto client = ClientOf(entries_[entry].edge);
+  const bool unsafe = path.rfind("/u/", 0) == 0;
+  return unsafe ? client.Post(path, headers, "body", "text/plain") : client.Get(path, headers);
+}
+
+int Fleet::StatusOfSend(size_t entry, const std::string& path, const std::string& id) const {
+  const auto result = Send(entry, path, id);
+  return result ? result->status : 0;
+}
+
+void Fleet::Control(const std::string& method, const std::string& path, const std::string& body) {
+  auto client = ClientOf(store_);
+  const auto result = method == "PUT"      ? client.Put(path, body, "text/plain")
+                      : method == "DELETE" ? client.Delete(path)
+                                           : client.Post(path, body, "text/plain");
+  CPPUNIT_ASSERT_MESSAGE(path, result && result->status == 200);
+}
+
+void Fleet::PutManifest(uint64_t version, const std::string& prefix) {
+  const auto route = [](const std::string& at, const char* type) {
+    return json{{"host", "fleet.example"}, {"prefix", at},     {"route-type", type},
+                {"timeout-ms", 2500},      {"priority", 1},    {"target-latency-ms", 500},
+                {"service", "service-a"},  {"max-attempts", 2}};
+  };
+  const json config = {
+      {"version", version},
+      {"routes", {{"r-1", route(prefix, "safe")}, {"r-2", route("/u/", "unsafe")}}},
+      {"services", {{"service-a", {{"health-path", "/health"}}}}},
+      {"limits", {{"max-body-bytes", 1000}}}};
+  Control("PUT", "/control/row?table=op&key=config", config.dump());
+}
+
+json Fleet::Journal() const { return json::parse(ClientOf(store_).Get("/control/journal")->body); }
+
+size_t Fleet::RunsOf(const std::string& id) const {
+  const json journal = Journal();
+  return static_cast<size_t>(std::count_if(journal.begin(), journal.end(),
+                                           [&id](const json& it) { return it["request"] == id; }));
+}
+
+uint64_t Fleet::StoreReads() const {
+  return json::parse(ClientOf(store_).Get("/control/counts")->body).at("reads").get<uint64_t>();
+}
+
+}  // namespace cowsliphill
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -2,16 +2,14 @@
 // one side, plain HTTP callers on the other.
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <httplib.h>
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
 
-#include "tests/process_harness.h"
+#include "tests/fleet_harness.h"
 
 namespace cowsliphill {
 namespace {
@@ -22,117 +20,6 @@
 constexpr milliseconds kManifestBound{2000};  // From the store's word to every entry VM.
 constexpr milliseconds kDrainBound{2000};     // The same for a backend server that leaves.
 
-struct FleetEntry {
-  Endpoint edge = FreeEndpoint();
-  Endpoint peer = FreeEndpoint();
-  Endpoint lookup = FreeEndpoint();
-  Endpoint readiness = FreeEndpoint();
-  Endpoint metrics = FreeEndpoint();
-  std::unique_ptr<Process> process;
-};
-
-httplib::Client ClientOf(const Endpoint& at) {
-  httplib::Client client(at.ip, at.port);
-  client.set_read_timeout(std::chrono::seconds(10));
-  return client;
-}
-
-class Fleet {
- public:
-  explicit Fleet(size_t entries, size_t servers = 3) : folder_(NewFolder()), entries_(entries) {
-    standin_ =
-        std::make_unique<Process>(std::vector<std::string>{BuildFolder() + "/standins", "fleet",
-                                                           "--servers", std::to_string(servers)},
-                                  folder_ + "/fleet.log");
-    store_ = standin_->AwaitAddress("listening");
-    PutManifest(1, "/a/");
-    for (size_t i = 0; i < entries; ++i) Start(i);
-    for (const FleetEntry& entry : entries_) {
-      CPPUNIT_ASSERT(
-          WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; }));
-    }
-  }
-  ~Fleet() {
-    entries_.clear();
-    standin_.reset();
-    std::filesystem::remove_all(folder_);
-  }
-
-  void Start(size_t i) {
-    FleetEntry& entry = entries_[i];
-    const std::string file = folder_ + "/entry-" + std::to_string(i);
-    std::string text = "place = \"place-a\"\nstop_timeout_ms = 4000\n[edge]\nlisten = \"" +
-                       entry.edge.ToString() + "\"\n[peer]\nlisten = \"" + entry.peer.ToString() +
-                       "\"\nseeds = [\"" + entries_[0].peer.ToString() +
-                       "\"]\n[platform]\nkind = \"store\"\nendpoint = \"" + store_.ToString() +
-                       "\"\nlookup_listen = \"" + entry.lookup.ToString() +
-                       "\"\nreadiness_listen = \"" + entry.readiness.ToString() +
-                       "\"\nmetrics_listen = \"" + entry.metrics.ToString() + "\"\n";
-    WriteFile(file + ".toml", text);
-    entry.process =
-        std::make_unique<Process>(std::vector<std::string>{BuildFolder() + "/cowsliphill", "serve",
-                                                           "--settings", file + ".toml"},
-                                  file + ".log");
-  }
-
-  FleetEntry& Entry(size_t i) { return entries_[i]; }
-
-  static int StatusOf(const Endpoint& at, const std::string& path) {
-    const auto result = ClientOf(at).Get(path);
-    return result ? result->status : 0;
-  }
-  // One request; `kind` is the route's first part: "a" may be repeated, "u" may not.
-  httplib::Result Send(size_t entry, const std::string& path, const std::string& id,
-                       int64_t time_limit_ms = 3000) const {
-    const httplib::Headers headers = {{"Host", "fleet.example"},
-                                      {"X-Request-Id", id},
-                                      {"X-Deadline-Ms", std::to_string(time_limit_ms)}};
-    auto client = ClientOf(entries_[entry].edge);
-    const bool unsafe = path.rfind("/u/", 0) == 0;
-    return unsafe ? client.Post(path, headers, "body", "text/plain") : client.Get(path, headers);
-  }
-  int StatusOfSend(size_t entry, const std::string& path, const std::string& id) const {
-    const auto result = Send(entry, path, id);
-    return result ? result->status : 0;
-  }
-
-  void Control(const std::string& method, const std::string& path, const std::string& body = "") {
-    auto client = ClientOf(store_);
-    const auto result = method == "PUT"      ? client.Put(path, body, "text/plain")
-                        : method == "DELETE" ? client.Delete(path)
-                                             : client.Post(path, body, "text/plain");
-    CPPUNIT_ASSERT_MESSAGE(path, result && result->status == 200);
-  }
-  void PutManifest(uint64_t version, const std::string& prefix) {
-    const auto route = [](const std::string& at, const char* type) {
-      return json{{"host", "fleet.example"}, {"prefix", at},     {"route-type", type},
-                  {"timeout-ms", 2500},      {"priority", 1},    {"target-latency-ms", 500},
-                  {"service", "service-a"},  {"max-attempts", 2}};
-    };
-    const json config = {
-        {"version", version},
-        {"routes", {{"r-1", route(prefix, "safe")}, {"r-2", route("/u/", "unsafe")}}},
-        {"services", {{"service-a", {{"health-path", "/health"}}}}},
-        {"limits", {{"max-body-bytes", 1000}}}};
-    Control("PUT", "/control/row?table=op&key=config", config.dump());
-  }
-  json Journal() const { return json::parse(ClientOf(store_).Get("/control/journal")->body); }
-  size_t RunsOf(const std::string& id) const {
-    const json journal = Journal();
-    return static_cast<size_t>(std::count_if(
-        journal.begin(), journal.end(), [&id](const json& it) { return it["request"] == id; }));
-  }
-  uint64_t StoreReads() const {
-    return json::parse(ClientOf(store_).Get("/control/counts")->body).at("reads").get<uint64_t>();
-  }
-
- private:
-  std::string folder_;
-  std::unique_ptr<Process> standin_;
-  Endpoint store_;
-  std::vector<FleetEntry> entries_;
-};
-
 class PlatformPathTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformPathTest);
   CPPUNIT_TEST(Request_AtEachEntryVm_GetsItsOwnSignedAnswer);
@@ -148,6 +35,7 @@
   CPPUNIT_TEST(UnsafeRequest_RefusedByAllServers_IsToldNotRun);
   CPPUNIT_TEST(SafeRequest_WithAFailingServer_IsAnsweredByAnother);
   CPPUNIT_TEST(Answer_OfAnotherRequest_NeverReachesTheCaller);
+  CPPUNIT_TEST(Answer_BegunAtAServerThatTurnsSlow_IsNotAskedForElsewhere);
   CPPUNIT_TEST(Request_WithTooLargeABody_Is413);
   CPPUNIT_TEST(Sighup_ToAnEntryVm_ChangesNothing);
   CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndEnds);
@@ -305,10 +193,33 @@
   void Answer_OfAnotherRequest_NeverReachesTheCaller() {
     Fleet fleet(1);
     SetAll(fleet, "stray");
-    const auto result = fleet.Send(0, "/a/x", "r1", 500);
+    const auto result = fleet.Send(0, "/a/x", "r1", milliseconds(500));
     CPPUNIT_ASSERT(!result || result->status >= 500);
   }
 
+  // Found by a measured day: a second attempt began while the first one's answer came in, and both
+  // were written to the caller.
+  void Answer_BegunAtAServerThatTurnsSlow_IsNotAskedForElsewhere() {
+    Fleet fleet(1);
+    for (int n = 0; n < 12; ++n) fleet.StatusOfSend(0, "/a/x", "warm-" + std::to_string(n));
+    SetAll(fleet, "stream&work_ms=400");
+    for (int n = 0; n < 4; ++n) {
+      const std::string id = "r" + std::to_string(n);
+      size_t bytes = 0;
+      std::thread caller([&] {
+        const auto result = fleet.Send(0, "/a/x", id);
+        bytes = result ? result->body.size() : 0;
+      });
+      std::this_thread::sleep_for(milliseconds(100));
+      SetAll(fleet, "stream&slowdown=700");
+      caller.join();
+      CPPUNIT_ASSERT_EQUAL(size_t{100000}, bytes);
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, fleet.RunsOf(id));
+      SetAll(fleet, "stream&slowdown=100");
+      std::this_thread::sleep_for(milliseconds(300));
+    }
+  }
+
   void Request_WithTooLargeABody_Is413() {
     const Fleet fleet(1);
     const auto result = ClientOf(const_cast<Fleet&>(fleet).Entry(0).edge)
@@ -342,7 +253,7 @@
   void Sigterm_WithAnEndlessRequest_EndsWithinTheStopTime() {
     Fleet fleet(2);
     SetAll(fleet, "ok&work_ms=60000");
-    std::thread caller([&] { fleet.Send(1, "/u/x", "u1", 60000); });
+    std::thread caller([&] { fleet.Send(1, "/u/x", "u1", std::chrono::seconds(60)); });
     std::this_thread::sleep_for(milliseconds(300));
     fleet.Entry(1).process->Signal(SIGTERM);
     CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(1).process->Wait(milliseconds(4000)));
--- /dev/null
+++ b/tests/soak_main.cc
@@ -0,0 +1,39 @@
+// soak: plays the fault soak with one seed after another. Exit code 1 when anything didn't hold.
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+
+#include "tests/fleet_soak.h"
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  cxxopts::Options options("soak", "Plays seeded faults against a fleet of real processes");
+  options.add_options()("seed", "First seed", cxxopts::value<uint64_t>()->default_value("1"))(
+      "runs", "Seeds to play", cxxopts::value<uint64_t>()->default_value("1"))(
+      "seconds", "Of each run", cxxopts::value<int64_t>()->default_value("8"))("help", "This text");
+  try {
+    const auto given = options.parse(argc, argv);
+    if (given.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    uint64_t failed = 0;
+    const uint64_t first = given["seed"].as<uint64_t>();
+    const uint64_t runs = given["runs"].as<uint64_t>();
+    for (uint64_t seed = first; seed < first + runs; ++seed) {
+      cowsliphill::SoakOptions soak;
+      soak.seed = seed;
+      soak.duration = std::chrono::seconds(given["seconds"].as<int64_t>());
+      const cowsliphill::SoakReport report = cowsliphill::RunSoak(soak);
+      if (!report.broken.empty()) ++failed;
+      std::cout << "seed " << seed << (report.broken.empty() ? " held" : " BROKEN") << "\n"
+                << Format(report) << std::flush;
+    }
+    std::cout << runs << " played, " << failed << " broken" << std::endl;
+    return failed == 0 ? 0 : 1;
+  } catch (const std::exception& e) {
+    std::cerr << "soak: " << e.what() << "\n";
+    return 2;
+  }
+}
