Changed manifests and gaps in the news come from other entry VMs

Now: only readers tell. News carry a changed manifest (compressed; twice). Who is behind, or starts, asks another entry VM for the whole catalog, three times, before it asks the store; seeds read the store at once. Unsettled entry VMs take over one after the other, not all at the same moment. Beyond the eighth in the order entry VMs leave an outage's tries to those before them. A store's answer that is older than the news meanwhile no longer changes the servers.

A graceful stop takes callers for half of its time, not seven tenths: callers may keep a lookup's answer for 2 s, and what is taken later may not end in time.

The manifest's codec knows routes, max_body_bytes and the servers' warm-up now.

--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -17,6 +18,7 @@
 #include "src/catalog/catalog.h"
 #include "src/catalog/server_list.h"
 #include "src/catalog/table_watch.h"
+#include "src/manifest/manifest_codec.h"
 #include "src/zone/zone_message.h"
 
 namespace cowsliphill {
@@ -25,6 +27,8 @@
   std::function<void(const std::shared_ptr<const Manifest>&)> on_manifest;
   std::function<void(const std::vector<BackendServer>&)> on_servers;
   std::function<void(const CatalogNews&)> tell;
+  // Ask another entry VM for the whole catalog, best the one whose news showed a gap (empty: any).
+  std::function<void(const EntryVmId&)> ask;
   // The store was lost (with the error) or regained (empty text).
   std::function<void(const std::string& table, const std::string& error)> on_store;
 };
@@ -56,6 +60,8 @@
 
   void OnNews(const CatalogNews& news, bool from_before_us) {
     const MonotonicTime now = clock_.Now();
+    TakeToldManifest(news);
+    if (news.whole) return OnWholeNews(news, from_before_us, now);
     // The table holds other rows too: a new version of it need not be a new manifest.
     const bool same = manifest_ != nullptr && news.revision <= manifest_->revision;
     manifest_watch_.OnNews(
@@ -63,6 +69,7 @@
         now);
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
+    if (!covered) gap_shown_by_ = news.sender;
     if (covered && news.servers_version > before) {
       // Whoever we tell next may stand before these changes too.
       Remember({before, news.changed, news.gone});
@@ -74,10 +81,24 @@
     Tick();
   }
 
+  // The whole catalog for an entry VM that asks, whose manifest is `revision`; nullopt: not known.
+  std::optional<CatalogNews> AnswerQuestion(uint64_t revision) const {
+    if (!Ready()) return std::nullopt;
+    CatalogNews news = NewsNow(clock_.Now());
+    news.whole = true;
+    news.changed = servers_.All();
+    const bool tells =
+        manifest_->revision > revision && manifest_bytes_.size() <= kMostToldManifest;
+    if (tells) news.manifest = manifest_bytes_;
+    return news;
+  }
+
   // Whether both tables were read.
   bool Ready() const { return manifest_ != nullptr && servers_watch_.Known(); }
   const std::shared_ptr<const Manifest>& InForce() const { return manifest_; }
-  bool IsReader() const { return rank_ == 0 || servers_watch_.IsReading(); }
+  bool IsReader() const {
+    return rank_ == 0 || servers_watch_.IsReading() || manifest_watch_.IsReading();
+  }
   Duration ManifestAge() const { return clock_.Now() - manifest_watch_.Confirmed(); }
   Duration ServersAge() const { return clock_.Now() - servers_watch_.Confirmed(); }
   size_t ServerCount() const { return servers_.Size(); }
@@ -87,6 +108,9 @@
   static constexpr uint32_t kMostLeaders = 2;  // First in the order; they retry most often.
   static constexpr size_t kToldAgain = 4;      // Changes go out so many times: datagrams get lost.
   static constexpr size_t kMostToldServers = 100;  // More than fit into a datagram.
+  static constexpr size_t kManifestTells = 2;      // Who misses both asks for it.
+  // Bytes, which compress to a quarter or less; larger manifests are read by each.
+  static constexpr size_t kMostToldManifest = 200000;
 
   // What one answer of the store, or one piece of news, changed since version `from`.
   struct Told {
@@ -103,8 +127,34 @@
     return servers_watch_.OutageWithin(ServerList::kReturnTime, now);
   }
 
+  // An answer to our question. Whoever sent it need not reach the store.
+  void OnWholeNews(const CatalogNews& news, bool from_before_us, MonotonicTime now) {
+    if (!manifest_ || news.revision < manifest_->revision) return;
+    const bool newer = news.servers_version > servers_watch_.Version();
+    manifest_watch_.OnNews({news.manifest_version, false, from_before_us, news.reaches_store,
+                            now - news.manifest_age, true},
+                           now);
+    if (newer || !servers_watch_.Known()) {
+      told_.clear();
+      TakeServers({news.servers_version, true, news.changed, {}}, now);
+    }
+    servers_watch_.OnNews({news.servers_version, false, from_before_us, news.reaches_store,
+                           now - news.servers_age, true},
+                          now);
+    Tick();
+  }
+
+  // Both tables' watches may want to ask at once; one answer serves both.
+  void AskPeers() {
+    const MonotonicTime now = clock_.Now();
+    if (asked_ && now - *asked_ < kTick) return;
+    asked_ = now;
+    listener_.ask(gap_shown_by_);
+  }
+
   void AskManifest(Step step) {
     if (step == Step::kNone) return;
+    if (step == Step::kAskPeers) return AskPeers();
     const auto done = [this](const Result<ManifestPage, CatalogError>& result) {
       const MonotonicTime now = clock_.Now();
       if (!Ok(result)) return Failed("manifest", manifest_watch_, ErrorOf(result), now);
@@ -112,18 +162,35 @@
       Reached("manifest", manifest_lost_);
       manifest_watch_.OnAnswer(page.version, now);
       if (page.manifest && (!manifest_ || page.manifest->revision > manifest_->revision)) {
-        manifest_ = page.manifest;
-        listener_.on_manifest(manifest_);
+        TakeManifest(page.manifest, EncodeManifest(*page.manifest));
       }
-      Tell(true, now);
+      if (IsReader()) Tell(true, now);
       Tick();
     };
     if (step == Step::kReadWhole) return store_.ReadManifest(done);
     store_.WatchManifest(manifest_watch_.Version(), HoldOf(step), done);
   }
 
+  void TakeManifest(const std::shared_ptr<const Manifest>& manifest, std::string bytes) {
+    manifest_ = manifest;
+    manifest_bytes_ = std::move(bytes);
+    manifest_tells_ = manifest_bytes_.size() <= kMostToldManifest ? kManifestTells : 0;
+    listener_.on_manifest(manifest_);
+  }
+
+  // A changed manifest reaches entry VMs with the news of it, so that not each reads the store.
+  void TakeToldManifest(const CatalogNews& news) {
+    if (news.manifest.empty() || (!manifest_ && !news.whole)) return;
+    if (manifest_ && news.revision <= manifest_->revision) return;
+    std::optional<Manifest> told = DecodeManifest(news.manifest);
+    if (!told) return;  // The store has it; OnNews asks there.
+    told->revision = news.revision;
+    TakeManifest(std::make_shared<const Manifest>(std::move(*told)), news.manifest);
+  }
+
   void AskServers(Step step) {
     if (step == Step::kNone) return;
+    if (step == Step::kAskPeers) return AskPeers();
     const auto done = [this](const Result<ServersPage, CatalogError>& result) {
       const MonotonicTime now = clock_.Now();
       if (!Ok(result)) return Failed("servers", servers_watch_, ErrorOf(result), now);
@@ -131,13 +198,16 @@
       Reached("servers", servers_lost_);
       const uint64_t before = servers_watch_.Version();
       servers_watch_.OnAnswer(page.version, now);
-      TakeServers(page, now);
-      if (page.whole) {
-        told_.clear();
-      } else {
-        Remember({before, page.changed, page.gone});
+      // News may have taken us past it while the call was open.
+      if (page.version >= before) {
+        TakeServers(page, now);
+        if (page.whole) {
+          told_.clear();
+        } else {
+          Remember({before, page.changed, page.gone});
+        }
       }
-      Tell(true, now);
+      if (IsReader()) Tell(true, now);
       Tick();
     };
     if (step == Step::kReadWhole) return store_.ReadServers(done);
@@ -172,20 +242,26 @@
     lost = false;
   }
 
-  // Tells what this entry VM knows; `reaches_store`: it has just heard from the store itself.
-  void Tell(bool reaches_store, MonotonicTime now) {
-    if (!manifest_watch_.Known() || !servers_watch_.Known()) return;
+  // Versions and ages, without contents.
+  CatalogNews NewsNow(MonotonicTime now) const {
     const auto millis = [](Duration d) {
       return std::chrono::duration_cast<std::chrono::milliseconds>(d);
     };
     CatalogNews news;
     news.sender = self_;
-    news.reaches_store = reaches_store;
     news.revision = manifest_ ? manifest_->revision : 0;
     news.manifest_version = manifest_watch_.Version();
     news.manifest_age = millis(now - manifest_watch_.Confirmed());
     news.servers_version = servers_watch_.Version();
     news.servers_age = millis(now - servers_watch_.Confirmed());
+    return news;
+  }
+
+  // Tells what this entry VM knows; `reaches_store`: it has just heard from the store itself.
+  void Tell(bool reaches_store, MonotonicTime now) {
+    if (!manifest_watch_.Known() || !servers_watch_.Known()) return;
+    CatalogNews news = NewsNow(now);
+    news.reaches_store = reaches_store;
     news.from = told_.empty() ? news.servers_version : told_.front().from;
     for (const Told& told : told_) {
       news.changed.insert(news.changed.end(), told.changed.begin(), told.changed.end());
@@ -196,6 +272,10 @@
       news.gone.clear();
       news.from = news.servers_version;
     }
+    if (manifest_tells_ > 0) {
+      --manifest_tells_;
+      news.manifest = manifest_bytes_;
+    }
     listener_.tell(news);
   }
 
@@ -207,6 +287,10 @@
   TableWatch servers_watch_;
   ServerList servers_;
   std::shared_ptr<const Manifest> manifest_;  // In force; null until one was read.
+  std::string manifest_bytes_;                // Of manifest_, encoded.
+  size_t manifest_tells_ = 0;                 // How often it still goes out with our news.
+  EntryVmId gap_shown_by_;                    // Sender of the last news that we could not follow.
+  std::optional<MonotonicTime> asked_;        // When we last asked a peer.
   std::deque<Told> told_;
   uint32_t rank_ = 0;
   bool manifest_lost_ = false;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -29,6 +29,16 @@
   CPPUNIT_TEST_SUITE(CatalogFollowerTest);
   CPPUNIT_TEST(Tell_AfterNewsOfAnother_CarriesTheirChangesToo);
   CPPUNIT_TEST(OnNews_WithAGap_AsksTheStore);
+  CPPUNIT_TEST(Tell_OfANewManifest_CarriesItAFewTimes);
+  CPPUNIT_TEST(Tell_AfterAnotherToldANewerManifest_CarriesThatOne);
+  CPPUNIT_TEST(OnNews_WithANewManifest_TakesItWithoutTheStore);
+  CPPUNIT_TEST(OnNews_OfANewManifestWithoutIt_AsksTheStore);
+  CPPUNIT_TEST(OnNews_WithAManifestThatCantBeRead_AsksTheStore);
+  CPPUNIT_TEST(AnswerQuestion_OfANewEntryVm_GivesItAllItNeeds);
+  CPPUNIT_TEST(AnswerQuestion_BeforeTheCatalogIsKnown_IsNone);
+  CPPUNIT_TEST(OnNews_OfTheWhole_FillsAGap);
+  CPPUNIT_TEST(OnNews_WithAnOlderWhole_ChangesNothing);
+  CPPUNIT_TEST(OnAnswer_OlderThanTheNews_ChangesNothing);
   CPPUNIT_TEST(OnManifest_WithALowerRevision_IsNotTaken);
   CPPUNIT_TEST_SUITE_END();
 
@@ -36,6 +46,7 @@
   void setUp() override {
     store_ = FakeStore();
     told_.clear();
+    asked_.clear();
     servers_.clear();
     revisions_.clear();
     CatalogListener listener;
@@ -44,6 +55,7 @@
     };
     listener.on_servers = [this](const auto& servers) { servers_ = servers; };
     listener.tell = [this](const CatalogNews& news) { told_.push_back(news); };
+    listener.ask = [this](const EntryVmId& hint) { asked_.push_back(hint); };
     listener.on_store = [](const std::string&, const std::string&) {};
     follower_ = std::make_unique<CatalogFollower<FakeStore>>(EntryVmId("me"), store_, clock_,
                                                              std::move(listener));
@@ -90,12 +102,119 @@
     news.from = 19;
     news.servers_version = 20;
     news.gone.emplace_back("a");
+    store_.watched_after = 0;
     follower_->OnNews(news, false);
-    Pass();
+    CPPUNIT_ASSERT(asked_.back() == EntryVmId("other"));
+    for (int i = 0; i < 3; ++i) Pass();
     CPPUNIT_ASSERT_EQUAL(uint64_t{11}, store_.watched_after);
     CPPUNIT_ASSERT_EQUAL(size_t{3}, servers_.size());
   }
 
+  void Tell_OfANewManifest_CarriesItAFewTimes() {
+    Pass();
+    AnswerManifest(11, 2);
+    const std::optional<Manifest> told = DecodeManifest(told_.back().manifest);
+    CPPUNIT_ASSERT(told.has_value());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, told_.back().revision);
+    for (uint64_t version = 12; version < 20; ++version) {
+      Pass();
+      AnswerServers({version, false, {}, {}});
+    }
+    CPPUNIT_ASSERT(told_.back().manifest.empty());
+  }
+
+  // Found by a measured day: a reader told the contents of one revision under the number of the
+  // next, which it had heard from another reader.
+  void Tell_AfterAnotherToldANewerManifest_CarriesThatOne() {
+    Pass();
+    AnswerManifest(11, 2);
+    Manifest next;
+    next.revision = 3;
+    Route route;
+    route.id = RouteId("r");
+    next.routes.push_back(route);
+    OnNewsOfRevision3(EncodeManifest(next));
+    follower_->SetRank(0);
+    Pass();
+    AnswerServers({21, false, {}, {}});
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, told_.back().revision);
+    const std::optional<Manifest> told = DecodeManifest(told_.back().manifest);
+    CPPUNIT_ASSERT(told.has_value());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, told->routes.size());
+  }
+
+  void OnNews_WithANewManifest_TakesItWithoutTheStore() {
+    Pass();
+    AnswerManifest(11, 2);
+    Manifest next;
+    next.revision = 3;
+    Route route;
+    route.id = RouteId("r");
+    next.routes.push_back(route);
+    OnNewsOfRevision3(EncodeManifest(next));
+    CPPUNIT_ASSERT_EQUAL(uint64_t{3}, follower_->InForce()->revision);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, follower_->InForce()->routes.size());
+    CPPUNIT_ASSERT(!store_.manifest);
+  }
+
+  void OnNews_OfANewManifestWithoutIt_AsksTheStore() {
+    Pass();
+    AnswerManifest(11, 2);
+    OnNewsOfRevision3("");
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, asked_.size());
+    for (int i = 0; i < 3; ++i) Pass();
+    CPPUNIT_ASSERT(store_.manifest);
+  }
+
+  void OnNews_WithAManifestThatCantBeRead_AsksTheStore() {
+    Pass();
+    AnswerManifest(11, 2);
+    OnNewsOfRevision3("\x81 no manifest");
+    CPPUNIT_ASSERT_EQUAL(uint64_t{2}, follower_->InForce()->revision);
+    for (int i = 0; i < 3; ++i) Pass();
+    CPPUNIT_ASSERT(store_.manifest);
+  }
+
+  void AnswerQuestion_OfANewEntryVm_GivesItAllItNeeds() {
+    const std::optional<CatalogNews> answer = follower_->AnswerQuestion(0);
+    CPPUNIT_ASSERT(answer.has_value());
+    FakeStore store;
+    CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, SilentListener());
+    starting.SetRank(5);
+    starting.OnNews(*answer, true);
+    CPPUNIT_ASSERT(starting.Ready());
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, starting.ServerCount());
+    CPPUNIT_ASSERT_EQUAL(uint64_t{1}, starting.InForce()->revision);
+    CPPUNIT_ASSERT(!store.manifest && !store.servers);
+  }
+
+  void AnswerQuestion_BeforeTheCatalogIsKnown_IsNone() {
+    FakeStore store;
+    const CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, SilentListener());
+    CPPUNIT_ASSERT(!starting.AnswerQuestion(0).has_value());
+  }
+
+  void OnNews_OfTheWhole_FillsAGap() {
+    follower_->OnNews(Whole(30, {Make("b"), Make("d")}), true);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, servers_.size());
+    Pass();
+    AnswerServers({31, false, {}, {BackendServerId("d")}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, servers_.size());
+  }
+
+  void OnNews_WithAnOlderWhole_ChangesNothing() {
+    follower_->OnNews(Whole(9, {Make("d")}), true);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, servers_.size());
+  }
+
+  // A call that was open while news came may be answered with what was true before them.
+  void OnAnswer_OlderThanTheNews_ChangesNothing() {
+    Pass();
+    follower_->OnNews(Whole(30, {Make("b")}), true);
+    AnswerServers({11, false, {Make("a")}, {}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, servers_.size());
+  }
+
   void OnManifest_WithALowerRevision_IsNotTaken() {
     Pass();
     AnswerManifest(11, 7);
@@ -105,6 +224,25 @@
   }
 
  private:
+  static CatalogListener SilentListener() {
+    CatalogListener listener;
+    listener.on_manifest = [](const auto&) {};
+    listener.on_servers = [](const auto&) {};
+    listener.tell = [](const CatalogNews&) {};
+    listener.ask = [](const EntryVmId&) {};
+    listener.on_store = [](const std::string&, const std::string&) {};
+    return listener;
+  }
+  static CatalogNews Whole(uint64_t version, std::vector<BackendServer> servers) {
+    CatalogNews news;
+    news.sender = EntryVmId("other");
+    news.whole = true;
+    news.manifest_version = version;
+    news.revision = 1;
+    news.servers_version = version;
+    news.changed = std::move(servers);
+    return news;
+  }
   static BackendServer Make(const std::string& id) {
     BackendServer server;
     server.id = BackendServerId(id);
@@ -121,6 +259,20 @@
     CPPUNIT_ASSERT(done);
     done(ManifestPage{version, std::make_shared<const Manifest>(manifest)});
   }
+  // Ours is revision 2 and we rely on others.
+  void OnNewsOfRevision3(const std::string& manifest) {
+    follower_->SetRank(5);
+    clock_.Advance(milliseconds(300));
+    CatalogNews news;
+    news.sender = EntryVmId("other");
+    news.reaches_store = true;
+    news.manifest_version = 20;
+    news.revision = 3;
+    news.manifest = manifest;
+    news.from = 10;
+    news.servers_version = 10;
+    follower_->OnNews(news, true);
+  }
   void AnswerServers(const ServersPage& page) {
     const auto done = std::exchange(store_.servers, nullptr);
     CPPUNIT_ASSERT(done);
@@ -131,6 +283,7 @@
   FakeStore store_;
   std::unique_ptr<CatalogFollower<FakeStore>> follower_;
   std::vector<CatalogNews> told_;
+  std::vector<EntryVmId> asked_;
   std::vector<BackendServer> servers_;
   std::vector<uint64_t> revisions_;
 };
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -5,47 +5,59 @@
 // tells the others what it hears, or that nothing has changed. Who hears nothing for its patience
 // asks for itself and tells the others in turn, so the first of them takes over. Patience grows
 // with the place in the order, so that they don't all ask at once.
+//
+// Who knows nothing yet, or has missed a change, asks another entry VM first: a hundred that each
+// asked the store would cost more than the change.
 
 #ifndef COWSLIPHILL_CATALOG_TABLE_WATCH_H_
 #define COWSLIPHILL_CATALOG_TABLE_WATCH_H_
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 
 #include "src/base/clock.h"
 
 namespace cowsliphill {
 
 struct TableWatchTimes {
-  std::chrono::milliseconds hold{500};           // The store may hold a call for so long.
-  std::chrono::milliseconds patience{1000};      // Without news; then one asks for itself.
-  std::chrono::milliseconds patience_step{120};  // More for each place in the order.
-  std::chrono::milliseconds retry{200};          // After a failed call; doubles.
+  std::chrono::milliseconds hold{500};          // The store may hold a call for so long.
+  std::chrono::milliseconds patience{1000};     // Without news; then one asks for itself.
+  std::chrono::milliseconds patience_step{60};  // More for each place in the order.
+  std::chrono::milliseconds retry{200};         // After a failed call; doubles.
   std::chrono::milliseconds longest_retry{600};
-  std::chrono::milliseconds led_retry{3000};  // Longest while those before us are heard: they
-                                              // try too and tell when they succeed.
-  std::chrono::milliseconds heard{1500};      // After their last news they count as heard.
-  std::chrono::milliseconds outage{2000};     // Longer without word from the store, by any way,
-                                              // is an outage: a dead reader is replaced sooner.
-  uint32_t most_steps = 4;                    // Places beyond it are as patient as this one.
-  std::chrono::milliseconds spacing{250};     // Least time between the starts of two calls.
+  std::chrono::milliseconds led_retry{8000};     // Longest while those before us are heard: they
+                                                 // try too and tell when they succeed.
+  std::chrono::milliseconds heard{1500};         // After their last news they count as heard.
+  std::chrono::milliseconds outage{2000};        // Longer without word from the store, by any way,
+                                                 // is an outage: a dead reader is replaced sooner.
+  uint32_t most_steps = 8;                       // Places beyond it are as patient as this one,
+  std::chrono::milliseconds led_patience{4000};  // or, while those before them are heard, so
+                                                 // patient: nine have tried by then.
+  std::chrono::milliseconds spacing{250};        // Least time between the starts of two calls.
+  std::chrono::milliseconds peer_patience{150};  // For another entry VM's answer.
+  uint32_t most_asks = 3;                        // Without an answer; then the store.
+  std::chrono::milliseconds start_patience{0};   // At the start peers are asked for so long first.
 };
 
 class TableWatch {
  public:
-  enum class Step { kNone, kReadWhole, kWatch, kCheck };  // kCheck: a watch that isn't held.
+  // kCheck: a watch that isn't held.
+  enum class Step { kNone, kAskPeers, kReadWhole, kWatch, kCheck };
 
   explicit TableWatch(TableWatchTimes times = {}) : times_(times) {}
 
   // `rank`: place in the order of election, 0 first.
   Step Next(uint32_t rank, MonotonicTime now) {
     if (calling_ || now < not_before_) return Step::kNone;
-    if (!known_) return Begin(Step::kReadWhole, now);
-    if (behind_) return Begin(Step::kCheck, now);
+    if (!known_) {
+      if (!first_step_) first_step_ = now;
+      if (now - *first_step_ < times_.start_patience) return AskPeers(now);
+      return Begin(Step::kReadWhole, now);
+    }
+    if (behind_) return asks_ < times_.most_asks ? AskPeers(now) : Begin(Step::kCheck, now);
     if (rank == 0 || reading_) return Begin(Step::kWatch, now);
-    const Duration patience =
-        times_.patience + times_.patience_step * std::min(rank, times_.most_steps);
-    if (now - confirmed_ > patience) {
+    if (now - confirmed_ > PatienceOf(rank, now)) {
       taking_over_ = true;
       return Begin(Step::kCheck, now);
     }
@@ -59,6 +71,7 @@
     NoteOutage(now);
     known_ = true;
     behind_ = false;
+    asks_ = 0;
     version_ = std::max(version_, version);
     confirmed_ = now;
     // An answer to a call that began before those in front were heard changes nothing.
@@ -67,8 +80,8 @@
   }
   void OnFailure(MonotonicTime now) {
     calling_ = false;
-    const bool led = led_ && now - heard_ < times_.heard;
-    const Duration longest = led ? times_.led_retry : times_.longest_retry;
+    asks_ = 0;
+    const Duration longest = IsLed(now) ? times_.led_retry : times_.longest_retry;
     retry_ = std::clamp<Duration>(retry_ * 2, times_.retry, longest);
     not_before_ = now + retry_;
   }
@@ -83,6 +96,7 @@
     bool from_before_us = false;  // The sender is before us in the order.
     bool reaches_store = true;    // The sender has just been answered by the store itself.
     MonotonicTime confirmed;      // When the sender last knew `version` to be the newest.
+    bool whole = false;           // We have all up to `version`, whatever we had before.
   };
   void OnNews(const News& news, MonotonicTime now) {
     if (news.from_before_us) {
@@ -95,13 +109,19 @@
         reading_ = false;
       }
     }
-    if (!known_ || news.version < version_) return;
-    if (news.version > version_ && !news.covered) {
+    if ((!known_ && !news.whole) || news.version < version_) return;
+    if (news.version > version_ && !news.covered && !news.whole) {
       behind_ = true;
-      not_before_ = std::min(not_before_, now);  // Others reach the store: so may we.
+      if (asks_ == 0)
+        not_before_ = std::min(not_before_, now);  // Others reach the store: so may we.
       return;
     }
     NoteOutage(now);
+    known_ = true;
+    if (news.version > version_ || news.whole) {
+      behind_ = false;
+      asks_ = 0;
+    }
     version_ = news.version;
     confirmed_ = std::max(confirmed_, news.confirmed);
   }
@@ -117,6 +137,19 @@
   }
 
  private:
+  bool IsLed(MonotonicTime now) const { return led_ && now - heard_ < times_.heard; }
+
+  Duration PatienceOf(uint32_t rank, MonotonicTime now) const {
+    if (rank > times_.most_steps && IsLed(now)) return times_.led_patience;
+    return times_.patience + times_.patience_step * std::min(rank, times_.most_steps);
+  }
+
+  Step AskPeers(MonotonicTime now) {
+    ++asks_;
+    not_before_ = now + times_.peer_patience;
+    return Step::kAskPeers;
+  }
+
   Step Begin(Step step, MonotonicTime now) {
     calling_ = true;
     not_before_ = now + times_.spacing;
@@ -134,7 +167,9 @@
   bool reading_ = false;      // Took over from those before us.
   bool taking_over_ = false;  // The open call is to take over.
   bool led_ = false;          // Somebody before us in the order was heard, at `heard_`.
+  uint32_t asks_ = 0;         // Of peers, since we are behind or a call failed.
   uint64_t version_ = 0;
+  std::optional<MonotonicTime> first_step_;  // The first call of Next.
   Duration retry_{};
   MonotonicTime confirmed_{};   // When the version was last known to be the newest.
   MonotonicTime not_before_{};  // No call before this.
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -19,14 +19,15 @@
 constexpr milliseconds kOutcomeInterval{500};  // Between tellings when no report goes out.
 constexpr milliseconds kProbeTimeout{300};     // Servers answer probes at once.
 constexpr milliseconds kSettleTime{5000};      // Until members have found each other.
-constexpr uint32_t kUnsettledRank = 4;         // Until then: as patient as the last.
+constexpr uint32_t kUnsettledRanks = 8;        // Until then: one of these, by the order's hash.
+constexpr milliseconds kStartPatience{900};    // For peers that know the catalog already.
 constexpr size_t kSharesPerRelay = 2;          // Other domains are told half as often.
 constexpr size_t kFewPeers = 20;               // Each is told of everything at once; among more
                                                // the messages would cost more than they save.
 constexpr milliseconds kSecond{1000};
 constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request ended.
 constexpr milliseconds kFarewell{150};         // For the last peer messages to go out.
-constexpr double kAcceptShare = 0.7;           // Of the stop time, in which callers still come.
+constexpr double kAcceptShare = 0.5;           // Of the stop time, in which callers still come.
 constexpr double kWorkShare = 0.93;            // Of the stop time, after which requests are cut.
 constexpr double kUnusualLines = 20;           // A second.
 constexpr double kUsualLines = 2;              // A second; a sample.
@@ -60,7 +61,7 @@
             metrics_.OnBadInput("row");
             log_.Write(LogLevel::kWarning, "store row left out", {{"key", key}, {"detail", why}});
           })),
-      follower_(id_, store_, clock_, MakeListener()),
+      follower_(id_, store_, clock_, MakeListener(), WatchTimes()),
       balancer_(settings_.place, seed, settings_.retries),
       dispatcher_(io_, clock_, &balancer_),
       pool_(io_, clock_, settings_.backend, settings_.edge.max_header_bytes, kReadBufferBytes),
@@ -126,6 +127,16 @@
   return context;
 }
 
+// The seeds read the store themselves when they start; the others can ask them.
+TableWatchTimes RoutedEntry::WatchTimes() const {
+  TableWatchTimes times;
+  const auto& seeds = settings_.peer.seeds;
+  const bool is_seed =
+      std::find(seeds.begin(), seeds.end(), settings_.peer.advertise) != seeds.end();
+  if (!seeds.empty() && !is_seed) times.start_patience = kStartPatience;
+  return times;
+}
+
 CatalogListener RoutedEntry::MakeListener() {
   CatalogListener listener;
   listener.on_manifest = [this](const std::shared_ptr<const Manifest>& manifest) {
@@ -133,6 +144,7 @@
   };
   listener.on_servers = [this](const std::vector<BackendServer>& servers) { OnServers(servers); };
   listener.tell = [this](const CatalogNews& news) { Tell(news); };
+  listener.ask = [this](const EntryVmId& hint) { AskPeer(hint); };
   listener.on_store = [this](const std::string& table, const std::string& error) {
     log_.Write(error.empty() ? LogLevel::kInfo : LogLevel::kWarning,
                error.empty() ? "store regained" : "store lost",
@@ -269,6 +281,23 @@
   datagrams_.Send(NextRelays(), EncodeZoneMessage(relayed));
 }
 
+void RoutedEntry::AskPeer(const EntryVmId& hint) {
+  std::optional<Endpoint> peer;
+  for (const Member& member : members_->Live()) {
+    if (member.id == hint && member.state == MemberState::kAlive) peer = member.peer;
+  }
+  const std::vector<Endpoint>& others = near_peers_.empty() ? settings_.peer.seeds : near_peers_;
+  if (!peer && !others.empty()) peer = others[next_asked_++ % others.size()];
+  if (!peer) return;
+  const CatalogQuestion question{settings_.peer.advertise, manifest_->revision};
+  datagrams_.Send({*peer}, EncodeZoneMessage(question));
+}
+
+void RoutedEntry::OnQuestion(const CatalogQuestion& question) {
+  const std::optional<CatalogNews> answer = follower_.AnswerQuestion(question.revision);
+  if (answer) datagrams_.Send({question.reply_to}, EncodeZoneMessage(*answer));
+}
+
 void RoutedEntry::OnNews(const CatalogNews& news) {
   if (news.relay) {
     CatalogNews relayed = news;
@@ -324,7 +353,8 @@
 // An entry VM that has just started knows few others and would take itself for the first of all.
 void RoutedEntry::UpdateRank() {
   const bool settled = clock_.Now() - started_ > kSettleTime;
-  follower_.SetRank(settled ? rank_ : std::max(rank_, kUnsettledRank));
+  const auto unsettled = static_cast<uint32_t>(1 + ElectionOrder(id_) % kUnsettledRanks);
+  follower_.SetRank(settled ? rank_ : std::max(rank_, unsettled));
 }
 
 bool RoutedEntry::Ready() const { return follower_.Ready() && !stopping_; }
@@ -362,6 +392,7 @@
     if (it != by_tag_.end()) balancer_.OnSentElsewhere(it->second, clock_.Now());
     return;
   }
+  if (const auto* question = std::get_if<CatalogQuestion>(&*message)) return OnQuestion(*question);
   OnNews(std::get<CatalogNews>(*message));
 }
 
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -64,6 +64,7 @@
   // 1. Build and listen
   ForwardContext MakeContext();
   CatalogListener MakeListener();
+  TableWatchTimes WatchTimes() const;
   std::string Listen();
 
   // 2. Catalog and members
@@ -75,6 +76,8 @@
   void ApplyCatalog();
   void Tell(const CatalogNews& news);
   void OnNews(const CatalogNews& news);
+  void AskPeer(const EntryVmId& hint);
+  void OnQuestion(const CatalogQuestion& question);
   void OnMembers();
   bool Ready() const;
   PlainAnswer AnswerLookup(const std::string& path, const std::string& query);
@@ -135,6 +138,7 @@
   std::vector<Endpoint> near_peers_;                    // Of those in our failure domain.
   std::map<PlaceId, std::vector<Endpoint>> far_peers_;  // Of the others.
   size_t next_relay_ = 0;                               // Takes turns over far_peers_.
+  size_t next_asked_ = 0;                               // Takes turns over near peers or seeds.
   uint32_t rank_ = 0;                                   // Place in the order of election.
   MonotonicTime started_{};                             // When this process began to serve.
   ZoneProber prober_;
--- a/src/manifest/manifest_codec.cc
+++ b/src/manifest/manifest_codec.cc
@@ -46,6 +46,8 @@
 json ToJson(const Service& it);
 json ToJson(const BackendServer& it);
 json ToJson(const EntryRules& it);
+json ToJson(const WeightedService& it);
+json ToJson(const Route& it);
 json ToJson(const ManifestChange& it);
 json ToJson(const ManifestHead& it);
 json ToJson(const HistoryEntry& it);
@@ -134,6 +136,8 @@
 void FromJson(const json& in, Service& it);
 void FromJson(const json& in, BackendServer& it);
 void FromJson(const json& in, EntryRules& it);
+void FromJson(const json& in, WeightedService& it);
+void FromJson(const json& in, Route& it);
 void FromJson(const json& in, ManifestChange& it);
 void FromJson(const json& in, ManifestHead& it);
 void FromJson(const json& in, HistoryEntry& it);
@@ -221,12 +225,35 @@
   visit("endpoint", it.endpoint, d.endpoint);
   visit("state", it.state, d.state);
   visit("slots", it.slots, d.slots);
+  visit("warmup", it.warmup, d.warmup);
+  visit("started", it.started, d.started);
+}
+
+template <typename Visit, typename T>
+void VisitMembers(Visit visit, T& it, const WeightedService& d) {
+  visit("service", it.service, d.service);
+  visit("weight", it.weight, d.weight);
+}
+
+template <typename Visit, typename T>
+void VisitMembers(Visit visit, T& it, const Route& d) {
+  visit("id", it.id, d.id);
+  visit("host", it.host, d.host);
+  visit("prefix", it.prefix, d.prefix);
+  visit("repeatable", it.repeatable, d.repeatable);
+  visit("bulk", it.bulk, d.bulk);
+  visit("rank", it.rank, d.rank);
+  visit("attempts", it.max_attempts, d.max_attempts);
+  visit("timeout", it.timeout, d.timeout);
+  visit("target", it.target_latency, d.target_latency);
+  visit("services", it.services, d.services);
 }
 
 template <typename Visit, typename T>
 void VisitMembers(Visit visit, T& it, const EntryRules& d) {
   visit("max_requests", it.max_requests, d.max_requests);
   visit("lookup_lifetime", it.lookup_lifetime, d.lookup_lifetime);
+  visit("max_body", it.max_body_bytes, d.max_body_bytes);
   visit("max_probe_rate", it.max_probe_rate, d.max_probe_rate);
 }
 
@@ -292,6 +319,7 @@
   visit("teams", it.teams, d.teams);
   visit("services", it.services, d.services);
   visit("servers", it.backend_servers, d.backend_servers);
+  visit("routes", it.routes, d.routes);
   visit("entry", it.entry, d.entry);
 }
 
@@ -313,6 +341,8 @@
 json ToJson(const Service& it) { return MembersToJson(it); }
 json ToJson(const BackendServer& it) { return MembersToJson(it); }
 json ToJson(const EntryRules& it) { return MembersToJson(it); }
+json ToJson(const WeightedService& it) { return MembersToJson(it); }
+json ToJson(const Route& it) { return MembersToJson(it); }
 json ToJson(const ManifestChange& it) { return MembersToJson(it); }
 json ToJson(const ManifestHead& it) { return MembersToJson(it); }
 json ToJson(const HistoryEntry& it) { return MembersToJson(it); }
@@ -327,6 +357,8 @@
 void FromJson(const json& in, Service& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, BackendServer& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, EntryRules& it) { MembersFromJson(in, it); }
+void FromJson(const json& in, WeightedService& it) { MembersFromJson(in, it); }
+void FromJson(const json& in, Route& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, ManifestChange& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, ManifestHead& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, HistoryEntry& it) { MembersFromJson(in, it); }
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -1,6 +1,7 @@
 #include "src/zone/zone_message.h"
 
 #include <xxhash.h>
+#include <zlib.h>
 
 #include <nlohmann/json.hpp>
 
@@ -18,6 +19,7 @@
 constexpr int kReports = 1;
 constexpr int kNews = 2;
 constexpr int kSent = 3;
+constexpr int kQuestion = 4;
 constexpr double kPercent = 100.0;  // A slowdown travels as a whole number of percent.
 
 // Numbers of one report in a batch, which is one flat list: short to send and quick to read.
@@ -83,6 +85,45 @@
   return server;
 }
 
+// A message that begins with this byte, which none else begins with, is compressed: four bytes of
+// its size follow, lowest first, then a zlib stream.
+constexpr char kCompressed = 'z';
+constexpr size_t kSizeBytes = 4;
+constexpr size_t kCompressAbove = 1000;  // Bytes; shorter ones fit into one packet as they are.
+constexpr size_t kMostExpanded = 1U
+                                 << 20;  // Bytes; a larger size is refused before it is unpacked.
+
+std::string Compress(const std::string& bytes) {
+  uLongf n = compressBound(bytes.size());
+  std::string out(1 + kSizeBytes + n, kCompressed);
+  for (size_t i = 0; i < kSizeBytes; ++i) {
+    out[1 + i] = static_cast<char>(bytes.size() >> (8 * i) & 0xff);
+  }
+  const int result =
+      compress2(reinterpret_cast<Bytef*>(out.data() + 1 + kSizeBytes), &n,
+                reinterpret_cast<const Bytef*>(bytes.data()), bytes.size(), Z_BEST_SPEED);
+  if (result != Z_OK) return bytes;  // Larger on the wire, and as good.
+  out.resize(1 + kSizeBytes + n);
+  return out;
+}
+
+std::optional<std::string> Expand(const std::string& bytes) {
+  if (bytes.empty() || bytes[0] != kCompressed) return bytes;
+  if (bytes.size() <= 1 + kSizeBytes) return std::nullopt;
+  size_t size = 0;
+  for (size_t i = 0; i < kSizeBytes; ++i) {
+    size |= static_cast<size_t>(static_cast<unsigned char>(bytes[1 + i])) << (8 * i);
+  }
+  if (size > kMostExpanded) return std::nullopt;
+  std::string out(size, '\0');
+  uLongf n = size;
+  const int result = uncompress(reinterpret_cast<Bytef*>(out.data()), &n,
+                                reinterpret_cast<const Bytef*>(bytes.data() + 1 + kSizeBytes),
+                                bytes.size() - 1 - kSizeBytes);
+  if (result != Z_OK || n != size) return std::nullopt;
+  return out;
+}
+
 json EncodeBatch(const ReportBatch& batch) {
   json numbers = json::array();
   for (const ServerReport& item : batch.reports) Append(numbers, item);
@@ -105,13 +146,22 @@
           news.sender.Text(),
           news.revision,
           news.relay,
-          news.reaches_store};
+          news.reaches_store,
+          json::binary(std::vector<uint8_t>(news.manifest.begin(), news.manifest.end())),
+          news.whole};
 }
 
 ZoneMessage DecodeFields(const json& message) {
   if (message.at(0).get<int>() == kSent) {
     return SentNotice{message.at(1).get<ServerTag>()};
   }
+  if (message.at(0).get<int>() == kQuestion) {
+    CatalogQuestion question;
+    const std::optional<Endpoint> reply_to = ParseEndpoint(message.at(1).get<std::string>());
+    if (reply_to) question.reply_to = *reply_to;
+    question.revision = message.at(2).get<uint64_t>();
+    return question;
+  }
   if (message.at(0).get<int>() == kReports) {
     ReportBatch batch;
     batch.relay = message.at(2).get<bool>();
@@ -133,6 +183,9 @@
   news.revision = message.at(9).get<uint64_t>();
   news.relay = message.at(10).get<bool>();
   news.reaches_store = message.at(11).get<bool>();
+  const json::binary_t& manifest = message.at(12).get_binary();
+  news.manifest.assign(manifest.begin(), manifest.end());
+  news.whole = message.at(13).get<bool>();
   return news;
 }
 
@@ -148,19 +201,23 @@
     fields = EncodeBatch(*batch);
   } else if (const auto* notice = std::get_if<SentNotice>(&message)) {
     fields = {kSent, notice->server};
+  } else if (const auto* question = std::get_if<CatalogQuestion>(&message)) {
+    fields = {kQuestion, question->reply_to.ToString(), question->revision};
   } else {
     fields = EncodeNews(std::get<CatalogNews>(message));
   }
-  const std::vector<uint8_t> bytes = json::to_msgpack(fields);
-  return {bytes.begin(), bytes.end()};
+  std::string bytes;
+  json::to_msgpack(fields, bytes);
+  return bytes.size() > kCompressAbove ? Compress(bytes) : bytes;
 }
 
 std::optional<ZoneMessage> DecodeZoneMessage(const std::string& bytes) {
-  if (!IsShallowMsgpack(bytes)) return std::nullopt;
+  const std::optional<std::string> expanded = Expand(bytes);
+  if (!expanded || !IsShallowMsgpack(*expanded)) return std::nullopt;
   try {
-    const json message = json::from_msgpack(bytes);
+    const json message = json::from_msgpack(*expanded);
     const int kind = message.at(0).get<int>();
-    if (kind < kReports || kind > kSent) return std::nullopt;
+    if (kind < kReports || kind > kQuestion) return std::nullopt;
     return DecodeFields(message);
   } catch (const json::exception&) {
     return std::nullopt;  // Counted by the caller as a refused message.
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -50,7 +50,9 @@
   std::chrono::milliseconds servers_age{0};
   std::vector<BackendServer> changed;
   std::vector<BackendServerId> gone;
-  bool relay = false;  // As in ReportBatch.
+  std::string manifest;  // EncodeManifest of it; empty: not told this time.
+  bool whole = false;    // `changed` holds all servers there are; nothing needs to be known before.
+  bool relay = false;    // As in ReportBatch.
 };
 
 // The sender has just sent a request to this server. Counts until the next report.
@@ -58,7 +60,13 @@
   ServerTag server = 0;
 };
 
-using ZoneMessage = std::variant<ReportBatch, CatalogNews, SentNotice>;
+// Asks for the whole catalog. An entry VM that has it answers with CatalogNews.
+struct CatalogQuestion {
+  Endpoint reply_to;      // The sender's peer address.
+  uint64_t revision = 0;  // Of the manifest that the sender has; a newer one comes with the answer.
+};
+
+using ZoneMessage = std::variant<ReportBatch, CatalogNews, SentNotice, CatalogQuestion>;
 
 std::string EncodeZoneMessage(const ZoneMessage& message);
 // nullopt for anything malformed.
