What peers tell of the catalog: no manifest left behind, nothing lapsed, the last change counts

Test OnNews_OfTheWholeWithoutItsManifest_AsksTheStoreForThat, seen failing. - A whole answer named servers that had lapsed during an outage and were only kept for a while. - An older whole answer was taken while the store's own was being read again. - News of a server that went and came back within four changes said that it was gone.

--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -85,7 +85,7 @@
     if (!Ready()) return std::nullopt;
     CatalogNews news = NewsNow(clock_.Now());
     news.whole = true;
-    news.changed = servers_.All();
+    news.changed = servers_.Present();
     const bool tells =
         manifest_->revision > revision && manifest_bytes_.size() <= kMostToldManifest;
     if (tells) news.manifest = manifest_bytes_;
@@ -129,11 +129,15 @@
   // An answer to our question. Whoever sent it need not reach the store.
   void OnWholeNews(const CatalogNews& news, bool from_before_us, MonotonicTime now) {
     if (!manifest_ || news.revision < manifest_->revision) return;
-    const bool newer = news.servers_version > servers_watch_.Version();
+    const uint64_t before = servers_watch_.Version();
+    const bool newer = news.servers_version > before ||
+                       (news.servers_version == before && !servers_watch_.Known());
+    const bool same =
+        news.revision == manifest_->revision;  // Else its manifest did not come along.
     manifest_watch_.OnNews({news.manifest_version, false, from_before_us, news.reaches_store,
-                            now - news.manifest_age, true},
+                            now - news.manifest_age, same},
                            now);
-    if (newer || !servers_watch_.Known()) {
+    if (newer) {
       told_.clear();
       TakeServers({news.servers_version, true, news.changed, {}}, now);
     }
@@ -256,16 +260,27 @@
     return news;
   }
 
+  // Of several changes of one server the last one counts.
+  static void Merge(const Told& told, CatalogNews& news) {
+    for (const BackendServer& server : told.changed) {
+      std::erase(news.gone, server.id);
+      std::erase_if(news.changed, [&](const BackendServer& it) { return it.id == server.id; });
+      news.changed.push_back(server);
+    }
+    for (const BackendServerId& id : told.gone) {
+      std::erase_if(news.changed, [&](const BackendServer& it) { return it.id == id; });
+      std::erase(news.gone, id);
+      news.gone.push_back(id);
+    }
+  }
+
   // Tells what this entry VM knows; `reaches_store`: it has just heard from the store itself.
   void Tell(bool reaches_store, MonotonicTime now) {
     if (!manifest_watch_.Known() || !servers_watch_.Known()) return;
     CatalogNews news = NewsNow(now);
     news.reaches_store = reaches_store;
     news.from = told_.empty() ? news.servers_version : told_.front().from;
-    for (const Told& told : told_) {
-      news.changed.insert(news.changed.end(), told.changed.begin(), told.changed.end());
-      news.gone.insert(news.gone.end(), told.gone.begin(), told.gone.end());
-    }
+    for (const Told& told : told_) Merge(told, news);
     if (news.changed.size() + news.gone.size() > kMostToldServers) {
       news.changed.clear();
       news.gone.clear();
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST_SUITE(CatalogFollowerTest);
   CPPUNIT_TEST(Tell_AfterNewsOfAnother_CarriesTheirChangesToo);
   CPPUNIT_TEST(OnNews_WithAGap_AsksTheStore);
+  CPPUNIT_TEST(Tell_OfAServerThatWentAndCameBack_TellsThatItIsThere);
   CPPUNIT_TEST(Tell_OfANewManifest_CarriesItAFewTimes);
   CPPUNIT_TEST(Tell_AfterAnotherToldANewerManifest_CarriesThatOne);
   CPPUNIT_TEST(OnNews_WithANewManifest_TakesItWithoutTheStore);
@@ -37,6 +38,7 @@
   CPPUNIT_TEST(AnswerQuestion_OfANewEntryVm_GivesItAllItNeeds);
   CPPUNIT_TEST(AnswerQuestion_BeforeTheCatalogIsKnown_IsNone);
   CPPUNIT_TEST(OnNews_OfTheWhole_FillsAGap);
+  CPPUNIT_TEST(OnNews_OfTheWholeWithoutItsManifest_AsksTheStoreForThat);
   CPPUNIT_TEST(OnNews_WithAnOlderWhole_ChangesNothing);
   CPPUNIT_TEST(OnAnswer_OlderThanTheNews_ChangesNothing);
   CPPUNIT_TEST(OnManifest_WithALowerRevision_IsNotTaken);
@@ -110,6 +112,19 @@
     CPPUNIT_ASSERT_EQUAL(size_t{3}, servers_.size());
   }
 
+  void Tell_OfAServerThatWentAndCameBack_TellsThatItIsThere() {
+    Pass();
+    AnswerServers({11, false, {}, {BackendServerId("a")}});
+    Pass();
+    AnswerServers({12, false, {Make("a")}, {}});
+    CPPUNIT_ASSERT(told_.back().gone.empty());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, told_.back().changed.size());
+    Pass();
+    AnswerServers({13, false, {}, {BackendServerId("a")}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, told_.back().gone.size());
+    CPPUNIT_ASSERT(told_.back().changed.empty());
+  }
+
   void Tell_OfANewManifest_CarriesItAFewTimes() {
     Pass();
     AnswerManifest(11, 2);
@@ -128,12 +143,7 @@
   void Tell_AfterAnotherToldANewerManifest_CarriesThatOne() {
     Pass();
     AnswerManifest(11, 2);
-    Manifest next;
-    next.revision = 3;
-    Route route;
-    route.id = RouteId("r");
-    next.routes.push_back(route);
-    OnNewsOfRevision3(EncodeManifest(next));
+    OnNewsOfRevision3(EncodeManifest(WithOneRoute()));
     follower_->SetRank(0);
     Pass();
     AnswerServers({21, false, {}, {}});
@@ -146,12 +156,7 @@
   void OnNews_WithANewManifest_TakesItWithoutTheStore() {
     Pass();
     AnswerManifest(11, 2);
-    Manifest next;
-    next.revision = 3;
-    Route route;
-    route.id = RouteId("r");
-    next.routes.push_back(route);
-    OnNewsOfRevision3(EncodeManifest(next));
+    OnNewsOfRevision3(EncodeManifest(WithOneRoute()));
     CPPUNIT_ASSERT_EQUAL(uint64_t{3}, follower_->InForce()->revision);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, follower_->InForce()->routes.size());
     CPPUNIT_ASSERT(!store_.manifest);
@@ -202,6 +207,18 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, servers_.size());
   }
 
+  // A manifest that is too large for a datagram is left out of the answer.
+  void OnNews_OfTheWholeWithoutItsManifest_AsksTheStoreForThat() {
+    follower_->SetRank(5);
+    CatalogNews news = Whole(30, {Make("b")});
+    news.revision = 3;
+    follower_->OnNews(news, true);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, servers_.size());
+    store_.manifest = nullptr;
+    for (int i = 0; i < 4; ++i) Pass();
+    CPPUNIT_ASSERT(store_.manifest);
+  }
+
   void OnNews_WithAnOlderWhole_ChangesNothing() {
     follower_->OnNews(Whole(9, {Make("d")}), true);
     CPPUNIT_ASSERT_EQUAL(size_t{3}, servers_.size());
@@ -259,6 +276,13 @@
     CPPUNIT_ASSERT(done);
     done(ManifestPage{version, std::make_shared<const Manifest>(manifest)});
   }
+  static Manifest WithOneRoute() {
+    Manifest manifest;
+    Route route;
+    route.id = RouteId("r");
+    manifest.routes.push_back(route);
+    return manifest;
+  }
   // Ours is revision 2 and we rely on others.
   void OnNewsOfRevision3(const std::string& manifest) {
     follower_->SetRank(5);
--- a/src/catalog/server_list.h
+++ b/src/catalog/server_list.h
@@ -50,6 +50,14 @@
     for (const auto& [id, server] : servers_) all.push_back(server);
     return all;
   }
+  // Without those that are gone from the store and only kept for a while.
+  std::vector<BackendServer> Present() const {
+    std::vector<BackendServer> present;
+    for (const auto& [id, server] : servers_) {
+      if (lapsed_.count(id) == 0) present.push_back(server);
+    }
+    return present;
+  }
   size_t Size() const { return servers_.size(); }
 
  private:
--- a/src/catalog/server_list_test.cc
+++ b/src/catalog/server_list_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(Apply_ServerThatComesBackAfterAnOutage_Stays);
   CPPUNIT_TEST(Apply_ReadyAfterLeaving_StaysLeavingInTheSameLifetime);
   CPPUNIT_TEST(Apply_RebornUnderTheSameId_IsActive);
+  CPPUNIT_TEST(Present_DuringAnOutage_LeavesOutWhatLapsed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -64,6 +65,13 @@
     CPPUNIT_ASSERT(list_.All()[0].state == BackendState::kActive);
   }
 
+  void Present_DuringAnOutage_LeavesOutWhatLapsed() {
+    list_.Apply({2, false, {}, {BackendServerId("a")}}, true, now_);
+    CPPUNIT_ASSERT_EQUAL(std::string("a b "), Names());
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, list_.Present().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), list_.Present()[0].id.Text());
+  }
+
  private:
   static BackendServer Make(const std::string& id) {
     BackendServer server;
