Large manifests are read from the store by each entry VM again

A reader with a small link needs most of a second to send 15 to 20 KB to each of 43 peers, a relay the same again, and questions for it went in circles for half a second before the store was asked.

Manifests above 30,000 bytes are not told; who hears of a newer one asks one peer, then the store.

--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -45,7 +45,7 @@
         store_(store),
         clock_(clock),
         listener_(std::move(listener)),
-        manifest_watch_(times),
+        manifest_watch_(WithAsks(times, kManifestAsks)),
         servers_watch_(times) {}
 
   // Place in the order of election among the entry VMs that are alive; 0 asks the store.
@@ -108,8 +108,15 @@
   static constexpr size_t kToldAgain = 4;      // Changes go out so many times: datagrams get lost.
   static constexpr size_t kMostToldServers = 100;  // More than fit into a datagram.
   static constexpr size_t kManifestTells = 2;      // Who misses both asks for it.
-  // Bytes, which compress to a quarter or less; larger manifests are read by each.
-  static constexpr size_t kMostToldManifest = 200000;
+  // Bytes. A larger manifest is read by each from the store: a reader with a small link would need
+  // too long to send it to all.
+  static constexpr size_t kMostToldManifest = 30000;
+  static constexpr uint32_t kManifestAsks = 1;  // It may be too large for an answer.
+
+  static TableWatchTimes WithAsks(TableWatchTimes times, uint32_t most_asks) {
+    times.most_asks = most_asks;
+    return times;
+  }
 
   // What one answer of the store, or one piece of news, changed since version `from`.
   struct Told {
