--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -112,8 +112,8 @@
     if ((!known_ && !news.whole) || news.version < version_) return;
     if (news.version > version_ && !news.covered && !news.whole) {
       behind_ = true;
-      if (asks_ == 0)
-        not_before_ = std::min(not_before_, now);  // Others reach the store: so may we.
+      // Others reach the store: so may we.
+      if (asks_ == 0) not_before_ = std::min(not_before_, now);
       return;
     }
     NoteOutage(now);
--- a/src/forward/exchange_answer.cc
+++ b/src/forward/exchange_answer.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Bytes; less than what a socket holds at its start, which is read also after a reset.
-constexpr uint64_t kResumeProgress = 16 * 1024;
+constexpr uint64_t kResumeProgress = 16384;
 
 constexpr size_t kMostGathered = 1 << 20;  // Bytes of an answer; larger ones are streamed.
 
