One copy each: graceful stop, numbers, services by id, election order

From reading the whole change once more; behaviour is the same. - The steps of a graceful stop stood in both kinds of entry VM: GracefulStop has them, each kind only says when it may depart. AnswerQuestion is no longer const, so one test's follower isn't either.

Left as they are: the gauges and Listen of the two kinds (a shared function would take as many arguments as it has lines); the accept loops of EdgeServer and PlainServer; members of the manifest's codec, one visitor for each struct.

--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -533,7 +533,7 @@
   SendTo Send(Ticket ticket, uint32_t attempt) {
     const size_t server = Pick();
     ++in_flight_[server];
-    return SendTo{ticket, ModelServerId(static_cast<uint32_t>(server)), {}, attempt};
+    return SendTo{ticket, ModelServerId(static_cast<uint32_t>(server)), {}, attempt, ""};
   }
 
   size_t Pick() {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -81,14 +81,12 @@
   }
 
   // The whole catalog for an entry VM that asks, whose manifest is `revision`; nullopt: not known.
-  std::optional<CatalogNews> AnswerQuestion(uint64_t revision) const {
+  std::optional<CatalogNews> AnswerQuestion(uint64_t revision) {
     if (!Ready()) return std::nullopt;
     CatalogNews news = NewsNow(clock_.Now());
     news.whole = true;
     news.changed = servers_.Present();
-    const bool tells =
-        manifest_->revision > revision && manifest_bytes_.size() <= kMostToldManifest;
-    if (tells) news.manifest = manifest_bytes_;
+    if (manifest_->revision > revision) news.manifest = ToldManifest();
     return news;
   }
 
@@ -172,7 +170,7 @@
       Reached("manifest", manifest_lost_);
       manifest_watch_.OnAnswer(page.version, now);
       if (page.manifest && (!manifest_ || page.manifest->revision > manifest_->revision)) {
-        TakeManifest(page.manifest, EncodeManifest(*page.manifest));
+        TakeManifest(page.manifest, "");
       }
       if (IsReader()) Tell(true, now);
       Tick();
@@ -181,13 +179,20 @@
     store_.WatchManifest(manifest_watch_.Version(), HoldOf(step), done);
   }
 
+  // `bytes`: encoded, if they are at hand.
   void TakeManifest(const std::shared_ptr<const Manifest>& manifest, std::string bytes) {
     manifest_ = manifest;
     manifest_bytes_ = std::move(bytes);
-    manifest_tells_ = manifest_bytes_.size() <= kMostToldManifest ? kManifestTells : 0;
+    manifest_tells_ = kManifestTells;
     listener_.on_manifest(manifest_);
   }
 
+  // As it goes out with news; empty when it is too large. Most entry VMs never tell it.
+  std::string ToldManifest() {
+    if (manifest_bytes_.empty()) manifest_bytes_ = EncodeManifest(*manifest_);
+    return manifest_bytes_.size() <= kMostToldManifest ? manifest_bytes_ : "";
+  }
+
   // A changed manifest reaches entry VMs with the news of it, so that not each reads the store.
   void TakeToldManifest(const CatalogNews& news) {
     if (news.manifest.empty() || (!manifest_ && !news.whole)) return;
@@ -295,7 +300,7 @@
     }
     if (manifest_tells_ > 0) {
       --manifest_tells_;
-      news.manifest = manifest_bytes_;
+      news.manifest = ToldManifest();
     }
     listener_.tell(news);
   }
@@ -308,7 +313,7 @@
   TableWatch servers_watch_;
   ServerList servers_;
   std::shared_ptr<const Manifest> manifest_;  // In force; null until one was read.
-  std::string manifest_bytes_;                // Of manifest_, encoded.
+  std::string manifest_bytes_;                // Of manifest_, encoded; empty: not yet.
   size_t manifest_tells_ = 0;                 // How often it still goes out with our news.
   std::optional<MonotonicTime> asked_;        // When we last asked a peer.
   std::deque<Told> told_;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -72,15 +72,7 @@
   void Tell_AfterNewsOfAnother_CarriesTheirChangesToo() {
     Pass();
     AnswerServers({11, false, {}, {}});
-    CatalogNews news;
-    news.sender = EntryVmId("other");
-    news.reaches_store = true;
-    news.manifest_version = 12;
-    news.revision = 1;
-    news.from = 11;
-    news.servers_version = 12;
-    news.gone.emplace_back("a");
-    follower_->OnNews(news, false);
+    follower_->OnNews(NewsThatAIsGone(11, 12), false);
     Pass();
     AnswerServers({13, false, {}, {BackendServerId("b")}});
     const CatalogNews& last = told_.back();
@@ -96,16 +88,8 @@
   void OnNews_WithAGap_AsksTheStore() {
     Pass();
     AnswerServers({11, false, {}, {}});
-    CatalogNews news;
-    news.sender = EntryVmId("other");
-    news.reaches_store = true;
-    news.manifest_version = 20;
-    news.revision = 1;
-    news.from = 19;
-    news.servers_version = 20;
-    news.gone.emplace_back("a");
     store_.watched_after = 0;
-    follower_->OnNews(news, false);
+    follower_->OnNews(NewsThatAIsGone(19, 20), false);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, asked_);
     for (int i = 0; i < 3; ++i) Pass();
     CPPUNIT_ASSERT_EQUAL(uint64_t{11}, store_.watched_after);
@@ -195,7 +179,7 @@
 
   void AnswerQuestion_BeforeTheCatalogIsKnown_IsNone() {
     FakeStore store;
-    const CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, SilentListener());
+    CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, SilentListener());
     CPPUNIT_ASSERT(!starting.AnswerQuestion(0).has_value());
   }
 
@@ -250,6 +234,17 @@
     listener.on_store = [](const std::string&, const std::string&) {};
     return listener;
   }
+  static CatalogNews NewsThatAIsGone(uint64_t from, uint64_t version) {
+    CatalogNews news;
+    news.sender = EntryVmId("other");
+    news.reaches_store = true;
+    news.manifest_version = version;
+    news.revision = 1;
+    news.from = from;
+    news.servers_version = version;
+    news.gone.emplace_back("a");
+    return news;
+  }
   static CatalogNews Whole(uint64_t version, std::vector<BackendServer> servers) {
     CatalogNews news;
     news.sender = EntryVmId("other");
--- a/src/choose/chooser.cc
+++ b/src/choose/chooser.cc
@@ -313,7 +313,7 @@
   decision.considered_count = pick.count;
   service.recent.Add(decision);
   const auto number = static_cast<uint32_t>(request.attempts.size());
-  return SendTo{ticket, server.config.id, server.config.endpoint, number};
+  return SendTo{ticket, server.config.id, server.config.endpoint, number, ""};
 }
 
 Refuse Chooser::Refused(Ticket ticket, const Request& request, ServiceState& service,
--- a/src/cli/entry_routes.cc
+++ b/src/cli/entry_routes.cc
@@ -1,9 +1,9 @@
 // The administration API's routes of an entry VM. docs/API.md is their reference.
 
-#include <charconv>
 #include <utility>
 
 #include "src/admin/views.h"
+#include "src/base/numbers.h"
 #include "src/cli/entry_vm.h"
 #include "src/manifest/manifest_format.h"
 
@@ -14,14 +14,6 @@
 constexpr size_t kMostHistory = 100;  // Revisions in one answer.
 constexpr std::chrono::minutes kMostRecordSpan = std::chrono::hours(720);  // Of one question.
 
-std::optional<uint64_t> Number(const std::string& text) {
-  uint64_t n = 0;
-  const char* end = text.data() + text.size();
-  const auto [rest, ec] = std::from_chars(text.data(), end, n);
-  if (ec != std::errc() || rest != end || text.empty()) return std::nullopt;
-  return n;
-}
-
 AdminAnswer BadParameter(const std::string& name, const std::string& found) {
   return AdminError(400, name + ": found \"" + found + "\"; allowed: a whole number");
 }
@@ -36,7 +28,7 @@
   using Reply = const AdminReply&;
   add("GET", "/healthz", false, [](Request, Reply reply) { reply({200, "{\"healthy\":true}\n"}); });
   add("GET", "/readyz", false, [this](Request, Reply reply) {
-    const bool ready = follower_->Ready() && !stopping_;
+    const bool ready = follower_->Ready() && !stop_.Begun();
     reply({ready ? 200 : 503, ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"});
   });
   add("GET", "/metrics", false, [this](Request, Reply reply) {
@@ -68,7 +60,7 @@
   view.id = id_;
   view.place = settings_.place;
   view.edge = edge_address_;
-  view.stopping = stopping_;
+  view.stopping = stop_.Begun();
   view.open_requests = context_.open_requests;
   view.caller_connections = edge_.OpenConnections();
   view.manifest = follower_->View();
@@ -95,12 +87,12 @@
   submission.note = request.Parameter("note");
   submission.dry_run = request.Parameter("dry_run") == "true";
   const std::string base = request.Parameter("base");
-  const std::optional<uint64_t> revision = Number(base);
+  const std::optional<uint64_t> revision = ParseWhole(base);
   if (!revision) return reply(BadParameter("base", base));
   submission.base_revision = *revision;
   const std::string roll_back = request.Parameter("roll_back_to");
   if (!roll_back.empty()) {
-    submission.roll_back_to = Number(roll_back);
+    submission.roll_back_to = ParseWhole(roll_back);
     if (!submission.roll_back_to) return reply(BadParameter("roll_back_to", roll_back));
   }
   keeper_->Submit(std::move(submission), [this, reply](const SubmissionAnswer& answer) {
@@ -112,15 +104,15 @@
 
 void EntryVm::ReadHistory(const AdminRequest& request, const AdminReply& reply) {
   const std::string after = request.Parameter("after");
-  const std::optional<uint64_t> revision = Number(after.empty() ? "0" : after);
+  const std::optional<uint64_t> revision = ParseWhole(after.empty() ? "0" : after);
   if (!revision) return reply(BadParameter("after", after));
   keeper_->History(*revision, kMostHistory,
                    [reply](const HistoryResult& history) { reply(AnswerOf(history)); });
 }
 
 void EntryVm::CompareRevisions(const AdminRequest& request, const AdminReply& reply) {
-  const std::optional<uint64_t> from = Number(request.Parameter("from"));
-  const std::optional<uint64_t> to = Number(request.Parameter("to"));
+  const std::optional<uint64_t> from = ParseWhole(request.Parameter("from"));
+  const std::optional<uint64_t> to = ParseWhole(request.Parameter("to"));
   if (!from) return reply(BadParameter("from", request.Parameter("from")));
   if (!to) return reply(BadParameter("to", request.Parameter("to")));
   keeper_->Compare(*from, *to,
@@ -130,7 +122,7 @@
 void EntryVm::ReadRecords(const AdminRequest& request, const AdminReply& reply) {
   RecordQuery query;
   const std::string minutes = request.Parameter("minutes");
-  const std::optional<uint64_t> span = Number(minutes.empty() ? "60" : minutes);
+  const std::optional<uint64_t> span = ParseWhole(minutes.empty() ? "60" : minutes);
   if (!span || std::chrono::minutes(*span) > kMostRecordSpan) {
     return reply(BadParameter("minutes", minutes));
   }
--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -23,7 +23,6 @@
 constexpr milliseconds kLongTick{100};         // The same for slices that look at every member or
                                                // backend server.
 constexpr milliseconds kVmListInterval{2000};  // Between readings of the platform's VM list.
-constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request has ended.
 constexpr milliseconds kFarewell{300};         // For the last peer messages to go out.
 constexpr milliseconds kHandOffLimit{10000};   // For records and claims once requests have ended.
 constexpr size_t kMostDetailLength = 200;      // Characters of a record's detail.
@@ -79,7 +78,7 @@
       signals_(io_, SIGTERM, SIGINT),
       second_timer_(io_),
       short_timer_(io_),
-      stop_timer_(io_) {
+      stop_(io_, clock_, kFarewell) {
   context_.ids.prefix = seed;
   dispatcher_.OnSlow([this](Ticket ticket) {
     const auto it = context_.exchanges.find(ticket);
@@ -355,7 +354,7 @@
   next_long_tick_ = clock_.Now() + kLongTick;
   claim_sweeper_.Tick();
   follower_->Tick();
-  if (follower_->Ready() && !stopping_) prober_.Tick();
+  if (follower_->Ready() && !stop_.Begun()) prober_.Tick();
 }
 
 void EntryVm::EverySecond() {
@@ -408,7 +407,7 @@
 void EntryVm::AwaitSignal() {
   signals_.async_wait([this](std::error_code ec, int signal) {
     if (ec) return;
-    if (stopping_) {
+    if (stop_.Begun()) {
       log_.Write(LogLevel::kWarning, "second signal, stopping at once", {});
       exit_code_ = 1;
       return io_.stop();
@@ -420,17 +419,13 @@
 }
 
 void EntryVm::StartStopping() {
-  stopping_ = true;
-  stop_started_ = clock_.Now();
   members_->SetLeaving();  // From now on no lookup answer names this entry VM.
   context_.leaving = true;
   // Callers may keep an answer for its lifetime, so new connections are taken until then.
-  stop_timer_.expires_after(LeaveDelay(manifest_->entry.lookup_lifetime));
-  stop_timer_.async_wait([this](std::error_code ec) {
-    if (ec) return;
-    edge_.StopAccepting();
-    StopWhenIdle();
-  });
+  stop_.Begin(
+      LeaveDelay(manifest_->entry.lookup_lifetime),
+      {[this] { edge_.StopAccepting(); }, [this](Duration waited) { return MayDepart(waited); },
+       [this] { members_->Depart(); }});
 }
 
 bool EntryVm::HasWorkLeft() const {
@@ -438,31 +433,17 @@
   return claims_.Held() > 0 || claims_.Settling() > 0 || !records_->Drained();
 }
 
-void EntryVm::StopWhenIdle() {
-  const Duration waited = clock_.Now() - stop_started_;
+bool EntryVm::MayDepart(Duration waited) {
   const bool requests_open = context_.open_requests > 0;
   const Duration limit = settings_.stop_timeout + (requests_open ? Duration{} : kHandOffLimit);
   if (!requests_open) records_->Stop();
-  if (!HasWorkLeft()) return Depart();
-  if (waited > limit) {
-    log_.Write(LogLevel::kError, "stopping with work left",
-               {{"open_requests", static_cast<int64_t>(context_.open_requests)},
-                {"claims", static_cast<int64_t>(claims_.Settling())},
-                {"records", static_cast<int64_t>(records_->Live())}});
-    return Depart();
-  }
-  stop_timer_.expires_after(kStopPollInterval);
-  stop_timer_.async_wait([this](std::error_code ec) {
-    if (!ec) StopWhenIdle();
-  });
-}
-
-void EntryVm::Depart() {
-  members_->Depart();
-  stop_timer_.expires_after(kFarewell);
-  stop_timer_.async_wait([this](std::error_code ec) {
-    if (!ec) io_.stop();
-  });
+  if (!HasWorkLeft()) return true;
+  if (waited <= limit) return false;
+  log_.Write(LogLevel::kError, "stopping with work left",
+             {{"open_requests", static_cast<int64_t>(context_.open_requests)},
+              {"claims", static_cast<int64_t>(claims_.Settling())},
+              {"records", static_cast<int64_t>(records_->Live())}});
+  return true;
 }
 
 void EntryVm::DrainLoop() {
--- a/src/cli/entry_vm.h
+++ b/src/cli/entry_vm.h
@@ -24,6 +24,7 @@
 #include "src/base/clock.h"
 #include "src/choose/chooser.h"
 #include "src/claims/claim_sweeper.h"
+#include "src/cli/graceful_stop.h"
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
 #include "src/forward/edge_server.h"
@@ -82,9 +83,8 @@
   // 4. The graceful stop
   void AwaitSignal();
   void StartStopping();
-  void StopWhenIdle();
+  bool MayDepart(Duration waited);
   bool HasWorkLeft() const;
-  void Depart();
   void DrainLoop();
 
   // Administration, in entry_routes.cc.
@@ -129,11 +129,9 @@
   asio::signal_set signals_;
   asio::steady_timer second_timer_;
   asio::steady_timer short_timer_;
-  asio::steady_timer stop_timer_;  // Steps of a graceful stop.
-  MonotonicTime stop_started_{};
+  GracefulStop stop_;
   MonotonicTime next_long_tick_{};
   MonotonicTime next_vm_list_{};  // Of ReadVmList.
-  bool stopping_ = false;
   int exit_code_ = 0;
 };
 
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -1,12 +1,13 @@
 #include "src/cli/routed_entry.h"
 
 #include <fmt/format.h>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <csignal>
 #include <utility>
 
+#include "src/members/election.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -27,21 +28,16 @@
 constexpr size_t kMostNoticed = 64;  // Near peers that are told of each request sent; among
                                      // more the messages would cost more than they save.
 constexpr milliseconds kSecond{1000};
-constexpr milliseconds kStopPollInterval{50};  // Between looks whether the last request ended.
-constexpr milliseconds kFarewell{150};         // For the last peer messages to go out.
-constexpr double kAcceptShare = 0.5;           // Of the stop time, in which callers still come.
-constexpr double kWorkShare = 0.93;            // Of the stop time, after which requests are cut.
-constexpr double kUnusualLines = 20;           // A second.
-constexpr double kUsualLines = 2;              // A second; a sample.
-constexpr double kBurstSeconds = 5;            // Worth of lines that may come at once.
+constexpr milliseconds kFarewell{150};  // For the last peer messages to go out.
+constexpr double kAcceptShare = 0.5;    // Of the stop time, in which callers still come.
+constexpr double kWorkShare = 0.93;     // Of the stop time, after which requests are cut.
+constexpr double kUnusualLines = 20;    // A second.
+constexpr double kUsualLines = 2;       // A second; a sample.
+constexpr double kBurstSeconds = 5;     // Worth of lines that may come at once.
 
 // Other systems' and damaged datagrams are kept out by this key.
 std::string DatagramKey(const Settings& settings) { return settings.peer.key + " datagram"; }
 
-uint64_t ElectionOrder(const EntryVmId& id) {
-  return XXH3_64bits(id.Text().data(), id.Text().size());
-}
-
 double Millis(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -94,7 +90,7 @@
       tick_timer_(io_),
       second_timer_(io_),
       share_timer_(io_),
-      stop_timer_(io_) {
+      stop_(io_, clock_, kFarewell) {
   context_.ids.prefix = seed;
   next_asked_ = seed;
   dispatcher_.OnDecided([this] {
@@ -259,9 +255,8 @@
     target.server = server.id;
     target.endpoint = server.endpoint;
     target.timeout = kProbeTimeout;
-    for (const Service& service : manifest_->services) {
-      if (service.id == server.service) target.path = service.probe_path;
-    }
+    const Service* service = FindService(*manifest_, server.service);
+    if (service != nullptr) target.path = service->probe_path;
     by_tag_[TagOf(server.id)] = server.id;
     targets_[server.id] = std::move(target);
   }
@@ -356,7 +351,7 @@
   follower_.SetRank(settled ? rank_ : std::max(rank_, unsettled));
 }
 
-bool RoutedEntry::Ready() const { return follower_.Ready() && !stopping_; }
+bool RoutedEntry::Ready() const { return follower_.Ready() && !stop_.Begun(); }
 
 PlainAnswer RoutedEntry::AnswerLookup(const std::string& path, const std::string& query) {
   if (path != adapter_.lookup_path) return {404, "text/plain", "not found\n"};
@@ -422,7 +417,7 @@
 
 void RoutedEntry::OnProbed(const ProbeTarget& target, const std::optional<Report>& report) {
   prober_.OnEnded(target.server);
-  ServerReport& item = to_share_[target.server];
+  ServerReport& item = to_share_[target.server].item;
   item.server = TagOf(target.server);
   if (report) {
     OnAnswerReport(target.server, *report);
@@ -439,10 +434,10 @@
   dispatcher_.PollSoon();
   // Others have fresher ones from the probers.
   if (!prober_.IsProber()) return;
-  ServerReport& item = to_share_[server];
-  item.server = TagOf(server);
-  item.report = report;
-  item.age = duration_cast<milliseconds>(now.time_since_epoch());  // Made relative by Share.
+  Unshared& unshared = to_share_[server];
+  unshared.item.server = TagOf(server);
+  unshared.item.report = report;
+  unshared.sampled = now;
 }
 
 void RoutedEntry::ShareSoon() {
@@ -459,15 +454,16 @@
   const MonotonicTime now = clock_.Now();
   last_share_ = now;
   for (const OutcomeCount& outcomes : balancer_.TakeOutcomes()) {
-    ServerReport& item = to_share_[outcomes.server];
+    ServerReport& item = to_share_[outcomes.server].item;
     item.server = TagOf(outcomes.server);
     item.answered = outcomes.answered;
     item.failed = outcomes.failed;
   }
   if (to_share_.empty()) return;
   ReportBatch batch;
-  for (auto& [server, item] : to_share_) {
-    if (item.report) item.age = duration_cast<milliseconds>(now.time_since_epoch()) - item.age;
+  for (auto& [server, unshared] : to_share_) {
+    ServerReport& item = unshared.item;
+    if (item.report) item.age = duration_cast<milliseconds>(now - unshared.sampled);
     batch.reports.push_back(item);
   }
   to_share_.clear();
@@ -581,49 +577,30 @@
       log_.Write(LogLevel::kInfo, "reload", {{"detail", std::string("nothing to take over")}});
       return;
     }
-    if (stopping_) return;
+    if (stop_.Begun()) return;
     log_.Write(LogLevel::kInfo, "graceful stop", {{"signal", int64_t{signal}}});
     StartStopping();
   });
 }
 
 void RoutedEntry::StartStopping() {
-  stopping_ = true;
-  stop_started_ = clock_.Now();
   members_->SetLeaving();  // From now on no lookup answer names this entry VM.
   context_.leaving = true;
-  // Callers may keep an answer, so new connections are taken for most of the time.
-  stop_timer_.expires_after(duration_cast<milliseconds>(settings_.stop_timeout * kAcceptShare));
-  stop_timer_.async_wait([this](std::error_code ec) {
-    if (ec) return;
-    edge_.StopAccepting();
-    StopWhenIdle();
-  });
-}
-
-void RoutedEntry::StopWhenIdle() {
-  const Duration waited = clock_.Now() - stop_started_;
-  const Duration limit = duration_cast<Duration>(settings_.stop_timeout * kWorkShare);
-  if (context_.open_requests == 0 && edge_.OpenConnections() == 0) return Depart();
-  if (waited > limit) {
-    if (context_.open_requests > 0) {
-      log_.Write(LogLevel::kError, "stopping with work left",
-                 {{"open_requests", static_cast<int64_t>(context_.open_requests)}});
-    }
-    return Depart();
+  // Callers may keep an answer, so new connections are taken for part of the time.
+  stop_.Begin(
+      duration_cast<milliseconds>(settings_.stop_timeout * kAcceptShare),
+      {[this] { edge_.StopAccepting(); }, [this](Duration waited) { return MayDepart(waited); },
+       [this] { members_->Depart(); }});
+}
+
+bool RoutedEntry::MayDepart(Duration waited) {
+  if (context_.open_requests == 0 && edge_.OpenConnections() == 0) return true;
+  if (waited <= duration_cast<Duration>(settings_.stop_timeout * kWorkShare)) return false;
+  if (context_.open_requests > 0) {
+    log_.Write(LogLevel::kError, "stopping with work left",
+               {{"open_requests", static_cast<int64_t>(context_.open_requests)}});
   }
-  stop_timer_.expires_after(kStopPollInterval);
-  stop_timer_.async_wait([this](std::error_code ec) {
-    if (!ec) StopWhenIdle();
-  });
-}
-
-void RoutedEntry::Depart() {
-  members_->Depart();
-  stop_timer_.expires_after(kFarewell);
-  stop_timer_.async_wait([this](std::error_code ec) {
-    if (!ec) io_.stop();
-  });
+  return true;
 }
 
 void RoutedEntry::DrainLoop() {
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -31,6 +31,7 @@
 #include "src/balance/balancer.h"
 #include "src/base/clock.h"
 #include "src/catalog/catalog_follower.h"
+#include "src/cli/graceful_stop.h"
 #include "src/cli/platform_adapter.h"
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
@@ -60,6 +61,11 @@
     void ListVms(const std::function<void(VmListResult)>& done) { done(std::vector<ListedVm>()); }
   };
   using EntryMembers = Members<PeerNode, NoVmList>;
+  // A report that no other entry VM has been told yet.
+  struct Unshared {
+    ServerReport item;        // Without its age.
+    MonotonicTime sampled{};  // When item's report was true.
+  };
 
   // 1. Build and listen
   ForwardContext MakeContext();
@@ -106,8 +112,7 @@
   // 6. Signals and the graceful stop
   void AwaitSignal();
   void StartStopping();
-  void StopWhenIdle();
-  void Depart();
+  bool MayDepart(Duration waited);
   void DrainLoop();
 
   Settings settings_;
@@ -143,10 +148,10 @@
   MonotonicTime started_{};                             // When this process began to serve.
   ZoneProber prober_;
   ProbeClient probe_client_;
-  std::map<BackendServerId, ServerReport> to_share_;  // Since the last Share.
-  std::map<ServerTag, ServerReport> far_share_;       // Not yet told to other domains.
-  size_t shares_ = 0;                                 // Calls of Share that sent something.
-  bool sharing_ = false;                              // share_timer_ runs.
+  std::map<BackendServerId, Unshared> to_share_;  // Since the last Share.
+  std::map<ServerTag, ServerReport> far_share_;   // Not yet told to other domains.
+  size_t shares_ = 0;                             // Calls of Share that sent something.
+  bool sharing_ = false;                          // share_timer_ runs.
   std::map<BackendServerId, ProbeTarget> targets_;
   std::unordered_map<ServerTag, BackendServerId> by_tag_;
   LogBudget unusual_lines_;
@@ -155,10 +160,8 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer second_timer_;
   asio::steady_timer share_timer_;
-  asio::steady_timer stop_timer_;  // Steps of a graceful stop.
-  MonotonicTime stop_started_{};
+  GracefulStop stop_;
   MonotonicTime last_share_{};
-  bool stopping_ = false;
   bool was_reader_ = false;  // As last logged.
 };
 
--- a/src/forward/request_headers.cc
+++ b/src/forward/request_headers.cc
@@ -107,15 +107,6 @@
   return "u=3";
 }
 
-// A manifest's services stand in the order of their ids.
-const Service* FindService(const Manifest& manifest, const std::string& name) {
-  const auto& services = manifest.services;
-  const auto it = std::lower_bound(
-      services.begin(), services.end(), name,
-      [](const Service& service, const std::string& wanted) { return service.id.Text() < wanted; });
-  return it == services.end() || it->id.Text() != name ? nullptr : &*it;
-}
-
 bool MaySendEmergencies(const Service& service, const TenantId& tenant) {
   const auto& allowed = service.emergency_tenants;
   return std::find(allowed.begin(), allowed.end(), tenant) != allowed.end();
@@ -232,7 +223,7 @@
   meta.id = ReadRequestId(head, ids);
   std::string name = head.Find("cowsliphill-service").value_or("");
   if (name.empty()) name = HostWithoutPort(head.Find("host").value_or(""));
-  meta.service = FindService(manifest, name);
+  meta.service = FindService(manifest, ServiceId(name));
   if (meta.service == nullptr) {
     return BadRequest{404, "cowsliphill-service: found \"" + name +
                                "\"; allowed: a service of the manifest in force"};
--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -5,6 +5,7 @@
 #ifndef COWSLIPHILL_MANIFEST_MANIFEST_H_
 #define COWSLIPHILL_MANIFEST_MANIFEST_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -94,6 +95,14 @@
   EntryRules entry;
 };
 
+// Null when there is no such service.
+inline const Service* FindService(const Manifest& manifest, const ServiceId& id) {
+  const auto it = std::lower_bound(
+      manifest.services.begin(), manifest.services.end(), id,
+      [](const Service& service, const ServiceId& wanted) { return service.id < wanted; });
+  return it == manifest.services.end() || it->id != id ? nullptr : &*it;
+}
+
 }  // namespace cowsliphill
 
 #endif  // COWSLIPHILL_MANIFEST_MANIFEST_H_
--- a/src/measure/zone_prober.cc
+++ b/src/measure/zone_prober.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/members/election.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -35,9 +37,7 @@
 
 void ZoneProber::KeepFewPerPlace(std::vector<Prober>& members) {
   const auto order = [](const Prober& a, const Prober& b) {
-    const uint64_t a_hash = XXH3_64bits(a.id.Text().data(), a.id.Text().size());
-    const uint64_t b_hash = XXH3_64bits(b.id.Text().data(), b.id.Text().size());
-    return a_hash < b_hash;
+    return ElectionOrder(a.id) < ElectionOrder(b.id);
   };
   std::sort(members.begin(), members.end(), order);
   std::map<PlaceId, size_t> kept;
--- a/src/zone/datagram_link.cc
+++ b/src/zone/datagram_link.cc
@@ -28,12 +28,6 @@
   return "";
 }
 
-Endpoint DatagramLink::LocalEndpoint() const {
-  std::error_code ec;
-  const auto local = socket_.local_endpoint(ec);
-  return ec ? Endpoint{} : Endpoint{local.address().to_string(), local.port()};
-}
-
 void DatagramLink::Send(const std::vector<Endpoint>& to, const std::string& payload) {
   const uint64_t checksum = XXH3_64bits_withSeed(payload.data(), payload.size(), seed_);
   std::string datagram(kChecksumBytes, '\0');
--- a/src/zone/datagram_link.h
+++ b/src/zone/datagram_link.h
@@ -37,7 +37,6 @@
   // The same payload to each; never blocks.
   void Send(const std::vector<Endpoint>& to, const std::string& payload);
   void Close();
-  Endpoint LocalEndpoint() const;
   const DatagramCounts& Counts() const { return counts_; }
 
  private:
