Tests: ports for settings come from below those of outgoing connections

The harness looked for a free port by binding port 0, let it go and wrote it into settings; until the entry VM bound it, any outgoing connection or listener on port 0 of the same test run could be given it. The entry VM then ends with "can't listen" and the fixture waits in vain. The failed run kept no output of the entry VM, so this is the likeliest cause, not one that its log shows; the fixture now prints that output. Ruled out: the tested behaviour (the test's own body was never reached).

--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -24,8 +24,9 @@
   PutManifest(1, "/a/");
   for (size_t i = 0; i < entries; ++i) Start(i);
   for (const FleetEntry& entry : entries_) {
-    CPPUNIT_ASSERT(
-        WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; }));
+    const bool ready =
+        WaitUntil([&entry] { return StatusOf(entry.readiness, "/-/readiness") == 200; });
+    CPPUNIT_ASSERT_MESSAGE("entry VM is not ready: " + entry.process->Output(), ready);
   }
 }
 
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -30,15 +30,33 @@
 constexpr milliseconds kLook{10};  // Between looks at a condition.
 const char* const kService = "permit-register";
 
-// A port that is free now. Entry VMs are told their ports by settings, so port 0 can't be used.
+// Ports for settings are taken from below those that the system gives to outgoing connections and
+// to listeners on port 0: one of these could take a port between the look and its use.
+constexpr uint16_t kFirstPort = 12000;
+constexpr uint16_t kPorts = 18000;
+
+template <typename Protocol, typename Socket>
+bool MayBind(asio::io_context& io, uint16_t port) {
+  std::error_code ec;
+  Socket socket(io);
+  const typename Protocol::endpoint at(asio::ip::make_address("127.0.0.1"), port);
+  socket.open(Protocol::v4(), ec);
+  if (!ec) socket.bind(at, ec);
+  return !ec;
+}
+
+// A port that is free now for TCP and UDP. Entry VMs are told their ports by settings, so port 0
+// can't be used.
 uint16_t FreePort() {
   static std::set<uint16_t> given;
+  static auto next = static_cast<uint16_t>(getpid() * 97 % kPorts);
   asio::io_context io;
   while (true) {
-    const asio::ip::tcp::acceptor acceptor(
-        io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    const uint16_t port = acceptor.local_endpoint().port();
-    if (given.insert(port).second) return port;
+    const auto port = static_cast<uint16_t>(kFirstPort + next);
+    next = static_cast<uint16_t>((next + 1) % kPorts);
+    const bool free = MayBind<asio::ip::tcp, asio::ip::tcp::acceptor>(io, port) &&
+                      MayBind<asio::ip::udp, asio::ip::udp::socket>(io, port);
+    if (free && given.insert(port).second) return port;
   }
 }
 
