--- /dev/null
+++ b/src/balance/assignment.h
@@ -0,0 +1,71 @@
+// What is asked of a Balancer, and what it says.
+
+#ifndef COWSLIPHILL_BALANCE_ASSIGNMENT_H_
+#define COWSLIPHILL_BALANCE_ASSIGNMENT_H_
+
+#include <cstdint>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "src/base/clock.h"
+#include "src/base/ids.h"
+#include "src/choose/chooser.h"
+
+namespace cowsliphill {
+
+// Servers that are scheduled together; see cell_map.h.
+struct CellId {
+  ServiceId service;
+  PlaceId place;
+
+  friend bool operator==(const CellId& a, const CellId& b) = default;
+  friend bool operator<(const CellId& a, const CellId& b) {
+    return std::tie(a.service, a.place) < std::tie(b.service, b.place);
+  }
+};
+
+using AssignmentId = uint64_t;  // One attempt of a request; chosen by who asks, not reused.
+
+struct AssignmentRequest {
+  AssignmentId id = 0;
+  CellId cell;
+  PlaceId home;                        // Failure domain of the entry VM; servers there are nearer.
+  uint32_t rank = 0;                   // 0 is the most urgent.
+  bool bulk = false;                   // Large answers; their work is learned apart.
+  bool hedge = false;                  // Beside another attempt: now and in time, or not at all.
+  MonotonicTime target;                // Answers by then are worth most.
+  MonotonicTime deadline;              // Later answers are worth nothing.
+  std::vector<BackendServerId> tried;  // Not to be assigned again.
+};
+
+struct Assigned {
+  AssignmentId id = 0;
+  BackendServerId server;
+  // What decided, for hedges and logs.
+  Duration expected{};     // To the answer.
+  Duration work{};         // The same at a server of usual speed.
+  uint32_t in_flight = 0;  // Requests there before this one.
+  double slowdown = 1.0;   // Of its host.
+  Duration report_age{};   // Of what is known of the host.
+  uint32_t usable = 0;     // Servers that had a slot free.
+};
+struct Queued {};
+struct Declined {
+  AssignmentId id = 0;
+  RefusalCause cause = RefusalCause::kOverload;
+  std::chrono::milliseconds retry_after{0};
+};
+using Assignment = std::variant<Assigned, Queued, Declined>;
+using Turn = std::variant<Assigned, Declined>;
+
+// What a request may expect of a cell.
+enum class Outlook {
+  kNow,   // A slot in which it is in time.
+  kSoon,  // It waits and should still be in time.
+  kLate,  // It is answered late, or not at all.
+};
+
+}  // namespace cowsliphill
+
+#endif  // COWSLIPHILL_BALANCE_ASSIGNMENT_H_
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -1,11 +1,8 @@
 #include "src/balance/balancer.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
+#include <cmath>
 #include <limits>
-#include <set>
-#include <tuple>
 
 namespace cowsliphill {
 
@@ -14,47 +11,60 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+constexpr double kOverdue = 2.5;             // Times the expected time: a cancelled attempt counts
+                                             // as a failure.
+constexpr milliseconds kProbeInterval{50};   // A tenth of the shortest time for which hosts were
+                                             // seen to stay slow, until their rhythm is known.
+constexpr milliseconds kCountInterval{250};  // With a known rhythm: requests there are known from
+                                             // the assignments, reports only correct them.
+constexpr milliseconds kQuietTime{3000};     // Without a change at any host of the cell: probes
+                                             // only show that servers live.
+constexpr milliseconds kAfterStep{2};        // A host's step is looked at so long after it.
+
 Duration Times(Duration duration, double factor) {
   return duration_cast<Duration>(duration * factor);
 }
 
+// The turns of one cell's queue, most urgent first, then by target.
+using QueueKey = std::tuple<uint32_t, MonotonicTime, AssignmentId>;
+
+QueueKey KeyOf(const AssignmentRequest& asked) { return {asked.rank, asked.target, asked.id}; }
+
 }  // namespace
 
 struct Balancer::Server {
   BackendServer config;
+  Cell* cell = nullptr;
   bool listed = true;    // False: gone; kept until its open requests end.
   bool leaving = false;  // By its own word or the platform's.
   MonotonicTime warm;    // From then on it works at full speed.
   ServerLoad load;
   ServerHealth health;
-  OutcomeCount outcomes;  // Since the last TakeOutcomes.
+  std::vector<AssignmentId> open;
 };
 
-struct Balancer::ServiceState {
-  // Waiting requests in the order in which they go out: most urgent first, then by target.
-  using Turn = std::tuple<uint32_t, MonotonicTime, Ticket>;
-
+struct Balancer::Cell {
   std::vector<Server*> servers;                            // That may take new work.
   std::map<std::pair<uint32_t, bool>, WorkEstimate> work;  // By rank and bulk.
-  std::set<Turn> waiting;
-  MonotonicTime next_look{};  // At `waiting`, not before.
-  SharedRetryBudget budget;
+  std::set<QueueKey> waiting;
+  std::map<uint32_t, size_t> waiting_by_rank;
+  CrowdingEstimate crowding;
   double typical_slowdown = 1.0;  // Mean of the newest reports.
+  MonotonicTime last_change{};    // Of any host.
 };
 
-Balancer::Balancer(PlaceId place, uint64_t seed, RetrySettings terms)
-    : place_(std::move(place)), random_(seed), terms_(terms) {}
-
+Balancer::Balancer(uint64_t seed) : random_(seed) {}
 Balancer::~Balancer() = default;
 
-void Balancer::Apply(const std::vector<Service>& services,
-                     const std::vector<BackendServer>& servers, MonotonicTime now) {
-  last_now_ = now;
-  for (const Service& service : services) {
-    auto& state = services_[service.id];
-    if (!state) state = std::make_unique<ServiceState>();
-  }
-  for (auto& [id, state] : services_) state->servers.clear();
+Balancer::Cell& Balancer::CellOf(const CellId& id) {
+  auto& cell = cells_[id];
+  if (!cell) cell = std::make_unique<Cell>();
+  return *cell;
+}
+
+void Balancer::Apply(const std::vector<BackendServer>& servers, const CellMap& cells,
+                     MonotonicTime now) {
+  for (auto& [id, cell] : cells_) cell->servers.clear();
   for (auto& [id, server] : servers_) server->listed = false;
   for (const BackendServer& config : servers) {
     auto& server = servers_[config.id];
@@ -68,230 +78,326 @@
     }
     const bool is_new = server->config.id.Empty() || reborn;
     server->config = config;
-    server->outcomes.server = config.id;
     server->listed = true;
     if (is_new) server->warm = now + config.warmup;
     if (config.state == BackendState::kLeaving) server->leaving = true;
-    const auto it = services_.find(config.service);
-    if (it != services_.end() && !server->leaving) it->second->servers.push_back(server.get());
+    server->cell = &CellOf(cells.CellOf(config.service, config.place));
+    if (!server->leaving) server->cell->servers.push_back(server.get());
   }
-  std::erase_if(servers_, [](const auto& item) {
-    return !item.second->listed && item.second->load.Open() == 0;
-  });
+  std::erase_if(servers_,
+                [](const auto& item) { return !item.second->listed && item.second->open.empty(); });
 }
 
-WorkEstimate& Balancer::WorkOf(const Request& request) {
-  const std::pair<uint32_t, bool> kind(request.asked.rank, request.asked.bulk);
-  auto& work = request.service->work;
-  const auto it = work.find(kind);
-  if (it != work.end()) return it->second;
-  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
-  return work.emplace(kind, WorkEstimate(target - last_now_)).first->second;
+WorkEstimate& Balancer::WorkOf(Cell& cell, const AssignmentRequest& asked, MonotonicTime now) {
+  const std::pair<uint32_t, bool> kind(asked.rank, asked.bulk);
+  const auto it = cell.work.find(kind);
+  if (it != cell.work.end()) return it->second;
+  return cell.work.emplace(kind, WorkEstimate(asked.target - now)).first->second;
 }
 
-Balancer::Candidate Balancer::Judge(Server& server, const Request& request, Duration work,
-                                    double typical, MonotonicTime now) const {
+// ---- Choosing a server -------------------------------------------------------------------------
+
+Balancer::Candidate Balancer::Judge(Server& server, MonotonicTime now) const {
+  const Cell& cell = *server.cell;
+  const std::optional<Duration> interval = rhythm_.Interval();
+  const uint32_t slots = std::max<uint32_t>(server.config.slots, 1);
   Candidate candidate;
   candidate.server = &server;
-  candidate.slowdown = server.load.Slowdown(typical, now);
   candidate.in_flight = server.load.InFlight(now);
-  const double slots = std::max<uint32_t>(server.config.slots, 1);
-  double pace = candidate.slowdown;
-  if (now < server.warm) pace *= kColdCost;
-  if (candidate.in_flight + 1 > kNearlyFull * slots) pace *= kNearlyFullCost;
-  const Duration own = Times(work, pace);
-  const double ahead = candidate.in_flight >= slots ? (candidate.in_flight - slots + 1) / slots : 0;
-  candidate.expected = own + Times(own, ahead);
-  const bool remote = server.config.place != place_;
-  const double preference =
-      (remote ? kRemoteCost * static_cast<double>(work.count()) : 0) +
-      kFailureCost * server.health.Failing() * static_cast<double>(own.count());
-  candidate.cost =
-      static_cast<double>(candidate.expected.count()) * (1 + kCrowdCost * candidate.in_flight) +
-      preference;
-  // Large answers stay in their place as long as that is in time.
-  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
-  const bool in_time = now + candidate.expected <= target;
-  if (request.asked.bulk && (remote || !in_time)) {
-    candidate.cost += static_cast<double>(std::max<Duration>(target - now, work).count());
-  }
+  candidate.certain = server.load.Certain(now, interval);
+  candidate.pace = server.load.Slowdown(cell.typical_slowdown, now, interval);
+  if (!server.load.Known() && now < server.warm) candidate.pace *= kColdCost;
+  if (candidate.in_flight + 1 > kNearlyFull * slots) candidate.pace *= cell.crowding.Factor();
+  candidate.cost = candidate.pace *
+                   (1 + kCrowdCost * candidate.in_flight + kFailureCost * server.health.Failing());
   return candidate;
 }
 
-std::optional<Balancer::Candidate> Balancer::Best(const Request& request, MonotonicTime now,
-                                                  uint32_t& usable) {
-  const Duration work = WorkOf(request).Mean();
-  const double typical = request.service->typical_slowdown;
-  std::vector<Candidate> candidates;
-  candidates.reserve(request.service->servers.size());
-  double least = std::numeric_limits<double>::max();
-  for (Server* server : request.service->servers) {
+// Servers with a free slot.
+Balancer::Candidates Balancer::Free(Cell& cell, MonotonicTime now) const {
+  Candidates free;
+  free.reserve(cell.servers.size());
+  for (Server* server : cell.servers) {
     if (server->leaving || server->health.IsDown(now)) continue;
-    const bool tried = std::any_of(request.attempts.begin(), request.attempts.end(),
-                                   [server](const Attempt& a) { return a.server == server; });
-    if (tried) continue;
-    const Candidate candidate = Judge(*server, request, work, typical, now);
-    const double most = server->config.slots * (1.0 + kQueuePerSlot);
-    if (candidate.in_flight >= most) continue;
-    candidates.push_back(candidate);
-    least = std::min(least, candidate.cost);
+    const Candidate candidate = Judge(*server, now);
+    if (candidate.in_flight < std::max<uint32_t>(server->config.slots, 1)) {
+      free.push_back(candidate);
+    }
   }
-  usable = static_cast<uint32_t>(candidates.size());
-  if (candidates.empty()) return std::nullopt;
-  const double tie = std::max(least * kTie, static_cast<double>(Duration(kTieFloor).count()));
-  std::erase_if(candidates, [=](const Candidate& c) { return c.cost > least + tie; });
-  std::uniform_int_distribution<size_t> any(0, candidates.size() - 1);
-  return candidates[any(random_)];
+  return free;
 }
 
-Choice Balancer::Choose(const ChoiceRequest& asked, MonotonicTime now) {
-  last_now_ = now;
-  const auto it = services_.find(asked.service);
-  Request& request = requests_[asked.ticket];
-  request.asked = asked;
-  if (it == services_.end()) {
-    return Refused(asked.ticket, request, RefusalCause::kUnknownService, now);
+// The place in `free` of the server to take; ties are broken at random.
+std::optional<size_t> Balancer::Best(const Candidates& free, const Request& request, Duration work,
+                                     MonotonicTime now) {
+  const AssignmentRequest& asked = request.asked;
+  const double unit = static_cast<double>(std::max<Duration::rep>(work.count(), 1));
+  // Large answers stay in their place as long as that is in time.
+  const double out_of_place =
+      static_cast<double>(std::max<Duration>(asked.target - now, work).count()) / unit;
+  std::vector<std::pair<double, size_t>> costs;
+  costs.reserve(free.size());
+  double least = std::numeric_limits<double>::max();
+  for (size_t i = 0; i < free.size(); ++i) {
+    const BackendServer& server = free[i].server->config;
+    if (std::find(asked.tried.begin(), asked.tried.end(), server.id) != asked.tried.end()) continue;
+    const bool remote = server.place != asked.home;
+    double cost = free[i].cost + (remote ? kRemoteCost : 0);
+    const bool late = now + Times(work, free[i].pace) > asked.target;
+    if (asked.bulk && (remote || late)) cost += out_of_place;
+    costs.emplace_back(cost, i);
+    least = std::min(least, cost);
   }
-  request.service = it->second.get();
-  request.service->budget.OnRequest(now);
-  return Place(asked.ticket, request, now);
+  if (costs.empty()) return std::nullopt;
+  const double tie =
+      std::max(least * kTie, static_cast<double>(Duration(kTieFloor).count()) / unit);
+  std::erase_if(costs, [=](const auto& it) { return it.first > least + tie; });
+  std::uniform_int_distribution<size_t> any(0, costs.size() - 1);
+  return costs[any(random_)].second;
 }
 
-Choice Balancer::Place(Ticket ticket, Request& request, MonotonicTime now) {
-  if (request.service->servers.empty()) {
-    return Refused(ticket, request, RefusalCause::kNoBackendServer, now);
+Assigned Balancer::Give(Candidates& free, size_t i, Request& request, Duration work,
+                        MonotonicTime now) {
+  const Candidate taken = free[i];
+  Server& server = *taken.server;
+  request.server = &server;
+  request.assigned = now;
+  request.usual_start = taken.certain;
+  Assigned& given = request.given;
+  given.id = request.asked.id;
+  given.server = server.config.id;
+  given.expected = Times(work, taken.pace);
+  given.work = work;
+  given.in_flight = taken.in_flight;
+  given.slowdown = server.load.Slowdown(request.cell->typical_slowdown, now, rhythm_.Interval());
+  given.report_age = server.load.Known() ? now - server.load.Sampled() : Duration(-1);
+  given.usable = static_cast<uint32_t>(free.size());
+  server.load.OnAssigned(now);
+  server.open.push_back(request.asked.id);
+  const Candidate next = Judge(server, now);
+  if (next.in_flight < std::max<uint32_t>(server.config.slots, 1)) {
+    free[i] = next;
+  } else {
+    free.erase(free.begin() + static_cast<std::ptrdiff_t>(i));
   }
-  uint32_t usable = 0;
-  const std::optional<Candidate> best = Best(request, now, usable);
-  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
-  if (best && now + best->expected <= target) return Send(ticket, request, *best, usable, now);
-  // A free slot at a fast server would still be in time: wait for one.
-  const bool hopeful = now + Times(WorkOf(request).Mean(), kNearlyFullCost) <= target;
-  if (hopeful && request.service->waiting.size() < kMostWaiting) {
-    Wait(ticket, request);
-    return cowsliphill::Wait{};
+  return given;
+}
+
+// ---- The queue ---------------------------------------------------------------------------------
+
+bool Balancer::IsHopeful(const Request& request, Duration work, MonotonicTime now) const {
+  return now + Times(work, kHopeful) <= request.asked.target;
+}
+
+// Slots that work at usual speed, counting slower ones in part; all hosts, or only the fast ones.
+double Balancer::Throughput(Cell& cell, bool fast_only, MonotonicTime now) const {
+  double sum = 0;
+  for (const Server* server : cell.servers) {
+    if (server->leaving || server->health.IsDown(now)) continue;
+    const double pace = server->load.Slowdown(cell.typical_slowdown, now, rhythm_.Interval());
+    if (fast_only && pace >= kTurnedSlow) continue;
+    sum += std::max<uint32_t>(server->config.slots, 1) / std::max(pace, 1.0);
   }
-  const Duration left = request.asked.deadline - now;
-  if (best && best->expected <= Times(left, kDeadlineMargin)) {
-    return Send(ticket, request, *best, usable, now);
+  return sum;
+}
+
+// Whether a place in the queue would come up in time, with those before it as many as they are.
+bool Balancer::MayWait(Cell& cell, const Request& request, Duration work, MonotonicTime now) {
+  if (!IsHopeful(request, work, now) || cell.waiting.size() >= kMostWaiting) return false;
+  size_t ahead = 0;
+  for (const auto& [rank, n] : cell.waiting_by_rank) {
+    if (rank <= request.asked.rank) ahead += n;
   }
-  const bool any = std::any_of(request.service->servers.begin(), request.service->servers.end(),
-                               [now](const Server* s) { return !s->health.IsDown(now); });
-  return Refused(ticket, request, any ? RefusalCause::kOverload : RefusalCause::kNoBackendServer,
-                 now);
+  const double throughput = Throughput(cell, true, now);
+  if (ahead == 0) return true;
+  if (throughput <= 0) return false;
+  const Duration wait = Times(work, static_cast<double>(ahead) / throughput);
+  return wait <= Times(request.asked.target - now - Times(work, kHopeful), kQueueSlack);
 }
 
-SendTo Balancer::Send(Ticket ticket, Request& request, const Candidate& candidate, uint32_t usable,
-                      MonotonicTime now) {
-  Server& server = *candidate.server;
-  Attempt attempt;
-  attempt.server = &server;
-  attempt.sent = now;
-  attempt.expected = candidate.expected;
-  attempt.slowdown = candidate.slowdown;
-  attempt.had_free_slot = candidate.in_flight < server.config.slots;
-  request.attempts.push_back(attempt);
-  server.load.OnSent(now);
-  sent_.push_back(server.config.id);
-  if (request.asked.repeatable) hedges_.emplace(HedgeTimeOf(request, candidate, now), ticket);
-  return {ticket, server.config.id, server.config.endpoint,
-          static_cast<uint32_t>(request.attempts.size()), Reason(candidate, usable, now)};
+Assignment Balancer::Assign(const AssignmentRequest& asked, MonotonicTime now) {
+  Request& request = requests_[asked.id];
+  request.asked = asked;
+  request.cell = &CellOf(asked.cell);
+  Cell& cell = *request.cell;
+  if (cell.servers.empty()) {
+    const Declined refused = Decline(request, RefusalCause::kNoBackendServer, now);
+    requests_.erase(asked.id);
+    return refused;
+  }
+  if (asked.hedge) {
+    Candidates free = Free(cell, now);
+    const Duration work = WorkOf(cell, asked, now).Mean();
+    const auto best = Best(free, request, work, now);
+    if (best && cell.waiting.empty() && now + Times(work, free[*best].pace) <= asked.deadline) {
+      return Give(free, *best, request, work, now);
+    }
+    const Declined refused = Decline(request, RefusalCause::kOverload, now);
+    requests_.erase(asked.id);
+    return refused;
+  }
+  const bool hopeless = !MayWait(cell, request, WorkOf(cell, asked, now).Mean(), now);
+  request.waiting = true;
+  request.late = hopeless;
+  cell.waiting.insert(KeyOf(asked));
+  ++cell.waiting_by_rank[asked.rank];
+  Serve(cell, now);
+  // What Serve decided of this one goes back at once.
+  const auto is_this = [&asked](const Turn& turn) {
+    return std::visit([&asked](const auto& it) { return it.id == asked.id; }, turn);
+  };
+  const auto it = std::find_if(turns_.begin(), turns_.end(), is_this);
+  if (it == turns_.end()) return Queued{};
+  const Turn turn = *it;
+  turns_.erase(it);
+  return std::visit([](const auto& decided) -> Assignment { return decided; }, turn);
 }
 
-MonotonicTime Balancer::HedgeTimeOf(const Request& request, const Candidate& candidate,
-                                    MonotonicTime now) {
-  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
-  const Duration work = Times(WorkOf(request).Mean(), kHedgeWork);
-  const Duration patience =
-      std::clamp(target - work - now, Times(candidate.expected, kHedgeSoonest),
-                 Times(candidate.expected, kHedgeAfter));
-  return now + std::max<Duration>(patience, Duration(kHedgeFloor));
+void Balancer::LeaveQueue(Request& request) {
+  if (!request.waiting) return;
+  request.waiting = false;
+  Cell& cell = *request.cell;
+  cell.waiting.erase(KeyOf(request.asked));
+  const auto it = cell.waiting_by_rank.find(request.asked.rank);
+  if (--it->second == 0) cell.waiting_by_rank.erase(it);
 }
 
-std::string Balancer::Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now) {
-  const ServerLoad& load = candidate.server->load;
-  const int64_t age = load.Known() ? duration_cast<milliseconds>(now - load.Sampled()).count() : -1;
-  return fmt::format("expected_ms={} in_flight={} slowdown={:.2f} report_age_ms={} usable={}",
-                     duration_cast<milliseconds>(candidate.expected).count(), candidate.in_flight,
-                     candidate.slowdown, age, usable);
+// Gives free slots to those that wait: first to those that are in time there, in order, then what
+// is left to those that are late anyway.
+void Balancer::Serve(Cell& cell, MonotonicTime now) {
+  if (cell.waiting.empty()) return;
+  Candidates free = Free(cell, now);
+  std::vector<AssignmentId> late;
+  const std::vector<QueueKey> queue(cell.waiting.begin(), cell.waiting.end());
+  for (const auto& [rank, target, id] : queue) {
+    Request& request = requests_.at(id);
+    const Duration work = WorkOf(cell, request.asked, now).Mean();
+    const auto best = Best(free, request, work, now);
+    if (best && now + Times(work, free[*best].pace) <= target) {
+      LeaveQueue(request);
+      turns_.emplace_back(Give(free, *best, request, work, now));
+    } else if (request.late || !IsHopeful(request, work, now)) {
+      late.push_back(id);
+    }
+  }
+  ServeLate(cell, free, late, now);
 }
 
-Refuse Balancer::Refused(Ticket ticket, const Request& request, RefusalCause cause,
+void Balancer::ServeLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                          MonotonicTime now) {
-  Refuse refuse;
-  refuse.ticket = ticket;
-  refuse.cause = cause;
-  Duration wait = Duration(kRetryAfterFloor);
-  if (request.service != nullptr) {
-    wait = std::max<Duration>(wait, request.service->work.empty() ? wait : WorkOf(request).Mean());
+  if (late.empty()) return;
+  const double throughput = Throughput(cell, false, now) - Throughput(cell, true, now);
+  size_t kept = 0;  // Late ones that go on waiting.
+  for (const AssignmentId id : late) {
+    Request& request = requests_.at(id);
+    const Duration work = WorkOf(cell, request.asked, now).Mean();
+    const Duration left = Times(request.asked.deadline - now, kDeadlineMargin);
+    const auto best = Best(free, request, work, now);
+    if (best && Times(work, free[*best].pace) <= left) {
+      LeaveQueue(request);
+      turns_.emplace_back(Give(free, *best, request, work, now));
+      continue;
+    }
+    const double share = throughput > 0 ? static_cast<double>(kept + 1) / throughput : 0;
+    const Duration needed = Times(work, share + std::max(cell.typical_slowdown, 1.0));
+    if (throughput > 0 && needed <= left) {
+      request.late = true;
+      ++kept;
+      continue;
+    }
+    const bool any = std::any_of(cell.servers.begin(), cell.servers.end(), [now](const Server* it) {
+      return !it->leaving && !it->health.IsDown(now);
+    });
+    LeaveQueue(request);
+    turns_.emplace_back(
+        Decline(request, any ? RefusalCause::kOverload : RefusalCause::kNoBackendServer, now));
+    requests_.erase(id);
   }
-  // Spread over twice the time, so that those refused together don't come back together.
+}
+
+Declined Balancer::Decline(const Request& request, RefusalCause cause, MonotonicTime now) {
+  Declined refused;
+  refused.id = request.asked.id;
+  refused.cause = cause;
+  Cell& cell = *request.cell;
+  const Duration work = WorkOf(cell, request.asked, now).Mean();
+  const double throughput = std::max(Throughput(cell, true, now), 1.0);
+  const Duration queue = Times(work, static_cast<double>(cell.waiting.size()) / throughput);
+  const Duration wait = std::max<Duration>({kRetryAfterFloor, work, queue});
+  // Spread, so that those refused together don't come back together.
   std::uniform_real_distribution<double> spread(0.75, 1.75);
-  refuse.retry_after = duration_cast<milliseconds>(Times(wait, spread(random_)));
-  return refuse;
+  refused.retry_after = duration_cast<milliseconds>(Times(wait, spread(random_)));
+  return refused;
 }
 
-void Balancer::Wait(Ticket ticket, Request& request) {
-  if (request.waiting) return;
-  request.waiting = true;
-  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
-  request.service->waiting.emplace(request.asked.rank, target, ticket);
+std::vector<Turn> Balancer::TakeTurns(MonotonicTime now) {
+  for (auto& [id, cell] : cells_) Serve(*cell, now);
+  return std::exchange(turns_, {});
 }
 
-void Balancer::LeaveQueue(Ticket ticket, Request& request) {
-  if (!request.waiting) return;
-  request.waiting = false;
-  const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
-  request.service->waiting.erase({request.asked.rank, target, ticket});
+Outlook Balancer::OutlookOf(const AssignmentRequest& asked, MonotonicTime now) {
+  Request request;
+  request.asked = asked;
+  request.cell = &CellOf(asked.cell);
+  Cell& cell = *request.cell;
+  const Duration work = WorkOf(cell, asked, now).Mean();
+  const Candidates free = Free(cell, now);
+  const auto best = Best(free, request, work, now);
+  if (best && now + Times(work, free[*best].pace) <= asked.target) return Outlook::kNow;
+  if (cell.servers.empty()) return Outlook::kLate;
+  return MayWait(cell, request, work, now) ? Outlook::kSoon : Outlook::kLate;
 }
 
-std::vector<Ready> Balancer::TakeReady(MonotonicTime now) {
-  last_now_ = now;
-  std::vector<Ready> ready;
-  for (auto& [id, service] : services_) {
-    if (service->waiting.empty() || now < service->next_look) continue;
-    service->next_look = now + kQueueRest;
-    const std::vector<ServiceState::Turn> turns(service->waiting.begin(), service->waiting.end());
-    for (const auto& [rank, target, ticket] : turns) {
-      Request& request = requests_.at(ticket);
-      const Choice choice = Place(ticket, request, now);
-      if (std::holds_alternative<cowsliphill::Wait>(choice)) continue;
-      LeaveQueue(ticket, request);
-      if (const auto* send = std::get_if<SendTo>(&choice)) {
-        ready.emplace_back(*send);
-      } else {
-        ready.emplace_back(std::get<Refuse>(choice));
-      }
-    }
+int32_t Balancer::FreeSlots(const CellId& id, MonotonicTime now) {
+  Cell& cell = CellOf(id);
+  int32_t free = -static_cast<int32_t>(cell.waiting.size());
+  for (const Candidate& it : Free(cell, now)) {
+    if (!it.certain || it.pace >= kTurnedSlow) continue;
+    free += static_cast<int32_t>(it.server->config.slots) - static_cast<int32_t>(it.in_flight);
   }
-  return ready;
+  return free;
 }
 
-void Balancer::OnEnded(Ticket ticket, const BackendServerId& id, const AttemptResult& result,
-                       MonotonicTime now) {
-  last_now_ = now;
-  const auto it = requests_.find(ticket);
+// ---- What is heard of servers ------------------------------------------------------------------
+
+void Balancer::Forget(AssignmentId id) {
+  const auto it = requests_.find(id);
   if (it == requests_.end()) return;
-  Request& request = it->second;
-  const auto attempt =
-      std::find_if(request.attempts.begin(), request.attempts.end(),
-                   [&id](const Attempt& a) { return a.open && a.server->config.id == id; });
-  if (attempt == request.attempts.end()) return;
-  attempt->open = false;
-  Server& server = *attempt->server;
-  server.load.OnEnded(attempt->sent);
-  const bool overdue = now - attempt->sent > Times(attempt->expected, kHedgeAfter);
+  LeaveQueue(it->second);
+  if (Server* server = it->second.server) {
+    server->load.OnEnded(it->second.assigned);
+    std::erase(server->open, id);
+  }
+  requests_.erase(it);
+}
+
+void Balancer::Withdraw(AssignmentId id) { Forget(id); }
+
+void Balancer::OnEnded(AssignmentId id, const AttemptResult& result, MonotonicTime now) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.server == nullptr) return Forget(id);
+  const Request& request = it->second;
+  Server& server = *request.server;
+  const BackendServerId name = server.config.id;
+  Cell& cell = *request.cell;
   switch (result.end) {
     case AttemptEnd::kAnswered:
       server.health.OnReached();
-      server.health.OnOutcome(0, 1);
-      ++server.outcomes.answered;
-      if (attempt->had_free_slot) WorkOf(request).OnAnswer(result.latency, attempt->slowdown);
+      server.health.OnOutcome(false);
+      if (request.usual_start) {
+        WorkEstimate& work = WorkOf(cell, request.asked, now);
+        const double slots = std::max<uint32_t>(server.config.slots, 1);
+        const bool crowded = request.given.in_flight + 1 > kNearlyFull * slots;
+        if (crowded) {
+          cell.crowding.OnAnswer(result.latency, Times(work.Mean(), request.given.slowdown));
+        } else {
+          work.OnAnswer(result.latency, request.given.slowdown);
+        }
+      }
       break;
     case AttemptEnd::kShed:
     case AttemptEnd::kNotStarted:
-      server.load.OnFull(static_cast<uint32_t>(server.config.slots * (1.0 + kQueuePerSlot)));
-      if (result.report && result.report->draining) server.leaving = true;
+      server.load.OnFull(std::max<uint32_t>(server.config.slots, 1));
       break;
     case AttemptEnd::kConnectFailed:
       server.health.OnUnreachable(now);
@@ -299,151 +405,73 @@
     case AttemptEnd::kServerError:
     case AttemptEnd::kTimedOut:
     case AttemptEnd::kCut:
-      server.health.OnOutcome(1, 0);
-      ++server.outcomes.failed;
+      server.health.OnOutcome(true);
       break;
     case AttemptEnd::kCancelled:
-      if (overdue) server.health.OnOutcome(0.5, 0);
+      if (now - request.assigned > Times(request.given.expected, kOverdue)) {
+        server.health.OnOutcome(true);
+      }
       break;
   }
-  if (result.report) OnReport(id, *result.report, now);
-  ForgetIfOver(ticket);
-}
-
-Choice Balancer::Retry(Ticket ticket, MonotonicTime now) {
-  last_now_ = now;
-  Request& request = requests_.at(ticket);
-  const uint32_t most = request.asked.max_attempts;
-  const bool may = most == 0 || request.attempts.size() < most;
-  if (!may || !request.service->budget.Affordable(terms_, entry_vms_, now)) {
-    return Refused(ticket, request, RefusalCause::kRetryBudget, now);
-  }
-  Choice choice = Place(ticket, request, now);
-  if (!std::holds_alternative<Refuse>(choice)) request.service->budget.OnRepeat(now);
-  return choice;
-}
-
-std::optional<SendTo> Balancer::Hedge(Ticket ticket, MonotonicTime now) {
-  last_now_ = now;
-  const auto it = requests_.find(ticket);
-  if (it == requests_.end() || it->second.finished) return std::nullopt;
-  Request& request = it->second;
-  const uint32_t most = request.asked.max_attempts;
-  if (!request.asked.repeatable || (most != 0 && request.attempts.size() >= most)) {
-    return std::nullopt;
-  }
-  if (!request.service->budget.Affordable(terms_, entry_vms_, now)) return std::nullopt;
-  uint32_t usable = 0;
-  const std::optional<Candidate> best = Best(request, now, usable);
-  const bool free = best && best->in_flight < best->server->config.slots;
-  if (!free || now + best->expected > request.asked.deadline) return std::nullopt;
-  request.service->budget.OnRepeat(now);
-  return Send(ticket, request, *best, usable, now);
-}
-
-std::vector<Ticket> Balancer::HedgeDue(MonotonicTime now) {
-  std::vector<Ticket> due;
-  while (!hedges_.empty() && hedges_.top().first <= now) {
-    const auto it = requests_.find(hedges_.top().second);
-    if (it != requests_.end() && !it->second.finished && !it->second.waiting) {
-      due.push_back(hedges_.top().second);
-    }
-    hedges_.pop();
-  }
-  return due;
-}
-
-void Balancer::Finish(Ticket ticket, MonotonicTime now) {
-  last_now_ = now;
-  const auto it = requests_.find(ticket);
-  if (it == requests_.end()) return;
-  LeaveQueue(ticket, it->second);
-  it->second.finished = true;
-  ForgetIfOver(ticket);
-}
-
-void Balancer::ForgetIfOver(Ticket ticket) {
-  const auto it = requests_.find(ticket);
-  if (it == requests_.end() || !it->second.finished) return;
-  const auto& attempts = it->second.attempts;
-  const bool any_open =
-      std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.open; });
-  if (any_open) return;
-  requests_.erase(it);
-}
-
-std::optional<MonotonicTime> Balancer::NextWake() const {
-  std::optional<MonotonicTime> wake;
-  if (!hedges_.empty()) wake = hedges_.top().first;
-  if (Waiting() > 0) {
-    const MonotonicTime poll = last_now_ + kQueuePoll;
-    wake = wake ? std::min(*wake, poll) : poll;
-  }
-  return wake;
+  Forget(id);
+  if (result.report) OnReport(name, *result.report, now);
 }
 
 void Balancer::OnReport(const BackendServerId& id, const Report& report, MonotonicTime sampled) {
   const auto it = servers_.find(id);
   if (it == servers_.end()) return;
   Server& server = *it->second;
-  server.load.OnReport(report, sampled);
+  const ServerLoad::HostChange host = server.load.OnReport(report, sampled, rhythm_.Interval());
   server.health.OnReached();
   if (report.draining) server.leaving = true;
-  if (report.slowdown && *report.slowdown >= kTurnedSlow) HedgeWorkAt(server, sampled);
-  const auto service = services_.find(server.config.service);
-  if (service == services_.end() || !report.slowdown) return;
-  service->second->typical_slowdown +=
-      kTypicalWeight * (*report.slowdown - service->second->typical_slowdown);
+  if (host.changed) server.cell->last_change = sampled;
+  if (host.gap) rhythm_.OnGap(*host.gap);
+  if (!report.slowdown) return;
+  double& typical = server.cell->typical_slowdown;
+  typical += kTypicalWeight * (*report.slowdown - typical);
+  if (*report.slowdown >= kTurnedSlow) NoteSlowStarts(server);
 }
 
-void Balancer::HedgeWorkAt(const Server& server, MonotonicTime now) {
-  for (const auto& [ticket, request] : requests_) {
-    if (request.finished || !request.asked.repeatable || request.attempts.empty()) continue;
-    const Attempt& newest = request.attempts.back();
-    const bool was_fast = newest.server == &server && newest.open && newest.slowdown < kTurnedSlow;
-    const bool worth_it = now - newest.sent < Times(newest.expected, kHedgeLatest);
-    if (was_fast && worth_it && now > newest.sent) hedges_.emplace(now, ticket);
+// Work keeps the speed at which it began: what was assigned after the host had turned slow, and
+// before anyone could know, is late by itself.
+void Balancer::NoteSlowStarts(Server& server) {
+  const std::optional<MonotonicTime> changed = server.load.ChangedBy();
+  if (!changed) return;
+  for (const AssignmentId id : server.open) {
+    Request& request = requests_.at(id);
+    const bool unseen = request.given.slowdown < kTurnedSlow && request.assigned >= *changed;
+    if (!unseen) continue;
+    request.given.slowdown = kTurnedSlow;  // Told once.
+    request.usual_start = false;
+    started_slow_.push_back(id);
   }
 }
 
-void Balancer::OnSentElsewhere(const BackendServerId& id, MonotonicTime now) {
-  const auto it = servers_.find(id);
-  if (it != servers_.end()) it->second->load.OnSentElsewhere(now);
-}
-
 void Balancer::OnMissedProbe(const BackendServerId& id) {
   const auto it = servers_.find(id);
   if (it != servers_.end()) it->second->health.OnMissedProbe();
 }
 
-void Balancer::OnOutcomes(const OutcomeCount& outcomes) {
-  const auto it = servers_.find(outcomes.server);
-  if (it == servers_.end()) return;
-  it->second->health.OnOutcome(outcomes.failed, outcomes.answered);
-}
-
-std::vector<OutcomeCount> Balancer::TakeOutcomes() {
-  std::vector<OutcomeCount> all;
-  for (auto& [id, server] : servers_) {
-    OutcomeCount& outcomes = server->outcomes;
-    // That a sound server goes on answering is no news.
-    const bool news = outcomes.failed > 0 || server->health.Failing() > kSound;
-    if (outcomes.answered + outcomes.failed > 0 && news) all.push_back(outcomes);
-    outcomes.answered = 0;
-    outcomes.failed = 0;
-  }
-  return all;
+MonotonicTime Balancer::NextProbe(const BackendServerId& id, MonotonicTime asked) const {
+  const auto it = servers_.find(id);
+  if (it == servers_.end()) return asked + kProbeInterval;
+  const Server& server = *it->second;
+  if (server.health.MissedAProbe() || !server.load.Known()) return asked + kProbeInterval;
+  const std::optional<MonotonicTime> step = server.load.NextStep(rhythm_.Interval());
+  if (step) return std::clamp(*step + kAfterStep, asked + kAfterStep, asked + kCountInterval);
+  const bool quiet = asked - server.cell->last_change > kQuietTime;
+  return asked + (quiet ? kCountInterval : kProbeInterval);
 }
 
 size_t Balancer::Waiting() const {
   size_t n = 0;
-  for (const auto& [id, service] : services_) n += service->waiting.size();
+  for (const auto& [id, cell] : cells_) n += cell->waiting.size();
   return n;
 }
 
-bool Balancer::IsLeaving(const BackendServerId& id) const {
-  const auto it = servers_.find(id);
-  return it == servers_.end() || it->second->leaving || !it->second->listed;
+std::optional<MonotonicTime> Balancer::NextWake(MonotonicTime now) const {
+  if (Waiting() == 0) return std::nullopt;
+  return now + kQueuePoll;
 }
 
 }  // namespace cowsliphill
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -1,167 +1,150 @@
-// Places each request of this entry VM from fresh reports: every server is asked several times a
-// second by one entry VM of the zone, which passes the answer on to the others. Pure: no I/O; time
-// and randomness are passed in.
+// Assigns requests to backend servers for all entry VMs that ask. One Balancer decides for a cell
+// (cell_map.h), so it knows what each of its servers has to do.
+// Pure: no I/O; time and randomness are passed in.
 //
-// Same life of a request as Chooser (src/choose/chooser.h). The policy, in short:
-//   - expected time to the answer at each server, from its report; the shortest wins, near ties
-//     at random so that entry VMs with the same reports don't meet at one server;
-//   - what can be answered within its target goes out at once;
-//   - what could be, were a slot free at a fast server, waits for one, in order of rank;
-//   - what is late anyway takes a server that nobody wants, or is refused at once when none can
-//     answer before its deadline.
+//   const Assignment given = balancer.Assign(request, now);  // Assigned, Queued or Declined
+//   for (const Turn& turn : balancer.TakeTurns(now)) ...      // Queued ones whose turn has come
+//   balancer.OnEnded(request.id, result, now);                // Its server has a slot free again
 //
-// Linear in the servers of a service for each decision: some microseconds at a few hundred.
+// The policy, and the load pattern that each part answers:
+//   - the server with the shortest expected time to the answer, near ties at random: hosts that
+//     work several times slower for half a second, servers that slow down when nearly full;
+//   - at most as many requests at a server as it has slots; the others queue here, in order of rank
+//     and target, and go where a slot comes free first: bursts;
+//   - what can't be in time any more leaves the slots that can serve others in time to those, and
+//     takes what is left over, such as slow hosts: overload;
+//   - what can't be answered before its deadline is refused at once, with the time by which the
+//     queue should be shorter.
+//
+// Costs a look at each server of the cell for each decision: some microseconds at a hundred.
 
 #ifndef COWSLIPHILL_BALANCE_BALANCER_H_
 #define COWSLIPHILL_BALANCE_BALANCER_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
+#include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
+#include <variant>
 #include <vector>
 
+#include "src/balance/assignment.h"
+#include "src/balance/cell_map.h"
+#include "src/balance/host_rhythm.h"
 #include "src/balance/server_load.h"
-#include "src/balance/shared_retry_budget.h"
 #include "src/balance/work_estimate.h"
-#include "src/choose/chooser.h"
+#include "src/manifest/manifest.h"
 
 namespace cowsliphill {
 
-// What one entry VM has seen of a server's answers since it last told the others.
-struct OutcomeCount {
-  BackendServerId server;
-  uint32_t answered = 0;
-  uint32_t failed = 0;
-};
-
 class Balancer {
  public:
-  static constexpr double kQueuePerSlot = 1.0;  // Requests queued at a server per slot, at most.
-  static constexpr double kTie = 0.05;          // Expected times this near count as equal.
+  static constexpr double kTie = 0.05;  // Expected times this near count as equal.
   static constexpr std::chrono::milliseconds kTieFloor{2};
-  static constexpr double kNearlyFull = 0.8;  // Share of slots from which servers slow down.
-  static constexpr double kNearlyFullCost = 1.5;
-  static constexpr double kCrowdCost = 0.12;   // Of the time, per request there: reports are old
-                                               // by some arrivals, so the emptier one is safer.
-  static constexpr double kColdCost = 2.0;     // Times as long at a server that has just started.
+  static constexpr double kNearlyFull = 0.8;   // Share of slots from which servers may slow down.
+  static constexpr double kColdCost = 2.0;     // Times as long at a server that has just started
+                                               // and has not reported yet.
+  static constexpr double kCrowdCost = 0.05;   // Of the time, per request there: the emptier of
+                                               // two equal servers is safer.
   static constexpr double kRemoteCost = 0.25;  // Of the work: preference for the own place.
   static constexpr double kFailureCost = 3.0;  // Works lost by sending to a failing server.
+  static constexpr double kHopeful = 1.3;      // Times the work that must be left before the target
+                                               // to wait for a slot: work varies.
   static constexpr double kDeadlineMargin = 0.9;  // Share of the time left that may be planned for.
-  static constexpr double kHedgeAfter = 2.0;      // Times the expected time without an answer; or
-  static constexpr double kHedgeSoonest = 1.4;    // sooner, while a second attempt that takes
-  static constexpr double kHedgeWork = 1.3;       // so many times the work is still in time.
-  static constexpr double kTurnedSlow = 2.5;      // Slowdown from which work there is sent again,
-  static constexpr double kHedgeLatest = 0.7;     // unless so much of its time has passed.
-  static constexpr std::chrono::milliseconds kHedgeFloor{20};
+  static constexpr double kQueueSlack = 1.25;     // A queue that seems this many times too long may
+                                                  // still be joined: its length is an estimate.
+  static constexpr double kTurnedSlow = 2.5;      // Slowdown from which a host counts as slow.
   static constexpr std::chrono::milliseconds kRetryAfterFloor{50};
   static constexpr std::chrono::milliseconds kQueuePoll{10};  // While requests wait.
-  // Least time between two looks at a queue: each judges all servers for each request in it, and
-  // reports come in hundreds a second.
-  static constexpr std::chrono::milliseconds kQueueRest{5};
-  static constexpr double kTypicalWeight = 0.02;  // Of one report in the mean over a service.
-  static constexpr size_t kMostWaiting = 500;     // Requests per service.
-  static constexpr double kSound = 0.02;          // Share of failures below which a server is.
+  static constexpr double kTypicalWeight = 0.02;  // Of one report in the mean over a cell.
+  static constexpr size_t kMostWaiting = 2000;    // Requests per cell.
 
-  Balancer(PlaceId place, uint64_t seed, RetrySettings terms);
+  explicit Balancer(uint64_t seed);
   ~Balancer();
   Balancer(const Balancer&) = delete;
   Balancer& operator=(const Balancer&) = delete;
 
-  // Takes services and servers; what is known of servers that stay is kept.
-  void Apply(const std::vector<Service>& services, const std::vector<BackendServer>& servers,
-             MonotonicTime now);
-  // Entry VMs that share the retry budget.
-  void SetEntryVms(size_t n) { entry_vms_ = n; }
-
-  Choice Choose(const ChoiceRequest& request, MonotonicTime now);
-  void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result,
-               MonotonicTime now);
-  Choice Retry(Ticket ticket, MonotonicTime now);
-  // Never: answers are gathered here, and the servers of this form don't know ranges.
-  static Choice Resume(Ticket ticket, ResumeProgress, MonotonicTime) {
-    return Refuse{ticket, RefusalCause::kRetryBudget, kRetryAfterFloor};
-  }
-  std::optional<SendTo> Hedge(Ticket ticket, MonotonicTime now);
-  void Finish(Ticket ticket, MonotonicTime now);
-  std::vector<Ready> TakeReady(MonotonicTime now);
-  std::vector<Ticket> HedgeDue(MonotonicTime now);
-  std::optional<MonotonicTime> NextWake() const;
+  // Takes all servers; what is known of servers that stay is kept.
+  void Apply(const std::vector<BackendServer>& servers, const CellMap& cells, MonotonicTime now);
+
+  Assignment Assign(const AssignmentRequest& request, MonotonicTime now);
+  // Queued requests that were assigned or refused since the last call.
+  std::vector<Turn> TakeTurns(MonotonicTime now);
+  // The attempt is over, or the assignment was not used.
+  void OnEnded(AssignmentId id, const AttemptResult& result, MonotonicTime now);
+  // The request no longer wants a server: leaves the queue or frees its slot.
+  void Withdraw(AssignmentId id);
+  // How soon a request of this kind would be served here.
+  Outlook OutlookOf(const AssignmentRequest& request, MonotonicTime now);
+  // Slots of a cell that are free at servers of usual speed, less requests that wait for one.
+  int32_t FreeSlots(const CellId& cell, MonotonicTime now);
 
   // A report that was true at `sampled`.
   void OnReport(const BackendServerId& server, const Report& report, MonotonicTime sampled);
-  // Another entry VM has just sent a request there.
-  void OnSentElsewhere(const BackendServerId& server, MonotonicTime now);
   void OnMissedProbe(const BackendServerId& server);
-  // Another entry VM of the zone has seen these.
-  void OnOutcomes(const OutcomeCount& outcomes);
-  // Ours since the last call, of servers that fail at times.
-  std::vector<OutcomeCount> TakeOutcomes();
-  // Servers that requests went to since the last call, to be told to the others.
-  std::vector<BackendServerId> TakeSent() { return std::exchange(sent_, {}); }
+  // Assignments that a report shows to have started on a slow host since the last call.
+  std::vector<AssignmentId> TakeStartedSlow() { return std::exchange(started_slow_, {}); }
+
+  // When this server should be asked for a report again, having been asked at `asked`.
+  MonotonicTime NextProbe(const BackendServerId& server, MonotonicTime asked) const;
 
   size_t Waiting() const;
-  // Whether the server takes no new work, by its own word.
-  bool IsLeaving(const BackendServerId& server) const;
+  std::optional<MonotonicTime> NextWake(MonotonicTime now) const;
+  // The interval between steps of the hosts' speed, if there is one.
+  std::optional<Duration> HostInterval() const { return rhythm_.Interval(); }
 
  private:
   struct Server;
-  struct ServiceState;
-  struct Attempt {
-    Server* server = nullptr;
-    MonotonicTime sent;
-    Duration expected{};
-    double slowdown = 1.0;
-    bool had_free_slot = false;
-    bool open = true;
-  };
+  struct Cell;
   struct Request {
-    ChoiceRequest asked;
-    ServiceState* service = nullptr;
+    AssignmentRequest asked;
+    Cell* cell = nullptr;
     bool waiting = false;
-    bool finished = false;  // Kept only until its open attempts end.
-    std::vector<Attempt> attempts;
+    bool late = false;         // Can't be in time any more; takes what others leave.
+    Server* server = nullptr;  // Assigned; null while it waits.
+    MonotonicTime assigned;
+    Assigned given;
+    bool usual_start = false;  // The speed of its host was known.
   };
   struct Candidate {
     Server* server = nullptr;
-    Duration expected{};  // To the answer.
-    double cost = 0;      // Expected time with preferences, in nanoseconds.
-    double slowdown = 1.0;
+    double pace = 1.0;  // Times as long as the work.
+    double cost = 1.0;  // The same with what speaks against the server, whoever asks.
     uint32_t in_flight = 0;
+    bool certain = false;
   };
-  using HedgeTime = std::pair<MonotonicTime, Ticket>;
-
-  std::optional<Candidate> Best(const Request& request, MonotonicTime now, uint32_t& usable);
-  Candidate Judge(Server& server, const Request& request, Duration work, double typical,
-                  MonotonicTime now) const;
-  Choice Place(Ticket ticket, Request& request, MonotonicTime now);
-  SendTo Send(Ticket ticket, Request& request, const Candidate& candidate, uint32_t usable,
-              MonotonicTime now);
-  MonotonicTime HedgeTimeOf(const Request& request, const Candidate& candidate, MonotonicTime now);
-  void HedgeWorkAt(const Server& server, MonotonicTime now);
-  static std::string Reason(const Candidate& candidate, uint32_t usable, MonotonicTime now);
-  Refuse Refused(Ticket ticket, const Request& request, RefusalCause cause, MonotonicTime now);
-  WorkEstimate& WorkOf(const Request& request);
-  void Wait(Ticket ticket, Request& request);
-  void LeaveQueue(Ticket ticket, Request& request);
-  void ForgetIfOver(Ticket ticket);
+  using Candidates = std::vector<Candidate>;
+  Cell& CellOf(const CellId& id);
+  Candidate Judge(Server& server, MonotonicTime now) const;
+  Candidates Free(Cell& cell, MonotonicTime now) const;
+  std::optional<size_t> Best(const Candidates& free, const Request& request, Duration work,
+                             MonotonicTime now);
+  Assigned Give(Candidates& free, size_t i, Request& request, Duration work, MonotonicTime now);
+  void Serve(Cell& cell, MonotonicTime now);
+  void ServeLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
+                 MonotonicTime now);
+  static void LeaveQueue(Request& request);
+  bool IsHopeful(const Request& request, Duration work, MonotonicTime now) const;
+  bool MayWait(Cell& cell, const Request& request, Duration work, MonotonicTime now);
+  double Throughput(Cell& cell, bool fast_only, MonotonicTime now) const;
+  Declined Decline(const Request& request, RefusalCause cause, MonotonicTime now);
+  WorkEstimate& WorkOf(Cell& cell, const AssignmentRequest& asked, MonotonicTime now);
+  void Forget(AssignmentId id);
+  void NoteSlowStarts(Server& server);
 
-  PlaceId place_;
   std::mt19937_64 random_;
-  RetrySettings terms_;
-  size_t entry_vms_ = 1;
-  std::map<ServiceId, std::unique_ptr<ServiceState>> services_;
+  HostRhythm rhythm_;
+  std::map<CellId, std::unique_ptr<Cell>> cells_;
   std::unordered_map<BackendServerId, std::unique_ptr<Server>> servers_;
-  std::unordered_map<Ticket, Request> requests_;
-  std::priority_queue<HedgeTime, std::vector<HedgeTime>, std::greater<>> hedges_;
-  std::vector<BackendServerId> sent_;  // Since TakeSent.
-  MonotonicTime last_now_{};
+  std::unordered_map<AssignmentId, Request> requests_;
+  std::vector<Turn> turns_;  // Since TakeTurns.
+  std::vector<AssignmentId> started_slow_;
 };
 
 }  // namespace cowsliphill
--- a/src/balance/work_estimate.h
+++ b/src/balance/work_estimate.h
@@ -13,16 +13,20 @@
  public:
   static constexpr double kWeight = 0.1;       // Of the newest answer; some ten answers settle it.
   static constexpr double kFirstGuess = 0.25;  // Of the target latency, until answers tell.
+  // Times the mean that one answer counts at most: one that met a slow host unseen says nothing of
+  // the work.
+  static constexpr double kMostOfOne = 2.5;
   static constexpr Duration kLeast = std::chrono::milliseconds(1);
 
   explicit WorkEstimate(Duration target)
       : mean_(std::max(kLeast, std::chrono::duration_cast<Duration>(target * kFirstGuess))) {}
 
-  // `latency` of an answer from a server that had a free slot and worked `slowdown` times as long
-  // as usual.
-  void OnAnswer(Duration latency, double slowdown) {
-    const auto work = std::chrono::duration_cast<Duration>(latency / std::max(slowdown, 1.0));
-    mean_ += std::chrono::duration_cast<Duration>((work - mean_) * kWeight);
+  // `latency` of an answer from a server that had a free slot and worked `pace` times as long as
+  // usual.
+  void OnAnswer(Duration latency, double pace) {
+    const auto most = std::chrono::duration_cast<Duration>(mean_ * kMostOfOne);
+    const auto work = std::chrono::duration_cast<Duration>(latency / std::max(pace, 1.0));
+    mean_ += std::chrono::duration_cast<Duration>((std::min(work, most) - mean_) * kWeight);
     mean_ = std::max(mean_, kLeast);
   }
 
@@ -32,6 +36,27 @@
   Duration mean_;
 };
 
+// How much longer work takes at a server that is nearly full, learned from answers: some slow down
+// then, others don't.
+class CrowdingEstimate {
+ public:
+  static constexpr double kWeight = 0.05;     // Of the newest answer.
+  static constexpr double kFirstGuess = 1.5;  // Until answers tell.
+  static constexpr double kMost = 4.0;        // One answer counts at most so much.
+
+  // `usual`: the time that it would have taken at an emptier server.
+  void OnAnswer(Duration latency, Duration usual) {
+    const double ratio = static_cast<double>(latency.count()) /
+                         static_cast<double>(std::max<Duration::rep>(usual.count(), 1));
+    factor_ += kWeight * (std::clamp(ratio, 0.0, kMost) - factor_);
+  }
+
+  double Factor() const { return std::max(factor_, 1.0); }
+
+ private:
+  double factor_ = kFirstGuess;
+};
+
 }  // namespace cowsliphill
 
 #endif  // COWSLIPHILL_BALANCE_WORK_ESTIMATE_H_
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -15,18 +15,14 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{25};              // Resolution of probes and of the catalog's calls.
-constexpr milliseconds kShareDelay{10};        // Gathers the answers of probes sent together.
-constexpr milliseconds kOutcomeInterval{500};  // Between tellings when no report goes out.
-constexpr milliseconds kProbeTimeout{300};     // Servers answer probes at once.
-constexpr milliseconds kSettleTime{5000};      // Until members have found each other.
-constexpr uint32_t kUnsettledRanks = 8;        // Until then: one of these, by the order's hash.
-constexpr milliseconds kStartPatience{900};    // For peers that know the catalog already.
-constexpr size_t kSharesPerRelay = 2;          // Other domains are told half as often.
-constexpr size_t kFewPeers = 20;               // Each is told of a change at once; among more one
-                                               // of each other domain passes it on.
-constexpr size_t kMostNoticed = 64;  // Near peers that are told of each request sent; among
-                                     // more the messages would cost more than they save.
+constexpr milliseconds kTick{25};            // Resolution of the catalog's calls.
+constexpr milliseconds kSettleTime{5000};    // Until members have found each other.
+constexpr uint32_t kUnsettledRanks = 8;      // Until then: one of these, by the order's hash.
+constexpr milliseconds kStartPatience{500};  // For peers that know the catalog already, or will
+                                             // when the store has answered them.
+constexpr size_t kMostQuestions = 256;       // Kept until the catalog is known.
+constexpr size_t kFewPeers = 20;             // Each is told of a change at once; among more one
+                                             // of each other domain passes it on.
 constexpr milliseconds kSecond{1000};
 constexpr milliseconds kFarewell{150};  // For the last peer messages to go out.
 constexpr double kAcceptShare = 0.5;    // Of the stop time, in which callers still come.
@@ -60,8 +56,13 @@
             log_.Write(LogLevel::kWarning, "store row left out", {{"key", key}, {"detail", why}});
           })),
       follower_(id_, store_, clock_, MakeListener(), WatchTimes()),
-      balancer_(settings_.place, seed, settings_.retries),
-      dispatcher_(io_, clock_, &balancer_),
+      scheduling_(
+          io_, clock_, settings_, seed,
+          [this](const HttpHead& answer, const ProbeTarget& target) {
+            return adapter_.probe_report(answer, target.server);
+          },
+          MakeScheduleListener()),
+      dispatcher_(io_, clock_, scheduling_.Planner()),
       pool_(io_, clock_, settings_.backend, settings_.edge.max_header_bytes, kReadBufferBytes),
       manifest_(std::make_shared<Manifest>()),
       context_(MakeContext()),
@@ -73,37 +74,27 @@
       metrics_server_(
           io_, [this](const std::string& path, const std::string&) { return AnswerMetrics(path); }),
       peers_(io_, clock_, id_, settings_.peer),
-      datagrams_(io_, DatagramKey(settings_),
-                 [this](const std::string& payload) { OnDatagram(payload); }),
-      prober_(id_),
-      probe_client_(
-          io_, clock_, settings_.backend,
-          [this](const HttpHead& answer, const ProbeTarget& target) {
-            return adapter_.probe_report(answer, target.server);
-          },
-          [this](const ProbeTarget& target, const std::optional<Report>& report) {
-            OnProbed(target, report);
-          }),
+      datagrams_(
+          io_, DatagramKey(settings_),
+          [this](const Endpoint& from, const std::string& payload) { OnDatagram(from, payload); }),
       unusual_lines_(kUnusualLines, kUnusualLines * kBurstSeconds),
       usual_lines_(kUsualLines, kUsualLines * kBurstSeconds),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io_),
       second_timer_(io_),
-      share_timer_(io_),
       stop_(io_, clock_, kFarewell) {
   context_.ids.prefix = seed;
   next_asked_ = seed;
-  dispatcher_.OnDecided([this] {
-    const std::vector<BackendServerId> sent = balancer_.TakeSent();
-    if (near_peers_.size() > kMostNoticed) return;
-    for (const BackendServerId& server : sent) {
-      datagrams_.Send(near_peers_, EncodeZoneMessage(SentNotice{TagOf(server)}));
-    }
-  });
+  scheduling_.Attach(dispatcher_);
   dispatcher_.OnSlow([this](Ticket ticket) {
     const auto it = context_.exchanges.find(ticket);
     if (it != context_.exchanges.end()) it->second->OnSlow();
   });
+  dispatcher_.OnHedge([this](const SendTo& target) {
+    const auto it = context_.exchanges.find(target.ticket);
+    if (it != context_.exchanges.end()) return it->second->OnHedge(target);
+    dispatcher_.OnEnded(target.ticket, target.server, {AttemptEnd::kCancelled, {}, {}});
+  });
 }
 
 RoutedEntry::~RoutedEntry() = default;
@@ -113,7 +104,7 @@
   context.manifest = [this] { return manifest_; };
   context.ready = [this] { return follower_.Ready(); };
   context.on_report = [this](const BackendServerId& server, const Report& report) {
-    OnAnswerReport(server, report);
+    scheduling_.OnAnswerReport(server, report);
   };
   context.observer.on_started = [](const RequestMeta&, WallTime) { return uint64_t{0}; };
   context.observer.on_ended = [this](const RequestEnd& end) { OnRequestEnded(end); };
@@ -199,6 +190,7 @@
   AwaitSignal();
   EveryTick();
   EverySecond();
+  scheduling_.Start();
   io_.run();
   DrainLoop();
   log_.Write(LogLevel::kInfo, "stopped", {{"entry_vm", id_.Text()}});
@@ -246,21 +238,9 @@
 }
 
 void RoutedEntry::ApplyCatalog() {
-  balancer_.Apply(manifest_->services, servers_, clock_.Now());
-  prober_.SetServers(servers_);
-  targets_.clear();
-  by_tag_.clear();
-  for (const BackendServer& server : servers_) {
-    ProbeTarget target;
-    target.server = server.id;
-    target.endpoint = server.endpoint;
-    target.timeout = kProbeTimeout;
-    const Service* service = FindService(*manifest_, server.service);
-    if (service != nullptr) target.path = service->probe_path;
-    by_tag_[TagOf(server.id)] = server.id;
-    targets_[server.id] = std::move(target);
-  }
+  scheduling_.ApplyCatalog(*manifest_, servers_);
   dispatcher_.PollSoon();
+  AnswerWaitingQuestions();
 }
 
 // One entry VM of each other domain, another one each time.
@@ -289,7 +269,14 @@
 
 void RoutedEntry::OnQuestion(const CatalogQuestion& question) {
   const std::optional<CatalogNews> answer = follower_.AnswerQuestion(question.revision);
-  if (answer) datagrams_.Send({question.reply_to}, EncodeZoneMessage(*answer));
+  if (answer) return datagrams_.Send({question.reply_to}, EncodeZoneMessage(*answer));
+  if (questions_.size() < kMostQuestions) questions_.push_back(question);
+}
+
+// After a start of all, everyone asks the seeds before these have heard from the store.
+void RoutedEntry::AnswerWaitingQuestions() {
+  if (!follower_.Ready()) return;
+  for (const CatalogQuestion& question : std::exchange(questions_, {})) OnQuestion(question);
 }
 
 void RoutedEntry::OnNews(const CatalogNews& news) {
@@ -323,15 +310,14 @@
   all_peers_.clear();
   near_peers_.clear();
   far_peers_.clear();
-  std::vector<ZoneProber::Prober> probers = {{id_, settings_.place}};
+  std::vector<Member> schedulers;
+  if (!stop_.Begun()) schedulers.push_back(members_->Self());
   uint32_t rank = 0;
-  size_t alive = 1;
   for (const Member& member : members_->Live()) {
     if (member.state != MemberState::kAlive) continue;
-    ++alive;
     all_peers_.push_back(member.peer);
     if (ElectionOrder(member.id) < ElectionOrder(id_)) ++rank;
-    probers.push_back({member.id, member.place});
+    schedulers.push_back(member);
     if (member.place == settings_.place) {
       near_peers_.push_back(member.peer);
     } else {
@@ -340,8 +326,7 @@
   }
   rank_ = rank;
   UpdateRank();
-  prober_.SetMembers(std::move(probers));
-  balancer_.SetEntryVms(alive);
+  scheduling_.SetMembers(schedulers);
 }
 
 // An entry VM that has just started knows few others and would take itself for the first of all.
@@ -375,109 +360,28 @@
   return {200, "text/plain; version=0.0.4", metrics_.Serialize()};
 }
 
-// ---- 3. Reports on backend servers -------------------------------------------------------------
+// ---- 3. Scheduling -----------------------------------------------------------------------------
+
+ScheduleListener RoutedEntry::MakeScheduleListener() {
+  ScheduleListener listener;
+  listener.send = [this](const Endpoint& to, const std::string& payload) {
+    datagrams_.Send({to}, payload);
+  };
+  listener.on_event = [this](const std::string& event, const std::string& detail) {
+    if (!unusual_lines_.Allow(clock_.Now())) return;
+    log_.Write(LogLevel::kInfo, event, {{"detail", detail}});
+  };
+  return listener;
+}
 
-void RoutedEntry::OnDatagram(const std::string& payload) {
-  std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
+void RoutedEntry::OnDatagram(const Endpoint& from, const std::string& payload) {
+  if (scheduling_.OnDatagram(from, payload)) return;
+  const std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
   if (!message) return metrics_.OnBadInput("datagram");
-  if (auto* batch = std::get_if<ReportBatch>(&*message)) return OnReports(std::move(*batch));
-  if (const auto* notice = std::get_if<SentNotice>(&*message)) {
-    const auto it = by_tag_.find(notice->server);
-    if (it != by_tag_.end()) balancer_.OnSentElsewhere(it->second, clock_.Now());
-    return;
-  }
   if (const auto* question = std::get_if<CatalogQuestion>(&*message)) return OnQuestion(*question);
   OnNews(std::get<CatalogNews>(*message));
 }
 
-void RoutedEntry::OnReports(ReportBatch batch) {
-  if (batch.relay) {
-    batch.relay = false;
-    datagrams_.Send(near_peers_, EncodeZoneMessage(batch));
-  }
-  const MonotonicTime now = clock_.Now();
-  for (const ServerReport& item : batch.reports) {
-    const auto it = by_tag_.find(item.server);
-    if (it == by_tag_.end()) continue;
-    if (item.report) balancer_.OnReport(it->second, *item.report, now - item.age);
-    if (item.missed) balancer_.OnMissedProbe(it->second);
-    if (item.answered + item.failed > 0) {
-      balancer_.OnOutcomes({it->second, item.answered, item.failed});
-    }
-  }
-  if (balancer_.Waiting() > 0) dispatcher_.PollSoon();
-}
-
-void RoutedEntry::SendProbes() {
-  for (const BackendServerId& server : prober_.Due(clock_.Now())) {
-    const auto it = targets_.find(server);
-    if (it != targets_.end()) probe_client_.Send(it->second);
-  }
-}
-
-void RoutedEntry::OnProbed(const ProbeTarget& target, const std::optional<Report>& report) {
-  prober_.OnEnded(target.server);
-  ServerReport& item = to_share_[target.server].item;
-  item.server = TagOf(target.server);
-  if (report) {
-    OnAnswerReport(target.server, *report);
-  } else {
-    item.missed = true;
-    balancer_.OnMissedProbe(target.server);
-  }
-  ShareSoon();
-}
-
-void RoutedEntry::OnAnswerReport(const BackendServerId& server, const Report& report) {
-  const MonotonicTime now = clock_.Now();
-  balancer_.OnReport(server, report, now);
-  dispatcher_.PollSoon();
-  // Others have fresher ones from the probers.
-  if (!prober_.IsProber()) return;
-  Unshared& unshared = to_share_[server];
-  unshared.item.server = TagOf(server);
-  unshared.item.report = report;
-  unshared.sampled = now;
-}
-
-void RoutedEntry::ShareSoon() {
-  if (sharing_) return;
-  sharing_ = true;
-  share_timer_.expires_after(kShareDelay);
-  share_timer_.async_wait([this](std::error_code ec) {
-    sharing_ = false;
-    if (!ec) Share();
-  });
-}
-
-void RoutedEntry::Share() {
-  const MonotonicTime now = clock_.Now();
-  last_share_ = now;
-  for (const OutcomeCount& outcomes : balancer_.TakeOutcomes()) {
-    ServerReport& item = to_share_[outcomes.server].item;
-    item.server = TagOf(outcomes.server);
-    item.answered = outcomes.answered;
-    item.failed = outcomes.failed;
-  }
-  if (to_share_.empty()) return;
-  ReportBatch batch;
-  for (auto& [server, unshared] : to_share_) {
-    ServerReport& item = unshared.item;
-    if (item.report) item.age = duration_cast<milliseconds>(now - unshared.sampled);
-    batch.reports.push_back(item);
-  }
-  to_share_.clear();
-  datagrams_.Send(near_peers_, EncodeZoneMessage(batch));
-  for (ServerReport& item : batch.reports) far_share_[item.server] = item;
-  if (++shares_ % kSharesPerRelay != 0) return;
-  // One entry VM of each other domain passes it on there, so that it crosses only once.
-  ReportBatch relayed;
-  relayed.relay = true;
-  for (const auto& [server, item] : far_share_) relayed.reports.push_back(item);
-  far_share_.clear();
-  datagrams_.Send(NextRelays(), EncodeZoneMessage(relayed));
-}
-
 // ---- 4. Requests -------------------------------------------------------------------------------
 
 void RoutedEntry::OnRequestEnded(const RequestEnd& end) {
@@ -510,8 +414,7 @@
   UpdateRank();
   follower_.Tick();
   LogReaderChange();
-  SendProbes();
-  if (clock_.Now() - last_share_ > kOutcomeInterval) Share();
+  AnswerWaitingQuestions();
   tick_timer_.expires_after(kTick);
   tick_timer_.async_wait([this](std::error_code ec) {
     if (!ec) EveryTick();
@@ -520,7 +423,7 @@
 
 void RoutedEntry::EverySecond() {
   pool_.CloseIdle();
-  probe_client_.CloseIdle();
+  scheduling_.CloseIdle();
   const uint64_t left_out = unusual_lines_.TakeLeftOut();
   if (left_out > 0) {
     log_.Write(LogLevel::kWarning, "log lines left out",
@@ -538,10 +441,10 @@
     metrics_.Set(name, help, static_cast<double>(value));
   };
   const PeerStats peer = peers_.Stats();
-  const ProbeCounts& probes = probe_client_.Counts();
+  const ProbeCounts& probes = scheduling_.Probes();
   set("cowsliphill_open_requests", "Requests in flight", context_.open_requests);
   set("cowsliphill_waiting_requests", "Requests that wait for a backend server",
-      balancer_.Waiting());
+      scheduling_.Waiting());
   set("cowsliphill_caller_connections", "Open connections of callers", edge_.OpenConnections());
   set("cowsliphill_backend_connections", "Open connections to backend servers",
       pool_.OpenConnections());
@@ -562,6 +465,10 @@
   set("cowsliphill_datagrams_sent", "Datagrams to other entry VMs", datagrams_.Counts().sent);
   set("cowsliphill_datagrams_refused", "Datagrams with a wrong checksum",
       datagrams_.Counts().refused);
+  set("cowsliphill_cells_scheduled", "Cells of backend servers that this entry VM schedules",
+      scheduling_.CellsScheduled());
+  set("cowsliphill_silent_schedulers", "Times that a scheduler did not answer in time",
+      scheduling_.SilentSchedulers());
   set("cowsliphill_probes_sent", "Probes paid for", probes.sent);
   set("cowsliphill_probes_failed", "Probes without a report", probes.failed);
 }
@@ -608,7 +515,7 @@
   // slices are there.
   edge_.AbortAll();
   pool_.CloseAll();
-  probe_client_.CloseAll();
+  scheduling_.Close();
   store_.Close();
   lookup_server_.Close();
   readiness_server_.Close();
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -4,7 +4,7 @@
 // Sections of routed_entry.cc:
 //   1. Build and listen
 //   2. Catalog and members
-//   3. Reports on backend servers
+//   3. Scheduling
 //   4. Requests
 //   5. Timers
 //   6. Signals and the graceful stop
@@ -22,13 +22,11 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "src/admin/log.h"
 #include "src/admin/log_budget.h"
 #include "src/admin/metrics.h"
-#include "src/balance/balancer.h"
 #include "src/base/clock.h"
 #include "src/catalog/catalog_follower.h"
 #include "src/cli/graceful_stop.h"
@@ -37,10 +35,9 @@
 #include "src/forward/dispatcher.h"
 #include "src/forward/edge_server.h"
 #include "src/forward/plain_server.h"
-#include "src/forward/probe_client.h"
-#include "src/measure/zone_prober.h"
 #include "src/members/members.h"
 #include "src/members/peer_transport.h"
+#include "src/schedule/schedule_node.h"
 #include "src/settings/settings.h"
 #include "src/zone/datagram_link.h"
 
@@ -61,12 +58,6 @@
     void ListVms(const std::function<void(VmListResult)>& done) { done(std::vector<ListedVm>()); }
   };
   using EntryMembers = Members<PeerNode, NoVmList>;
-  // A report that no other entry VM has been told yet.
-  struct Unshared {
-    ServerReport item;        // Without its age.
-    MonotonicTime sampled{};  // When item's report was true.
-  };
-
   // 1. Build and listen
   ForwardContext MakeContext();
   CatalogListener MakeListener();
@@ -80,26 +71,22 @@
   void LogMemberChange(const MemberChange& change);
   void LogReaderChange();
   void ApplyCatalog();
+  std::vector<Endpoint> NextRelays();
   void Tell(const CatalogNews& news);
   void OnNews(const CatalogNews& news);
   void AskPeer();
   void OnQuestion(const CatalogQuestion& question);
+  void AnswerWaitingQuestions();
   void OnMembers();
+  void UpdateRank();
   bool Ready() const;
   PlainAnswer AnswerLookup(const std::string& path, const std::string& query);
   PlainAnswer AnswerReadiness(const std::string& path);
   PlainAnswer AnswerMetrics(const std::string& path);
 
-  // 3. Reports on backend servers
-  void OnDatagram(const std::string& payload);
-  void OnReports(ReportBatch batch);
-  void SendProbes();
-  void OnProbed(const ProbeTarget& target, const std::optional<Report>& report);
-  void OnAnswerReport(const BackendServerId& server, const Report& report);
-  std::vector<Endpoint> NextRelays();
-  void UpdateRank();
-  void ShareSoon();
-  void Share();
+  // 3. Scheduling
+  ScheduleListener MakeScheduleListener();
+  void OnDatagram(const Endpoint& from, const std::string& payload);
 
   // 4. Requests
   void OnRequestEnded(const RequestEnd& end);
@@ -124,7 +111,7 @@
   Metrics metrics_;
   CatalogClient store_;
   CatalogFollower<CatalogClient> follower_;
-  Balancer balancer_;
+  ScheduleNode scheduling_;
   Dispatcher dispatcher_;
   BackendPool pool_;
   std::shared_ptr<const Manifest>
@@ -143,25 +130,16 @@
   std::vector<Endpoint> near_peers_;                    // Of those in our failure domain.
   std::map<PlaceId, std::vector<Endpoint>> far_peers_;  // Of the others.
   size_t next_relay_ = 0;                               // Takes turns over far_peers_.
+  std::vector<CatalogQuestion> questions_;              // That came before we knew the catalog.
   size_t next_asked_ = 0;                               // Takes turns over near peers or seeds.
   uint32_t rank_ = 0;                                   // Place in the order of election.
   MonotonicTime started_{};                             // When this process began to serve.
-  ZoneProber prober_;
-  ProbeClient probe_client_;
-  std::map<BackendServerId, Unshared> to_share_;  // Since the last Share.
-  std::map<ServerTag, ServerReport> far_share_;   // Not yet told to other domains.
-  size_t shares_ = 0;                             // Calls of Share that sent something.
-  bool sharing_ = false;                          // share_timer_ runs.
-  std::map<BackendServerId, ProbeTarget> targets_;
-  std::unordered_map<ServerTag, BackendServerId> by_tag_;
   LogBudget unusual_lines_;
   LogBudget usual_lines_;
   asio::signal_set signals_;
   asio::steady_timer tick_timer_;
   asio::steady_timer second_timer_;
-  asio::steady_timer share_timer_;
   GracefulStop stop_;
-  MonotonicTime last_share_{};
   bool was_reader_ = false;  // As last logged.
 };
 
--- a/src/forward/dispatcher.cc
+++ b/src/forward/dispatcher.cc
@@ -41,12 +41,14 @@
                          const AttemptResult& result) {
   Ask([&](auto& policy) { policy.OnEnded(ticket, server, result, clock_.Now()); });
   PollSoon();
+  if (on_decided_) on_decided_();
 }
 
 void Dispatcher::Finish(Ticket ticket) {
   waiting_.erase(ticket);
   Ask([&](auto& policy) { policy.Finish(ticket, clock_.Now()); });
   PollSoon();
+  if (on_decided_) on_decided_();
 }
 
 void Dispatcher::PollSoon() {
@@ -61,7 +63,11 @@
     const Choice choice = std::visit([](const auto& turn) -> Choice { return turn; }, ready);
     const Ticket ticket = std::visit([](const auto& turn) { return turn.ticket; }, ready);
     const auto it = waiting_.find(ticket);
-    if (it == waiting_.end()) continue;
+    if (it == waiting_.end()) {
+      const auto* hedge = std::get_if<SendTo>(&ready);
+      if (hedge != nullptr && on_hedge_) on_hedge_(*hedge);
+      continue;
+    }
     const ChoiceCallback done = std::move(it->second);
     waiting_.erase(it);
     done(choice);
--- a/src/forward/dispatcher.h
+++ b/src/forward/dispatcher.h
@@ -1,5 +1,5 @@
-// Ties a pure policy, Chooser or Balancer, to the loop: hands out the turns of waiting requests and
-// keeps its timer.
+// Ties a pure policy, Chooser or RequestPlanner, to the loop: hands out the turns of waiting
+// requests and keeps its timer.
 
 #ifndef COWSLIPHILL_FORWARD_DISPATCHER_H_
 #define COWSLIPHILL_FORWARD_DISPATCHER_H_
@@ -11,9 +11,9 @@
 #include <unordered_map>
 #include <variant>
 
-#include "src/balance/balancer.h"
 #include "src/base/clock.h"
 #include "src/choose/chooser.h"
+#include "src/schedule/request_planner.h"
 
 namespace cowsliphill {
 
@@ -21,7 +21,7 @@
  public:
   using ChoiceCallback = std::function<void(const Choice&)>;  // SendTo or Refuse, never Wait.
 
-  using Policy = std::variant<Chooser*, Balancer*>;
+  using Policy = std::variant<Chooser*, RequestPlanner*>;
 
   // The policy outlives the dispatcher.
   Dispatcher(asio::io_context& io, const Clock& clock, Policy policy);
@@ -32,11 +32,13 @@
   void Retry(Ticket ticket, ChoiceCallback done);
   // A server to take up an answer that broke off, after OnEnded.
   void Resume(Ticket ticket, ResumeProgress progress, ChoiceCallback done);
-  // A second, concurrent attempt, if affordable.
+  // A second, concurrent attempt, if affordable. A policy that has to ask others first gives it
+  // later, by OnHedge.
   std::optional<SendTo> Hedge(Ticket ticket);
+  void OnHedge(std::function<void(const SendTo&)> hedge) { on_hedge_ = std::move(hedge); }
   // Told of each request that has waited so long for an answer that a hedge may help.
   void OnSlow(std::function<void(Ticket)> slow) { on_slow_ = std::move(slow); }
-  // Told after each decision, when requests may have gone out.
+  // Told after each call of the policy, which may have messages for others.
   void OnDecided(std::function<void()> decided) { on_decided_ = std::move(decided); }
   void OnEnded(Ticket ticket, const BackendServerId& server, const AttemptResult& result);
   // The request is over; a wait of it is forgotten.
@@ -58,6 +60,7 @@
   const Clock& clock_;
   Policy policy_;
   std::function<void(Ticket)> on_slow_;
+  std::function<void(const SendTo&)> on_hedge_;
   std::function<void()> on_decided_;
   asio::steady_timer timer_;                            // Until the policy's next wake.
   std::unordered_map<Ticket, ChoiceCallback> waiting_;  // Requests told to wait.
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -265,14 +265,26 @@
   return meta_.idempotent ? ConnectionNeed::kAny : ConnectionNeed::kProven;
 }
 
-void Exchange::OnSlow() {
-  // Once an answer has begun, a second one is of no use.
+// Once an answer has begun, a second one is of no use.
+bool Exchange::WantsHedge() const {
   const bool waits = attempt_ && !hedge_ && !gathered_ && !answering_ && !ended_;
-  if (!waits || !meta_.idempotent || !body_whole_) return;
+  return waits && meta_.idempotent && body_whole_;
+}
+
+void Exchange::OnSlow() {
+  if (!WantsHedge()) return;
   const std::optional<SendTo> target = context_.dispatcher.Hedge(ticket_);
   if (target) hedge_ = StartAttempt(*target);
 }
 
+void Exchange::OnHedge(const SendTo& target) {
+  if (WantsHedge()) {
+    hedge_ = StartAttempt(target);
+  } else {
+    context_.dispatcher.OnEnded(ticket_, target.server, {AttemptEnd::kCancelled, {}, {}});
+  }
+}
+
 std::string Exchange::FirstBytesFor(const SendTo& target) const {
   const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - context_.clock.Now());
   if (resuming_) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -48,8 +48,12 @@
   void Abandon();
   // The chooser finds it slow: tries a second backend server at the same time, if affordable.
   void OnSlow();
+  // The second attempt that OnSlow asked for has a server.
+  void OnHedge(const SendTo& target);
 
  private:
+  bool WantsHedge() const;
+
   enum class TimerUse { kDeadline, kBackendSilence, kCallerSilence };
 
   // 1. Start
--- /dev/null
+++ b/src/schedule/schedule_message.cc
@@ -0,0 +1,206 @@
+#include "src/schedule/schedule_message.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+
+#include "src/base/packed.h"
+#include "src/base/toml_reader.h"
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// First bytes and numbers are part of the wire form; never reuse one.
+constexpr char kAsk = 'A';
+constexpr char kReply = 'R';
+constexpr char kEnd = 'E';
+constexpr char kSlow = 'S';
+constexpr char kCellNews = 'N';
+constexpr std::string_view kFirstBytes = "ARESN";
+
+constexpr uint32_t kBulk = 1;
+constexpr uint32_t kHedge = 2;
+constexpr uint32_t kForwarded = 4;
+
+constexpr uint32_t kHasReport = 1;
+constexpr uint32_t kHasInFlight = 2;
+constexpr uint32_t kHasSlowdown = 4;
+constexpr uint32_t kDraining = 8;
+constexpr uint32_t kShedding = 16;
+constexpr double kPercent = 100.0;
+
+constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kRetryBudget);
+constexpr auto kLastEnd = static_cast<uint32_t>(AttemptEnd::kCancelled);
+
+uint64_t Count(int64_t value) { return static_cast<uint64_t>(std::max<int64_t>(value, 0)); }
+uint64_t Millis(milliseconds time) { return Count(time.count()); }
+uint64_t Percent(double value) { return Count(static_cast<int64_t>(value * kPercent)); }
+
+void Put(PackedWriter& out, const ScheduleAsk& ask) {
+  uint32_t flags = ask.bulk ? kBulk : 0;
+  if (ask.hedge) flags |= kHedge;
+  if (ask.forwarded) flags |= kForwarded;
+  out.Number(static_cast<unsigned char>(kAsk), 1).Number(ask.id, 4).Number(ask.service, 4);
+  out.Number(ask.place, 4).Number(ask.rank, 1).Number(flags, 1);
+  out.Number(Millis(ask.target_left), 2).Number(Millis(ask.deadline_left), 3);
+  const size_t n = std::min(ask.tried.size(), kMostTried);
+  out.Number(n, 1);
+  for (size_t i = 0; i < n; ++i) out.Number(ask.tried[i], 4);
+  if (ask.forwarded) out.Text(ask.forwarded->ToString());
+}
+
+void Put(PackedWriter& out, const ScheduleReply& reply) {
+  out.Number(static_cast<unsigned char>(kReply), 1).Number(reply.id, 4);
+  out.Number(static_cast<uint32_t>(reply.kind), 1);
+  if (reply.kind == ScheduleReply::Kind::kAssigned) {
+    out.Number(reply.server, 4).Number(Millis(reply.expected), 3).Number(Millis(reply.work), 3);
+    out.Number(Millis(reply.report_age), 2).Number(reply.in_flight, 2);
+    out.Number(Percent(reply.slowdown), 2).Number(reply.usable, 2);
+  } else if (reply.kind == ScheduleReply::Kind::kRefused) {
+    out.Number(static_cast<uint32_t>(reply.cause), 1).Number(Millis(reply.retry_after), 3);
+  }
+}
+
+void Put(PackedWriter& out, const ScheduleEnd& end) {
+  const Report report = end.report.value_or(Report());
+  uint32_t flags = end.report ? kHasReport : 0;
+  if (report.in_flight) flags |= kHasInFlight;
+  if (report.slowdown) flags |= kHasSlowdown;
+  if (report.draining) flags |= kDraining;
+  if (report.shedding) flags |= kShedding;
+  out.Number(static_cast<unsigned char>(kEnd), 1).Number(end.id, 4);
+  out.Number(static_cast<uint32_t>(end.end), 1).Number(Count(end.latency.count()), 4);
+  out.Number(flags, 1).Number(report.in_flight.value_or(0), 2);
+  out.Number(Percent(report.slowdown.value_or(0)), 2);
+}
+
+void Put(PackedWriter& out, const ScheduleSlow& slow) {
+  out.Number(static_cast<unsigned char>(kSlow), 1).Number(slow.id, 4);
+}
+
+void Put(PackedWriter& out, const CellNews& news) {
+  out.Number(static_cast<unsigned char>(kCellNews), 1).Number(news.service, 4);
+  out.Number(news.place, 4).Number(news.free_slots, 2);
+}
+
+std::optional<ScheduleMessage> ReadAsk(PackedReader& in) {
+  ScheduleAsk ask;
+  ask.id = in.Number(4);
+  ask.service = in.Number(4);
+  ask.place = in.Number(4);
+  ask.rank = in.Number(1);
+  const uint32_t flags = in.Number(1);
+  ask.bulk = (flags & kBulk) != 0;
+  ask.hedge = (flags & kHedge) != 0;
+  ask.target_left = milliseconds(in.Number(2));
+  ask.deadline_left = milliseconds(in.Number(3));
+  const size_t n = in.Number(1);
+  if (n > kMostTried) return std::nullopt;
+  for (size_t i = 0; i < n; ++i) ask.tried.push_back(in.Number(4));
+  if ((flags & kForwarded) != 0) {
+    ask.forwarded = ParseEndpoint(in.Text());
+    if (!ask.forwarded) return std::nullopt;
+  }
+  return ask;
+}
+
+std::optional<ScheduleMessage> ReadReply(PackedReader& in) {
+  ScheduleReply reply;
+  reply.id = in.Number(4);
+  const uint32_t kind = in.Number(1);
+  if (kind < static_cast<uint32_t>(ScheduleReply::Kind::kAssigned) ||
+      kind > static_cast<uint32_t>(ScheduleReply::Kind::kRefused)) {
+    return std::nullopt;
+  }
+  reply.kind = static_cast<ScheduleReply::Kind>(kind);
+  if (reply.kind == ScheduleReply::Kind::kAssigned) {
+    reply.server = in.Number(4);
+    reply.expected = milliseconds(in.Number(3));
+    reply.work = milliseconds(in.Number(3));
+    reply.report_age = milliseconds(in.Number(2));
+    reply.in_flight = in.Number(2);
+    reply.slowdown = in.Number(2) / kPercent;
+    reply.usable = in.Number(2);
+  } else if (reply.kind == ScheduleReply::Kind::kRefused) {
+    const uint32_t cause = in.Number(1);
+    if (cause > kLastCause) return std::nullopt;
+    reply.cause = static_cast<RefusalCause>(cause);
+    reply.retry_after = milliseconds(in.Number(3));
+  }
+  return reply;
+}
+
+std::optional<ScheduleMessage> ReadEnd(PackedReader& in) {
+  ScheduleEnd end;
+  end.id = in.Number(4);
+  const uint32_t kind = in.Number(1);
+  if (kind > kLastEnd) return std::nullopt;
+  end.end = static_cast<AttemptEnd>(kind);
+  end.latency = microseconds(in.Number(4));
+  const uint32_t flags = in.Number(1);
+  Report report;
+  const uint32_t in_flight = in.Number(2);
+  const double slowdown = in.Number(2) / kPercent;
+  if ((flags & kHasInFlight) != 0) report.in_flight = in_flight;
+  if ((flags & kHasSlowdown) != 0) report.slowdown = slowdown;
+  report.draining = (flags & kDraining) != 0;
+  report.shedding = (flags & kShedding) != 0;
+  if ((flags & kHasReport) != 0) end.report = report;
+  return end;
+}
+
+std::optional<ScheduleMessage> ReadCellNews(PackedReader& in) {
+  CellNews news;
+  news.service = in.Number(4);
+  news.place = in.Number(4);
+  news.free_slots = in.Number(2);
+  return news;
+}
+
+std::optional<ScheduleMessage> Read(char first, PackedReader& in) {
+  switch (first) {
+    case kAsk:
+      return ReadAsk(in);
+    case kReply:
+      return ReadReply(in);
+    case kEnd:
+      return ReadEnd(in);
+    case kSlow:
+      return ScheduleSlow{in.Number(4)};
+    case kCellNews:
+      return ReadCellNews(in);
+    default:
+      return std::nullopt;
+  }
+}
+
+}  // namespace
+
+NameTag TagOf(const std::string& name) {
+  return static_cast<NameTag>(XXH3_64bits(name.data(), name.size()));
+}
+
+bool IsScheduleMessage(const std::string& bytes) {
+  return !bytes.empty() && kFirstBytes.find(bytes[0]) != std::string_view::npos;
+}
+
+std::string EncodeScheduleMessage(const ScheduleMessage& message) {
+  PackedWriter out;
+  std::visit([&out](const auto& it) { Put(out, it); }, message);
+  return out.Take();
+}
+
+std::optional<ScheduleMessage> DecodeScheduleMessage(const std::string& bytes) {
+  if (bytes.empty()) return std::nullopt;
+  const std::string_view all(bytes);
+  PackedReader in(all.substr(1));
+  const std::optional<ScheduleMessage> message = Read(bytes[0], in);
+  return message && in.Whole() ? message : std::nullopt;
+}
+
+}  // namespace cowsliphill
--- /dev/null
+++ b/src/schedule/schedule_node.cc
@@ -0,0 +1,153 @@
+#include "src/schedule/schedule_node.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowsliphill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kProbeTimeout{300};  // Servers answer probes at once.
+constexpr milliseconds kNoWork{250};        // Between looks while nothing is due.
+
+}  // namespace
+
+ScheduleNode::ScheduleNode(asio::io_context& io, const Clock& clock, const Settings& settings,
+                           uint64_t seed, ProbeClient::ReadReport read_report,
+                           ScheduleListener listener)
+    : clock_(clock),
+      self_(settings.peer.advertise),
+      listener_(std::move(listener)),
+      planner_(settings.place, self_, seed, settings.retries),
+      scheduler_(self_, seed, clock.Now()),
+      probe_client_(io, clock, settings.backend, std::move(read_report),
+                    [this](const ProbeTarget& target, const std::optional<Report>& report) {
+                      scheduler_.OnProbed(target.server, report, clock_.Now());
+                      Flush();
+                    }),
+      timer_(io) {}
+
+void ScheduleNode::Attach(Dispatcher& dispatcher) {
+  dispatcher_ = &dispatcher;
+  dispatcher.OnDecided([this] { Flush(); });
+}
+
+void ScheduleNode::ApplyCatalog(const Manifest& manifest,
+                                const std::vector<BackendServer>& servers) {
+  planner_.ApplyServers(manifest.services, servers);
+  scheduler_.ApplyServers(servers, clock_.Now());
+  targets_.clear();
+  for (const BackendServer& server : servers) {
+    ProbeTarget target;
+    target.server = server.id;
+    target.endpoint = server.endpoint;
+    target.timeout = kProbeTimeout;
+    const Service* service = FindService(manifest, server.service);
+    if (service != nullptr) target.path = service->probe_path;
+    targets_[server.id] = std::move(target);
+  }
+  Flush();
+}
+
+void ScheduleNode::SetMembers(const std::vector<Member>& members) {
+  planner_.SetMembers(members);
+  scheduler_.SetMembers(members, clock_.Now());
+  ReportEvents();
+}
+
+void ScheduleNode::OnAnswerReport(const BackendServerId& server, const Report& report) {
+  planner_.OnReport(server, report);
+}
+
+bool ScheduleNode::OnDatagram(const Endpoint& from, const std::string& payload) {
+  if (!IsScheduleMessage(payload)) return false;
+  const std::optional<ScheduleMessage> message = DecodeScheduleMessage(payload);
+  if (!message) return false;
+  Deliver(from, *message);
+  Flush();
+  return true;
+}
+
+void ScheduleNode::Deliver(const Endpoint& from, const ScheduleMessage& message) {
+  const MonotonicTime now = clock_.Now();
+  if (const auto* ask = std::get_if<ScheduleAsk>(&message)) {
+    scheduler_.OnAsk(from, *ask, now);
+  } else if (const auto* end = std::get_if<ScheduleEnd>(&message)) {
+    scheduler_.OnEnd(from, *end, now);
+  } else if (const auto* reply = std::get_if<ScheduleReply>(&message)) {
+    planner_.OnReply(from, *reply, now);
+  } else if (const auto* slow = std::get_if<ScheduleSlow>(&message)) {
+    planner_.OnSlow(*slow, now);
+  } else if (const auto* news = std::get_if<CellNews>(&message)) {
+    scheduler_.OnCellNews(*news, now);
+  }
+}
+
+// Sends what both have for others; what they have for each other needs no datagram.
+void ScheduleNode::Flush() {
+  if (flushing_) return;
+  flushing_ = true;
+  while (true) {
+    std::vector<Outgoing> out = planner_.TakeOutbox();
+    for (Outgoing& it : scheduler_.TakeOutbox()) out.push_back(std::move(it));
+    if (out.empty()) break;
+    for (const Outgoing& it : out) {
+      if (it.to == self_) {
+        Deliver(self_, it.message);
+      } else {
+        listener_.send(it.to, EncodeScheduleMessage(it.message));
+      }
+    }
+  }
+  flushing_ = false;
+  if (dispatcher_ != nullptr && planner_.HasReady()) dispatcher_->PollSoon();
+  // A queue that has just begun must not wait for the next probe.
+  const bool late =
+      scheduler_.Waiting() > 0 && (!armed_ || *armed_ > clock_.Now() + Balancer::kQueuePoll);
+  if (late) Arm();
+}
+
+void ScheduleNode::Start() { Run(); }
+
+void ScheduleNode::Run() {
+  const MonotonicTime now = clock_.Now();
+  scheduler_.Tick(now);
+  for (const BackendServerId& server : scheduler_.TakeProbes(now)) {
+    const auto it = targets_.find(server);
+    if (it != targets_.end()) probe_client_.Send(it->second);
+  }
+  Flush();
+  ReportEvents();
+  Arm();
+}
+
+void ScheduleNode::Arm() {
+  const MonotonicTime now = clock_.Now();
+  armed_ = std::min(scheduler_.NextWake(now).value_or(now + kNoWork), now + kNoWork);
+  timer_.expires_after(std::max<Duration>(*armed_ - now, Duration{}));
+  timer_.async_wait([this](std::error_code ec) {
+    if (!ec) Run();
+  });
+}
+
+void ScheduleNode::ReportEvents() {
+  if (scheduler_.CellsScheduled() != cells_) {
+    cells_ = scheduler_.CellsScheduled();
+    listener_.on_event("schedules", std::to_string(cells_) + " cells");
+  }
+  if (planner_.SilentSchedulers() != silences_) {
+    const uint64_t more = planner_.SilentSchedulers() - silences_;
+    silences_ += more;
+    listener_.on_event("scheduler silent", planner_.LastSilent().ToString() + ", " +
+                                               std::to_string(more) + " times since the last line");
+  }
+}
+
+void ScheduleNode::Close() {
+  timer_.cancel();
+  probe_client_.CloseAll();
+}
+
+}  // namespace cowsliphill
--- a/src/zone/datagram_link.cc
+++ b/src/zone/datagram_link.cc
@@ -52,7 +52,8 @@
 void DatagramLink::ReadAll() {
   for (int i = 0; i < kMostAtOnce && socket_.is_open(); ++i) {
     std::error_code ec;
-    const size_t n = socket_.receive(asio::buffer(buffer_), 0, ec);
+    asio::ip::udp::endpoint sender;
+    const size_t n = socket_.receive_from(asio::buffer(buffer_), sender, 0, ec);
     if (ec) return;
     ++counts_.received;
     uint64_t checksum = 0;
@@ -66,7 +67,7 @@
       ++counts_.refused;
       continue;
     }
-    receive_(payload);
+    receive_({sender.address().to_string(), sender.port()}, payload);
   }
 }
 
--- a/src/zone/datagram_link.h
+++ b/src/zone/datagram_link.h
@@ -28,7 +28,7 @@
 
 class DatagramLink {
  public:
-  using Receive = std::function<void(const std::string& payload)>;
+  using Receive = std::function<void(const Endpoint& from, const std::string& payload)>;
 
   DatagramLink(asio::io_context& io, const std::string& key, Receive receive);
 
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -1,11 +1,9 @@
 #include "src/zone/zone_message.h"
 
-#include <xxhash.h>
 #include <zlib.h>
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <string_view>
 
 #include "src/base/msgpack.h"
 #include "src/base/toml_reader.h"
@@ -17,110 +15,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-// Reports and notices come many times a second from each peer, so they are packed by hand: a JSON
-// tree for each took most of an idle entry VM's time. Numbers are unsigned, lowest byte first;
-// larger ones than fit are cut to the largest.
-//
-//   kReports, then relay (1 byte), then per report: server (4), flags (1), age in ms (2),
-//     answered (2), failed (2), requests in flight (2), slowdown in percent (2)
-//   kNotice, then server (4)
-//
-// The rest is MessagePack, an array whose first item is kNews or kQuestion. First bytes and items
-// are part of the wire form; never reuse one.
-constexpr char kReports = 'r';
-constexpr char kNotice = 's';
+// MessagePack, an array whose first item is kNews or kQuestion. These items are part of the wire
+// form; never reuse one.
 constexpr int kNews = 2;
 constexpr int kQuestion = 4;
-constexpr double kPercent = 100.0;
-constexpr size_t kReportBytes = 15;
-constexpr uint32_t kHasReport = 1;
-constexpr uint32_t kMissed = 2;
-constexpr uint32_t kDraining = 4;
-
-void Put(std::string& out, uint64_t value, size_t bytes) {
-  value = std::min<uint64_t>(value, (uint64_t{1} << (8 * bytes)) - 1);
-  for (size_t i = 0; i < bytes; ++i) out.push_back(static_cast<char>(value >> (8 * i) & 0xff));
-}
-
-// Reads numbers one after the other; the caller has checked that there are as many bytes.
-class NumberReader {
- public:
-  explicit NumberReader(std::string_view bytes) : bytes_(bytes) {}
-  uint32_t Next(size_t bytes) {
-    uint32_t value = 0;
-    for (size_t i = 0; i < bytes; ++i) {
-      value |= static_cast<uint32_t>(static_cast<unsigned char>(bytes_[at_ + i])) << (8 * i);
-    }
-    at_ += bytes;
-    return value;
-  }
-
- private:
-  std::string_view bytes_;
-  size_t at_ = 0;
-};
-
-void Append(std::string& out, const ServerReport& item) {
-  const Report report = item.report.value_or(Report());
-  uint32_t flags = item.missed ? kMissed : 0;
-  if (item.report) flags |= kHasReport;
-  if (report.draining) flags |= kDraining;
-  const auto count = [](auto value) { return static_cast<uint64_t>(std::max<int64_t>(value, 0)); };
-  Put(out, item.server, 4);
-  Put(out, flags, 1);
-  Put(out, count(item.age.count()), 2);
-  Put(out, item.answered, 2);
-  Put(out, item.failed, 2);
-  Put(out, report.in_flight.value_or(0), 2);
-  Put(out, count(static_cast<int64_t>(report.slowdown.value_or(1.0) * kPercent)), 2);
-}
-
-ServerReport NextReport(NumberReader& in) {
-  ServerReport item;
-  item.server = in.Next(4);
-  const uint32_t flags = in.Next(1);
-  item.missed = (flags & kMissed) != 0;
-  item.age = milliseconds(in.Next(2));
-  item.answered = in.Next(2);
-  item.failed = in.Next(2);
-  Report report;
-  report.in_flight = in.Next(2);
-  report.slowdown = in.Next(2) / kPercent;
-  report.draining = (flags & kDraining) != 0;
-  if ((flags & kHasReport) != 0) item.report = report;
-  return item;
-}
-
-std::string EncodeBatch(const ReportBatch& batch) {
-  std::string out(1, kReports);
-  out.reserve(2 + batch.reports.size() * kReportBytes);
-  Put(out, batch.relay ? 1 : 0, 1);
-  for (const ServerReport& item : batch.reports) Append(out, item);
-  return out;
-}
-
-std::optional<ZoneMessage> DecodeBatch(std::string_view bytes) {
-  if (bytes.size() < 2 || (bytes.size() - 2) % kReportBytes != 0) return std::nullopt;
-  ReportBatch batch;
-  batch.relay = bytes[1] != 0;
-  batch.reports.reserve((bytes.size() - 2) / kReportBytes);
-  NumberReader in(bytes.substr(2));
-  for (size_t n = (bytes.size() - 2) / kReportBytes; n > 0; --n) {
-    batch.reports.push_back(NextReport(in));
-  }
-  return batch;
-}
-
-std::string EncodeNotice(const SentNotice& notice) {
-  std::string out(1, kNotice);
-  Put(out, notice.server, 4);
-  return out;
-}
-
-std::optional<ZoneMessage> DecodeNotice(std::string_view bytes) {
-  if (bytes.size() != 5) return std::nullopt;
-  return SentNotice{NumberReader(bytes.substr(1)).Next(4)};
-}
 
 json Encode(const BackendServer& server) {
   return {server.id.Text(),
@@ -235,13 +133,7 @@
 
 }  // namespace
 
-ServerTag TagOf(const BackendServerId& server) {
-  return static_cast<ServerTag>(XXH3_64bits(server.Text().data(), server.Text().size()));
-}
-
 std::string EncodeZoneMessage(const ZoneMessage& message) {
-  if (const auto* batch = std::get_if<ReportBatch>(&message)) return EncodeBatch(*batch);
-  if (const auto* notice = std::get_if<SentNotice>(&message)) return EncodeNotice(*notice);
   json fields;
   if (const auto* question = std::get_if<CatalogQuestion>(&message)) {
     fields = {kQuestion, question->reply_to.ToString(), question->revision};
@@ -254,8 +146,6 @@
 }
 
 std::optional<ZoneMessage> DecodeZoneMessage(const std::string& bytes) {
-  if (!bytes.empty() && bytes[0] == kReports) return DecodeBatch(bytes);
-  if (!bytes.empty() && bytes[0] == kNotice) return DecodeNotice(bytes);
   const std::optional<std::string> expanded = Expand(bytes);
   if (!expanded || !IsShallowMsgpack(*expanded)) return std::nullopt;
   try {
--- a/src/zone/zone_message_test.cc
+++ b/src/zone/zone_message_test.cc
@@ -13,38 +13,14 @@
 
 class ZoneMessageTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ZoneMessageTest);
-  CPPUNIT_TEST(Reports_Encoded_ComeBackTheSame);
   CPPUNIT_TEST(News_Encoded_ComeBackTheSame);
   CPPUNIT_TEST(News_WithManyRoutes_FitsIntoADatagram);
   CPPUNIT_TEST(Decode_OfAnAbsurdSize_IsRefused);
-  CPPUNIT_TEST(Notice_Encoded_ComesBackTheSame);
   CPPUNIT_TEST(Question_Encoded_ComesBackTheSame);
   CPPUNIT_TEST(Decode_DamagedBytes_NeverThrows);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  void Reports_Encoded_ComeBackTheSame() {
-    ReportBatch batch;
-    batch.relay = true;
-    Report report;
-    report.in_flight = 4;
-    report.slowdown = 7.0;
-    report.draining = true;
-    batch.reports.push_back({TagOf(BackendServerId("a")), report, false, milliseconds(12), 3, 1});
-    batch.reports.push_back(
-        {TagOf(BackendServerId("b")), std::nullopt, true, milliseconds(0), 0, 0});
-    const auto message = DecodeZoneMessage(EncodeZoneMessage(batch));
-    const auto& back = std::get<ReportBatch>(message.value());
-    CPPUNIT_ASSERT(back.relay);
-    CPPUNIT_ASSERT_EQUAL(TagOf(BackendServerId("a")), back.reports[0].server);
-    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, back.reports[0].report->in_flight.value_or(0));
-    CPPUNIT_ASSERT_DOUBLES_EQUAL(7.0, back.reports[0].report->slowdown.value_or(0), 0.01);
-    CPPUNIT_ASSERT(back.reports[0].report->draining);
-    CPPUNIT_ASSERT(back.reports[0].age == milliseconds(12));
-    CPPUNIT_ASSERT_EQUAL(uint32_t{1}, back.reports[0].failed);
-    CPPUNIT_ASSERT(back.reports[1].missed && !back.reports[1].report);
-  }
-
   void News_Encoded_ComeBackTheSame() {
     CatalogNews news;
     news.sender = EntryVmId("me");
@@ -108,11 +84,6 @@
     CPPUNIT_ASSERT(!DecodeZoneMessage("z").has_value());
   }
 
-  void Notice_Encoded_ComesBackTheSame() {
-    const auto message = DecodeZoneMessage(EncodeZoneMessage(SentNotice{77}));
-    CPPUNIT_ASSERT_EQUAL(ServerTag{77}, std::get<SentNotice>(message.value()).server);
-  }
-
   void Decode_DamagedBytes_NeverThrows() {
     std::mt19937_64 random(1);
     CatalogNews news;
