Entry VMs are useful sooner after a restart; callers come back sooner

Callers that met one without a manifest, or whose server had shed, were told to come back after a second: past the target of every kind.

Change: at a start that is not the first of all, peers are asked for 40 ms, then the store (peer_patience_ms); a lone member tries its seeds every 100 ms, and connecting to a peer ends after 300 ms; a scheduler that knows nothing of the hosts has a few servers asked on behalf of a request, which waits for that for 15 ms at most; Retry-After is 150 ms from an entry VM that has just started and 50 ms after failed attempts. An entry VM that knows nobody takes no cell for its own for 2 s.

Tests: Assign_NothingKnownYet_WaitsForAFewReports; 333 unit tests passed.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -133,6 +133,7 @@
   const AssignmentRequest& asked = request.asked;
   const double unit = static_cast<double>(std::max<Duration::rep>(work.count(), 1));
   // Large answers stay in their place as long as that is in time.
+  const bool takes_any = asked.hedge || now - request.came >= kProbeWait;
   const double out_of_place =
       static_cast<double>(std::max<Duration>(asked.target - now, work).count()) / unit;
   std::vector<std::pair<double, size_t>> costs;
@@ -141,6 +142,7 @@
   for (size_t i = 0; i < free.size(); ++i) {
     const BackendServer& server = free[i].server->config;
     if (std::find(asked.tried.begin(), asked.tried.end(), server.id) != asked.tried.end()) continue;
+    if (!free[i].certain && !takes_any) continue;
     const bool remote = server.place != asked.home;
     double cost = free[i].cost + (remote ? kRemoteCost : 0);
     const bool late = now + Times(work, free[i].pace) > asked.target;
@@ -219,6 +221,7 @@
   Request& request = requests_[asked.id];
   request.asked = asked;
   request.cell = &CellOf(asked.cell);
+  request.came = now;
   Cell& cell = *request.cell;
   if (cell.servers.empty()) {
     const Declined refused = Decline(request, RefusalCause::kNoBackendServer, now);
@@ -276,13 +279,31 @@
     if (best && now + Times(work, free[*best].pace) <= target) {
       LeaveQueue(request);
       turns_.emplace_back(Give(free, *best, request, work, now));
-    } else if (request.late || !IsHopeful(request, work, now)) {
+    } else if (!WantReports(free, request, now) &&
+               (request.late || !IsHopeful(request, work, now))) {
       late.push_back(id);
     }
   }
   ServeLate(cell, free, late, now);
 }
 
+// Whether the request waits for reports of servers that have a slot but of whose hosts nothing is
+// known. A few of them are asked, once.
+bool Balancer::WantReports(const Candidates& free, Request& request, MonotonicTime now) {
+  if (now - request.came >= kProbeWait) return false;
+  std::vector<const Server*> unknown;
+  for (const Candidate& it : free) {
+    if (!it.certain) unknown.push_back(it.server);
+  }
+  if (request.wants || unknown.empty()) return !unknown.empty();
+  request.wants = true;
+  std::shuffle(unknown.begin(), unknown.end(), random_);
+  for (size_t i = 0; i < std::min(unknown.size(), kProbesWanted); ++i) {
+    wanted_.push_back(unknown[i]->config.id);
+  }
+  return true;
+}
+
 void Balancer::ServeLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                          MonotonicTime now) {
   if (late.empty()) return;
@@ -339,6 +360,7 @@
   Request request;
   request.asked = asked;
   request.cell = &CellOf(asked.cell);
+  request.came = now;
   Cell& cell = *request.cell;
   const Duration work = WorkOf(cell, asked, now).Mean();
   const Candidates free = Free(cell, now);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -64,6 +64,10 @@
   static constexpr std::chrono::milliseconds kQueuePoll{10};  // While requests wait.
   static constexpr double kTypicalWeight = 0.02;  // Of one report in the mean over a cell.
   static constexpr size_t kMostWaiting = 2000;    // Requests per cell.
+  // A request waits so long for a server whose host is known to be fast, rather than take one that
+  // nothing is known of; a probe takes half of it.
+  static constexpr std::chrono::milliseconds kProbeWait{15};
+  static constexpr size_t kProbesWanted = 3;  // Servers asked at once on behalf of one request.
 
   explicit Balancer(uint64_t seed);
   ~Balancer();
@@ -88,6 +92,8 @@
   // A report that was true at `sampled`.
   void OnReport(const BackendServerId& server, const Report& report, MonotonicTime sampled);
   void OnMissedProbe(const BackendServerId& server);
+  // Servers whose reports a queued request waits for, since the last call.
+  std::vector<BackendServerId> TakeWanted() { return std::exchange(wanted_, {}); }
   // Assignments that a report shows to have started on a slow host since the last call.
   std::vector<AssignmentId> TakeStartedSlow() { return std::exchange(started_slow_, {}); }
 
@@ -106,8 +112,10 @@
     AssignmentRequest asked;
     Cell* cell = nullptr;
     bool waiting = false;
+    bool wants = false;        // It has asked for reports.
     bool late = false;         // Can't be in time any more; takes what others leave.
     Server* server = nullptr;  // Assigned; null while it waits.
+    MonotonicTime came;
     MonotonicTime assigned;
     Assigned given;
     bool usual_start = false;  // The speed of its host was known.
@@ -130,6 +138,7 @@
   void ServeLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                  MonotonicTime now);
   static void LeaveQueue(Request& request);
+  bool WantReports(const Candidates& free, Request& request, MonotonicTime now);
   bool IsHopeful(const Request& request, Duration work, MonotonicTime now) const;
   bool MayWait(Cell& cell, const Request& request, Duration work, MonotonicTime now);
   double Throughput(Cell& cell, bool fast_only, MonotonicTime now) const;
@@ -145,6 +154,7 @@
   std::unordered_map<AssignmentId, Request> requests_;
   std::vector<Turn> turns_;  // Since TakeTurns.
   std::vector<AssignmentId> started_slow_;
+  std::vector<BackendServerId> wanted_;
 };
 
 }  // namespace cowsliphill
--- a/src/balance/balancer_test.cc
+++ b/src/balance/balancer_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(OnReport_HostTurnedSlowBefore_TellsOfTheLateStart);
   CPPUNIT_TEST(OnAnswers_FromANearlyFullServer_TeachWhatCrowdingCosts);
   CPPUNIT_TEST(Apply_RebornServer_ForgetsItsLeaving);
+  CPPUNIT_TEST(Assign_NothingKnownYet_WaitsForAFewReports);
   CPPUNIT_TEST(Apply_FewServers_AreOneCell);
   CPPUNIT_TEST(NextProbe_WithKnownSteps_ComesRightAfterOne);
   CPPUNIT_TEST_SUITE_END();
@@ -319,9 +320,31 @@
     servers_[0].state = BackendState::kActive;
     servers_[0].started = 99;
     Apply();
+    Tell("s0", 0, 1.0);
     CPPUNIT_ASSERT_EQUAL(std::string("s0"), Sent(Assign()));
   }
 
+  // A scheduler that has just taken over knows nothing: a probe takes less than a slow host costs.
+  void Assign_NothingKnownYet_WaitsForAFewReports() {
+    balancer_ = std::make_unique<Balancer>(1);
+    Apply();
+    CPPUNIT_ASSERT(std::holds_alternative<Queued>(Assign()));
+    const auto wanted = balancer_->TakeWanted();
+    CPPUNIT_ASSERT_EQUAL(Balancer::kProbesWanted, wanted.size());
+    now_ += milliseconds(7);
+    Tell(wanted[0].Text(), 0, 7.0);
+    Tell(wanted[1].Text(), 0, 1.0);
+    const std::vector<Turn> turns = balancer_->TakeTurns(now_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, turns.size());
+    CPPUNIT_ASSERT_EQUAL(wanted[1].Text(), std::get<Assigned>(turns[0]).server.Text());
+    // Without an answer it takes what there is.
+    AssignmentRequest other = Request();
+    other.tried = {wanted[1]};
+    CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(other, now_)));
+    now_ += Balancer::kProbeWait;
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, balancer_->TakeTurns(now_).size());
+  }
+
   void Apply_FewServers_AreOneCell() {
     const auto servers = [](size_t n) {
       std::vector<BackendServer> all;
--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -20,7 +20,7 @@
  public:
   // How long a report is trusted fully while no rhythm is known; then its slowdown fades towards
   // the usual mean.
-  static constexpr std::chrono::milliseconds kFresh{250};
+  static constexpr std::chrono::milliseconds kFresh{300};
   static constexpr std::chrono::milliseconds kStale{1500};  // Older reports say nothing.
   // From an assignment to the request's arrival: an assignment younger than this when the report
   // was true is not counted in it.
@@ -44,6 +44,7 @@
         changed_by_ = steps_.LastSpanEnd();
       }
       slowdown_ = *report.slowdown;
+      tells_slowdown_ = true;
     }
     if (report.in_flight) {
       reported_ = *report.in_flight;
@@ -76,6 +77,7 @@
   // Whether the report's slowdown holds now, as far as anyone can know.
   bool Certain(MonotonicTime now, std::optional<Duration> interval) const {
     if (!known_) return false;
+    if (!tells_slowdown_) return true;  // Nothing better will come.
     if (!interval || !steps_.Known()) return now - sampled_ <= kFresh;
     return !steps_.MayStep(sampled_, now, *interval);
   }
@@ -108,11 +110,12 @@
     return more / less > kSameState;
   }
 
-  bool known_ = false;        // There was a report.
-  uint32_t reported_ = 0;     // Requests there, by the report.
-  uint32_t ended_since_ = 0;  // Assignments counted by the report and over since.
-  double slowdown_ = 1.0;     // By the report.
-  MonotonicTime sampled_{};   // When the report was true.
+  bool known_ = false;           // There was a report.
+  uint32_t reported_ = 0;        // Requests there, by the report.
+  uint32_t ended_since_ = 0;     // Assignments counted by the report and over since.
+  bool tells_slowdown_ = false;  // Reports say how its host works.
+  double slowdown_ = 1.0;        // By the report.
+  MonotonicTime sampled_{};      // When the report was true.
   HostSteps steps_;
   std::optional<MonotonicTime> changed_by_;
   std::vector<MonotonicTime> open_;  // When each open assignment was given out.
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -15,14 +15,12 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kTick{25};            // Resolution of the catalog's calls.
-constexpr milliseconds kSettleTime{5000};    // Until members have found each other.
-constexpr uint32_t kUnsettledRanks = 8;      // Until then: one of these, by the order's hash.
-constexpr milliseconds kStartPatience{500};  // For peers that know the catalog already, or will
-                                             // when the store has answered them.
-constexpr size_t kMostQuestions = 256;       // Kept until the catalog is known.
-constexpr size_t kFewPeers = 20;             // Each is told of a change at once; among more one
-                                             // of each other domain passes it on.
+constexpr milliseconds kTick{25};          // Resolution of the catalog's calls.
+constexpr milliseconds kSettleTime{5000};  // Until members have found each other.
+constexpr uint32_t kUnsettledRanks = 8;    // Until then: one of these, by the order's hash.
+constexpr size_t kMostQuestions = 256;     // Kept until the catalog is known.
+constexpr size_t kFewPeers = 20;           // Each is told of a change at once; among more one
+                                           // of each other domain passes it on.
 constexpr milliseconds kSecond{1000};
 constexpr milliseconds kFarewell{150};  // For the last peer messages to go out.
 constexpr double kAcceptShare = 0.5;    // Of the stop time, in which callers still come.
@@ -123,7 +121,7 @@
   const auto& seeds = settings_.peer.seeds;
   const bool is_seed =
       std::find(seeds.begin(), seeds.end(), settings_.peer.advertise) != seeds.end();
-  if (!seeds.empty() && !is_seed) times.start_patience = kStartPatience;
+  if (!seeds.empty() && !is_seed) times.start_patience = settings_.platform.peer_patience;
   return times;
 }
 
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -16,6 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRetryAfterDeadline{1000};  // Told to callers whose deadline passed.
+constexpr milliseconds kRetryAfterStart{150};      // Told to callers of an entry VM that has just
+                                                   // started: it learns the manifest within this.
 
 // What a caller is told whose claim was not granted.
 Verdict VerdictOf(const ClaimAnswer& answer) {
@@ -78,7 +80,7 @@
   end_.started = context_.clock.WallNow();
   if (!context_.ready()) {
     meta_.id = ReadRequestId(head_, context_.ids);
-    return AnswerVerdict({503, Outcome::kNotRun, milliseconds(1000), "proxy_configuration_error",
+    return AnswerVerdict({503, Outcome::kNotRun, kRetryAfterStart, "proxy_configuration_error",
                           "this entry VM does not know the manifest in force yet"});
   }
   auto result = context_.wire.read_request(head_, *manifest_, context_.ids);
@@ -229,8 +231,11 @@
   }
   if (answering_) return End(ConnectionFate::kAbort);
   if (DeliverSpare()) return;
-  if (end_.attempts > 0) return AnswerVerdict(FailureVerdict());
-  AnswerVerdict(RefusalVerdict(std::get<Refuse>(choice)));
+  const auto& refusal = std::get<Refuse>(choice);
+  if (end_.attempts == 0) return AnswerVerdict(RefusalVerdict(refusal));
+  Verdict verdict = FailureVerdict();
+  verdict.retry_after = refusal.retry_after;
+  AnswerVerdict(std::move(verdict));
 }
 
 std::shared_ptr<Attempt> Exchange::StartAttempt(const SendTo& target) {
--- a/src/members/membership.cc
+++ b/src/members/membership.cc
@@ -50,6 +50,7 @@
     AskHelpers();
   }
   if (now >= next_period_) BeginPeriod(now);
+  ContactWhenAlone(now);
   if (table_.SuspectCount() > 0) ExpireSuspects(now);
   PushChanges();
 }
@@ -170,6 +171,16 @@
   }
 }
 
+// Seeds may be back later than we are; until then nobody can be found.
+void Membership::ContactWhenAlone(MonotonicTime now) {
+  if (table_.LiveCount() > 0 || now < next_alone_retry_) return;
+  next_alone_retry_ = now + config_.alone_retry;
+  const auto open = std::count_if(sent_.begin(), sent_.end(), [](const auto& item) {
+    return item.second.purpose == Purpose::kContact;
+  });
+  if (open == 0) ContactSeed(now);
+}
+
 // --- Events ---
 
 std::string Membership::Receive(MonotonicTime now, const EntryVmId& from,
--- a/src/members/membership.h
+++ b/src/members/membership.h
@@ -37,6 +37,7 @@
   std::chrono::milliseconds suspicion_timeout{3000};  // Time to refute.
   std::chrono::milliseconds dead_retry{2000};   // One dead member is tried again per interval.
   std::chrono::milliseconds seed_retry{30000};  // One unknown seed is tried per interval.
+  std::chrono::milliseconds alone_retry{100};   // Seeds are tried so often while nobody is known.
   std::chrono::minutes dead_lifetime{30};       // Dead members are forgotten after this.
   std::chrono::milliseconds stall_limit{2000};  // A longer gap between ticks is our own pause.
   uint32_t helpers = 3;                         // Asked to ping on behalf.
@@ -133,6 +134,7 @@
   void RetryDead(MonotonicTime now);
   void ContactListed();
   void ContactSeed(MonotonicTime now);
+  void ContactWhenAlone(MonotonicTime now);
 
   // Messages.
   GossipMessage Compose(GossipType type, const KnownMember* receiver);
@@ -173,6 +175,7 @@
   MonotonicTime next_period_;       // When the next ping is due.
   MonotonicTime next_dead_retry_;   // When the next dead member is tried again.
   MonotonicTime next_seed_retry_;   // When the next unknown seed is tried.
+  MonotonicTime next_alone_retry_;  // The same while nobody is known.
   MonotonicTime last_change_;       // When a member came, went or changed state.
   EntryVmId pull_cursor_;           // Where the next page begins.
   bool joining_ = true;             // The first whole list has not been read yet.
--- a/src/members/peer_client.cc
+++ b/src/members/peer_client.cc
@@ -73,6 +73,7 @@
   const auto address = asio::ip::make_address(to.ip, ec);
   if (ec) return ConnectFailed(peer);
   peer.generation = ++last_generation_;
+  peer.opened = clock_.Now();
   peer.connecting = std::make_shared<asio::ip::tcp::socket>(loop_);
   peer.connecting->async_connect({address, to.port},
                                  [this, to, generation = peer.generation, socket = peer.connecting,
@@ -215,9 +216,8 @@
 
 void PeerClient::Expire(Peer& peer, MonotonicTime now) {
   const MonotonicTime limit = now - limits_.request_timeout;
-  const bool queue_late = !peer.queue.empty() && peer.queue.front().sent < limit;
-  const bool never_greeted = queue_late && !peer.greeted;
-  if (never_greeted) return ConnectFailed(peer);
+  const bool opening = (peer.connecting || peer.connection) && !peer.greeted;
+  if (opening && peer.opened < now - limits_.connect_timeout) return ConnectFailed(peer);
   bool silent = false;
   for (auto it = peer.open.begin(); it != peer.open.end();) {
     if (it->second.sent >= limit) {
--- a/src/members/peer_client.h
+++ b/src/members/peer_client.h
@@ -41,6 +41,7 @@
     std::shared_ptr<asio::ip::tcp::socket> connecting;  // Set while connecting.
     std::shared_ptr<Http2Connection> connection;        // Set once connected.
     uint64_t generation = 0;                            // Number of the connection.
+    MonotonicTime opened;                               // When connecting began.
     EntryVmId id;                                       // Set by the answer to our hello.
     std::string client_nonce;
     std::string server_nonce;
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -30,6 +30,9 @@
 
 struct PeerLimits {
   std::chrono::milliseconds request_timeout{1000};   // From Request to its answer.
+  std::chrono::milliseconds connect_timeout{300};    // Of which the hello's answer is a part. The
+                                                     // first packet to a machine that is off is
+                                                     // sent again only after a second.
   std::chrono::milliseconds idle_timeout{180000};    // Unused connections are closed after this.
   std::chrono::milliseconds first_back_off{100};     // After a failed connect; doubles.
   std::chrono::milliseconds longest_back_off{1000};  // Upper bound of the back-off.
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -45,7 +45,9 @@
   static constexpr double kHedgeSoonest = 1.4;
   static constexpr double kHedgeWork = 1.3;
   static constexpr std::chrono::milliseconds kHedgeFloor{20};
-  static constexpr std::chrono::milliseconds kRetryAfter{100};  // When no scheduler told one.
+  // Told to callers when no scheduler told one: a server failed, and a caller that comes back soon
+  // finds another.
+  static constexpr std::chrono::milliseconds kRetryAfter{50};
 
   RequestPlanner(PlaceId place, Endpoint self, uint64_t seed, RetrySettings terms);
 
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -102,6 +102,7 @@
     }
   }
   flushing_ = false;
+  if (scheduler_.WantsProbes()) SendProbes();
   if (dispatcher_ != nullptr && planner_.HasReady()) dispatcher_->PollSoon();
   // A queue that has just begun must not wait for the next probe.
   const bool late =
@@ -111,13 +112,17 @@
 
 void ScheduleNode::Start() { Run(); }
 
-void ScheduleNode::Run() {
-  const MonotonicTime now = clock_.Now();
-  scheduler_.Tick(now);
-  for (const BackendServerId& server : scheduler_.TakeProbes(now)) {
+void ScheduleNode::SendProbes() {
+  for (const BackendServerId& server : scheduler_.TakeProbes(clock_.Now())) {
     const auto it = targets_.find(server);
     if (it != targets_.end()) probe_client_.Send(it->second);
   }
+}
+
+void ScheduleNode::Run() {
+  const MonotonicTime now = clock_.Now();
+  scheduler_.Tick(now);
+  SendProbes();
   Flush();
   ReportEvents();
   Arm();
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -57,6 +57,7 @@
   void Deliver(const Endpoint& from, const ScheduleMessage& message);
   void Flush();
   void Run();
+  void SendProbes();
   void Arm();
   void ReportEvents();
 
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -76,12 +76,13 @@
 
 void Scheduler::SetMembers(const std::vector<Member>& members, MonotonicTime now) {
   order_.SetMembers(members);
+  alone_ = members.size() < 2;
   for (const Member& member : members) places_[TagOf(member.place.Text())] = member.place;
   Replan(now);
 }
 
 void Scheduler::Replan(MonotonicTime now) {
-  settled_ = now - started_ >= kSettle;
+  settled_ = settled_ || now >= SettledAt();
   for (auto& [id, cell] : cells_) {
     const std::vector<Endpoint>& order = order_.For(id);
     cell.ours = settled_ && !order.empty() && order.front() == self_;
@@ -219,6 +220,19 @@
     const auto it = open_.find(id);
     if (it != open_.end()) outbox_.push_back({it->second.asker, ScheduleSlow{it->second.ask}});
   }
+  NoteWanted(now);
+}
+
+void Scheduler::NoteWanted(MonotonicTime now) {
+  for (const BackendServerId& server : balancer_.TakeWanted()) {
+    const auto cell = cell_of_.find(server);
+    if (cell == cell_of_.end()) continue;
+    Probe& probe = cell->second->probes[server];
+    if (probe.open && now - probe.asked <= kOpenProbe) continue;
+    probe.asked = now;
+    probe.open = true;
+    wanted_.push_back(server);
+  }
 }
 
 // ---- Reports -----------------------------------------------------------------------------------
@@ -234,7 +248,7 @@
 }
 
 std::vector<BackendServerId> Scheduler::TakeProbes(MonotonicTime now) {
-  std::vector<BackendServerId> due;
+  std::vector<BackendServerId> due = std::exchange(wanted_, {});
   for (auto& [id, cell] : cells_) {
     for (auto& [server, probe] : cell.probes) {
       const std::optional<MonotonicTime> when = ProbeDue(cell, server, probe, now);
@@ -299,7 +313,7 @@
 }
 
 void Scheduler::Tick(MonotonicTime now) {
-  if (!settled_ && now - started_ >= kSettle) Replan(now);
+  if (!settled_ && now >= SettledAt()) Replan(now);
   if (now >= next_forget_) ForgetOverdue(now);
   if (now >= next_news_) SendNews(now);
   SendTurns(now);
@@ -308,7 +322,7 @@
 std::optional<MonotonicTime> Scheduler::NextWake(MonotonicTime now) const {
   std::optional<MonotonicTime> wake = balancer_.NextWake(now);
   const auto sooner = [&wake](MonotonicTime time) { wake = wake ? std::min(*wake, time) : time; };
-  if (!settled_) sooner(started_ + kSettle);
+  if (!settled_) sooner(SettledAt());
   bool any_ours = false;
   for (const auto& [id, cell] : cells_) {
     any_ours = any_ours || cell.ours;
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -39,8 +39,10 @@
   // in use: that one is silent, and not only for a moment.
   static constexpr std::chrono::milliseconds kForeignProbes{250};
   static constexpr uint32_t kForeignAsks = 8;
-  // Until members have found each other after a start: nothing is ours before.
+  // Until members have found each other after a start: nothing is ours before. Longer while nobody
+  // else is known: a hundred that each took all cells for theirs would flood the servers.
   static constexpr std::chrono::milliseconds kSettle{120};
+  static constexpr std::chrono::milliseconds kSettleAlone{2000};
   static constexpr std::chrono::milliseconds kNewsInterval{100};  // To the other cells.
   static constexpr std::chrono::milliseconds kNewsLifetime{400};  // Of what they said.
   // An assignment whose end was not heard is forgotten so long after its deadline.
@@ -59,6 +61,8 @@
   void OnEnd(const Endpoint& from, const ScheduleEnd& end, MonotonicTime now);
   void OnCellNews(const CellNews& news, MonotonicTime now);
 
+  // Whether requests wait for reports that no probe is under way for.
+  bool WantsProbes() const { return !wanted_.empty(); }
   // Servers to ask for a report now; each counts as being asked until OnProbed.
   std::vector<BackendServerId> TakeProbes(MonotonicTime now);
   void OnProbed(const BackendServerId& server, const std::optional<Report>& report,
@@ -107,10 +111,12 @@
   void Reply(AssignmentId id, const Assignment& decided);
   void Reply(const Endpoint& to, const ScheduleReply& reply) { outbox_.push_back({to, reply}); }
   void SendTurns(MonotonicTime now);
+  void NoteWanted(MonotonicTime now);
   void SendNews(MonotonicTime now);
   void ForgetOverdue(MonotonicTime now);
   void Forget(AssignmentId id);
   void Replan(MonotonicTime now);
+  MonotonicTime SettledAt() const { return started_ + (alone_ ? kSettleAlone : kSettle); }
 
   Endpoint self_;
   MonotonicTime started_;
@@ -126,9 +132,11 @@
   std::unordered_map<AssignmentId, Open> open_;
   std::map<CellId, Elsewhere> elsewhere_;
   AssignmentId next_id_ = 1;
+  std::vector<BackendServerId> wanted_;  // Reports that requests wait for.
   MonotonicTime next_news_{};
   MonotonicTime next_forget_{};
   bool settled_ = false;
+  bool alone_ = true;  // No other entry VM is known.
   std::vector<Outgoing> outbox_;
 };
 
--- a/src/schedule/scheduling_test.cc
+++ b/src/schedule/scheduling_test.cc
@@ -81,11 +81,12 @@
       vm.scheduler->SetMembers(alive, now_);
     }
   }
-  // A report to every scheduler, as if it had asked.
+  // A report to every scheduler, as if it had asked; probes are answered with it from now on.
   void Tell(const std::string& server, uint32_t in_flight, double slowdown) {
     Report report;
     report.in_flight = in_flight;
     report.slowdown = slowdown;
+    reports_[BackendServerId(server)] = report;
     for (Vm& vm : vms_) vm.scheduler->OnProbed(BackendServerId(server), report, now_);
   }
 
@@ -100,6 +101,7 @@
     for (Vm& vm : vms_) {
       if (!vm.alive) continue;
       vm.scheduler->Tick(now_);
+      if (answers_probes) AnswerProbes(vm);
       for (Ready& ready : vm.planner->TakeReady(now_)) ready_.push_back(std::move(ready));
       Collect(vm);
     }
@@ -144,9 +146,20 @@
   std::vector<BackendServer>& Servers() { return servers_; }
 
   std::function<bool(const Outgoing&)> lose = [](const Outgoing&) { return false; };
+  bool answers_probes = true;
   std::map<std::string, size_t> sent;  // Messages between different entry VMs, by kind.
 
  private:
+  // Without counts: those of the test's own requests are known from their assignments.
+  void AnswerProbes(Vm& vm) {
+    for (const BackendServerId& server : vm.scheduler->TakeProbes(now_)) {
+      const auto it = reports_.find(server);
+      if (it == reports_.end()) continue;
+      Report report = it->second;
+      report.in_flight.reset();
+      vm.scheduler->OnProbed(server, report, now_);
+    }
+  }
   void Collect(Vm& vm) {
     for (Outgoing& out : vm.planner->TakeOutbox()) Send(vm, std::move(out));
     for (Outgoing& out : vm.scheduler->TakeOutbox()) Send(vm, std::move(out));
@@ -181,6 +194,7 @@
   std::vector<BackendServer> servers_;
   std::deque<InFlight> queue_;
   std::vector<Ready> ready_;
+  std::map<BackendServerId, Report> reports_;
 };
 
 class SchedulingTest : public CppUnit::TestFixture {
@@ -476,6 +490,7 @@
   }
 
   void Probes_OfOneCell_ComeFromOneEntryVm() {
+    fleet_->answers_probes = false;
     for (int i = 0; i < 8; ++i) Choose(fleet_->At(static_cast<size_t>(i)));
     fleet_->Advance(milliseconds(600));
     std::map<std::string, size_t> probers;
@@ -489,6 +504,7 @@
   }
 
   void Probes_WithoutRequests_AreFew() {
+    fleet_->answers_probes = false;
     size_t probes = 0;
     for (int ms = 0; ms < 5000; ms += 5) {
       fleet_->Advance(milliseconds(5));
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -121,6 +121,7 @@
                   "IP-NUMBER:PORT; lookup_listen and readiness_listen are required with kind = "
                   "\"store\"");
   }
+  platform.peer_patience = ReadTimeout(reader, "peer_patience_ms", platform.peer_patience);
   platform.timeout = ReadTimeout(reader, "timeout_ms", platform.timeout);
   platform.connections =
       static_cast<uint32_t>(reader.Integer("connections", platform.connections, 1, 64));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -57,9 +57,11 @@
   uint32_t queue_limit = 1024;                   // Calls waiting; more are refused.
   std::chrono::milliseconds poll_interval{500};  // Of the manifest's head and the VM list.
   // With kind "store" only.
-  Endpoint lookup_listen;     // Answers callers' lookups.
-  Endpoint readiness_listen;  // Says whether this entry VM takes requests.
-  Endpoint metrics_listen;    // Serves /metrics; without one there are none.
+  Endpoint lookup_listen;                       // Answers callers' lookups.
+  Endpoint readiness_listen;                    // Says whether this entry VM takes requests.
+  Endpoint metrics_listen;                      // Serves /metrics; without one there are none.
+  std::chrono::milliseconds peer_patience{40};  // At a start other entry VMs are asked for the
+                                                // catalog so long before the store is.
 };
 
 // Bound on sending requests once more, over all entry VMs together.
