Callers that came back are told from new ones; kinds by target latency; late ones by rank

Also, urgent requests that were late waited behind routine ones that were not, and two kinds with one rank but different limits shared one estimate, so fresh ones of the shorter limit were taken for returned.

Change: ReturnEstimate infers from the time a caller has left how long it has been trying, and the balancer plans from there. A rank's late ones come after those of it in time and before the next rank. RequestKind has the target latency. Late ones may wait for any host, behind those ahead.

--- a/src/balance/assignment.h
+++ b/src/balance/assignment.h
@@ -3,6 +3,7 @@
 #ifndef COWSLIPHILL_BALANCE_ASSIGNMENT_H_
 #define COWSLIPHILL_BALANCE_ASSIGNMENT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <tuple>
 #include <variant>
@@ -25,17 +26,28 @@
   }
 };
 
+// Requests of one kind take about as long as each other, and their callers wait about as long.
+struct RequestKind {
+  uint32_t rank = 0;                    // 0 is the most urgent.
+  bool bulk = false;                    // Large answers.
+  std::chrono::milliseconds target{0};  // Latency within which answers are worth most.
+
+  friend bool operator<(const RequestKind& a, const RequestKind& b) {
+    return std::tie(a.rank, a.bulk, a.target) < std::tie(b.rank, b.bulk, b.target);
+  }
+};
+
 using AssignmentId = uint64_t;  // One attempt of a request; chosen by who asks, not reused.
 
 struct AssignmentRequest {
   AssignmentId id = 0;
   CellId cell;
-  PlaceId home;                        // Failure domain of the entry VM; servers there are nearer.
-  uint32_t rank = 0;                   // 0 is the most urgent.
-  bool bulk = false;                   // Large answers; their work is learned apart.
+  PlaceId home;  // Failure domain of the entry VM; servers there are nearer.
+  RequestKind kind;
   bool hedge = false;                  // Beside another attempt: now and in time, or not at all.
   MonotonicTime target;                // Answers by then are worth most.
   MonotonicTime deadline;              // Later answers are worth nothing.
+  Duration caller_left{};              // How long the caller will wait; 0: not told.
   std::vector<BackendServerId> tried;  // Not to be assigned again.
 };
 
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -28,7 +28,7 @@
 // The turns of one cell's queue, most urgent first, then by target.
 using QueueKey = std::tuple<uint32_t, MonotonicTime, AssignmentId>;
 
-QueueKey KeyOf(const AssignmentRequest& asked) { return {asked.rank, asked.target, asked.id}; }
+QueueKey KeyOf(const AssignmentRequest& asked) { return {asked.kind.rank, asked.target, asked.id}; }
 
 }  // namespace
 
@@ -44,10 +44,11 @@
 };
 
 struct Balancer::Cell {
-  std::vector<Server*> servers;                            // That may take new work.
-  std::map<std::pair<uint32_t, bool>, WorkEstimate> work;  // By rank and bulk.
+  std::vector<Server*> servers;  // That may take new work.
+  std::map<RequestKind, WorkEstimate> work;
   std::set<QueueKey> waiting;
   std::map<uint32_t, size_t> waiting_by_rank;
+  std::map<RequestKind, ReturnEstimate> returns;
   CrowdingEstimate crowding;
   double typical_slowdown = 1.0;  // Mean of the newest reports.
   MonotonicTime last_change{};    // Of any host.
@@ -89,10 +90,11 @@
 }
 
 WorkEstimate& Balancer::WorkOf(Cell& cell, const AssignmentRequest& asked, MonotonicTime now) {
-  const std::pair<uint32_t, bool> kind(asked.rank, asked.bulk);
-  const auto it = cell.work.find(kind);
+  const auto it = cell.work.find(asked.kind);
   if (it != cell.work.end()) return it->second;
-  return cell.work.emplace(kind, WorkEstimate(asked.target - now)).first->second;
+  const bool told = asked.kind.target.count() > 0;
+  const Duration target = told ? Duration(asked.kind.target) : asked.target - now;
+  return cell.work.emplace(asked.kind, WorkEstimate(target)).first->second;
 }
 
 // ---- Choosing a server -------------------------------------------------------------------------
@@ -100,29 +102,32 @@
 Balancer::Candidate Balancer::Judge(Server& server, MonotonicTime now) const {
   const Cell& cell = *server.cell;
   const std::optional<Duration> interval = rhythm_.Interval();
-  const uint32_t slots = std::max<uint32_t>(server.config.slots, 1);
   Candidate candidate;
   candidate.server = &server;
   candidate.in_flight = server.load.InFlight(now);
   candidate.certain = server.load.Certain(now, interval);
   candidate.pace = server.load.Slowdown(cell.typical_slowdown, now, interval);
   if (!server.load.Known() && now < server.warm) candidate.pace *= kColdCost;
-  if (candidate.in_flight + 1 > kNearlyFull * slots) candidate.pace *= cell.crowding.Factor();
+  if (CrowdingEstimate::Crowds(candidate.in_flight, server.config.slots)) {
+    candidate.pace *= cell.crowding.Factor();
+  }
   candidate.cost = candidate.pace *
                    (1 + kCrowdCost * candidate.in_flight + kFailureCost * server.health.Failing());
   return candidate;
 }
 
+uint32_t Balancer::SlotsOf(const Server& server) {
+  return std::max<uint32_t>(server.config.slots, 1);
+}
+
 // Servers with a free slot.
-Balancer::Candidates Balancer::Free(Cell& cell, MonotonicTime now) const {
+Balancer::Candidates Balancer::Free(const Cell& cell, MonotonicTime now) const {
   Candidates free;
   free.reserve(cell.servers.size());
   for (Server* server : cell.servers) {
     if (server->leaving || server->health.IsDown(now)) continue;
     const Candidate candidate = Judge(*server, now);
-    if (candidate.in_flight < std::max<uint32_t>(server->config.slots, 1)) {
-      free.push_back(candidate);
-    }
+    if (candidate.in_flight < SlotsOf(*server)) free.push_back(candidate);
   }
   return free;
 }
@@ -146,7 +151,7 @@
     const bool remote = server.place != asked.home;
     double cost = free[i].cost + (remote ? kRemoteCost : 0);
     const bool late = now + Times(work, free[i].pace) > asked.target;
-    if (asked.bulk && (remote || late)) cost += out_of_place;
+    if (asked.kind.bulk && (remote || late)) cost += out_of_place;
     costs.emplace_back(cost, i);
     least = std::min(least, cost);
   }
@@ -177,7 +182,7 @@
   server.load.OnAssigned(now);
   server.open.push_back(request.asked.id);
   const Candidate next = Judge(server, now);
-  if (next.in_flight < std::max<uint32_t>(server.config.slots, 1)) {
+  if (next.in_flight < SlotsOf(server)) {
     free[i] = next;
   } else {
     free.erase(free.begin() + static_cast<std::ptrdiff_t>(i));
@@ -198,18 +203,22 @@
     if (server->leaving || server->health.IsDown(now)) continue;
     const double pace = server->load.Slowdown(cell.typical_slowdown, now, rhythm_.Interval());
     if (fast_only && pace >= kTurnedSlow) continue;
-    sum += std::max<uint32_t>(server->config.slots, 1) / std::max(pace, 1.0);
+    sum += SlotsOf(*server) / std::max(pace, 1.0);
   }
   return sum;
 }
 
+// Requests that wait and are as urgent as `rank` or more.
+size_t Balancer::Ahead(const Cell& cell, uint32_t rank) {
+  size_t n = 0;
+  for (const auto& [other, waiting] : cell.waiting_by_rank) n += other <= rank ? waiting : 0;
+  return n;
+}
+
 // Whether a place in the queue would come up in time, with those before it as many as they are.
 bool Balancer::MayWait(Cell& cell, const Request& request, Duration work, MonotonicTime now) {
   if (!IsHopeful(request, work, now) || cell.waiting.size() >= kMostWaiting) return false;
-  size_t ahead = 0;
-  for (const auto& [rank, n] : cell.waiting_by_rank) {
-    if (rank <= request.asked.rank) ahead += n;
-  }
+  const size_t ahead = Ahead(cell, request.asked.kind.rank);
   const double throughput = Throughput(cell, true, now);
   if (ahead == 0) return true;
   if (throughput <= 0) return false;
@@ -217,6 +226,12 @@
   return wait <= Times(request.asked.target - now - Times(work, kHopeful), kQueueSlack);
 }
 
+void Balancer::NoteReturn(AssignmentRequest& asked) {
+  if (asked.caller_left <= Duration{} || asked.hedge) return;
+  ReturnEstimate& returns = CellOf(asked.cell).returns[asked.kind];
+  asked.target -= returns.OnRequest(asked.caller_left);
+}
+
 Assignment Balancer::Assign(const AssignmentRequest& asked, MonotonicTime now) {
   Request& request = requests_[asked.id];
   request.asked = asked;
@@ -243,7 +258,7 @@
   request.waiting = true;
   request.late = hopeless;
   cell.waiting.insert(KeyOf(asked));
-  ++cell.waiting_by_rank[asked.rank];
+  ++cell.waiting_by_rank[asked.kind.rank];
   Serve(cell, now);
   // What Serve decided of this one goes back at once.
   const auto is_this = [&asked](const Turn& turn) {
@@ -261,18 +276,19 @@
   request.waiting = false;
   Cell& cell = *request.cell;
   cell.waiting.erase(KeyOf(request.asked));
-  const auto it = cell.waiting_by_rank.find(request.asked.rank);
+  const auto it = cell.waiting_by_rank.find(request.asked.kind.rank);
   if (--it->second == 0) cell.waiting_by_rank.erase(it);
 }
 
-// Gives free slots to those that wait: first to those that are in time there, in order, then what
-// is left to those that are late anyway.
+// Gives free slots to those that wait, the most urgent first. Of those equally urgent, first come
+// those that are in time there, in order, then those that are late anyway.
 void Balancer::Serve(Cell& cell, MonotonicTime now) {
   if (cell.waiting.empty()) return;
   Candidates free = Free(cell, now);
   std::vector<AssignmentId> late;
   const std::vector<QueueKey> queue(cell.waiting.begin(), cell.waiting.end());
-  for (const auto& [rank, target, id] : queue) {
+  for (auto it = queue.begin(); it != queue.end(); ++it) {
+    const auto& [rank, target, id] = *it;
     Request& request = requests_.at(id);
     const Duration work = WorkOf(cell, request.asked, now).Mean();
     const auto best = Best(free, request, work, now);
@@ -283,8 +299,9 @@
                (request.late || !IsHopeful(request, work, now))) {
       late.push_back(id);
     }
+    const bool last_of_rank = std::next(it) == queue.end() || std::get<0>(*std::next(it)) != rank;
+    if (last_of_rank) ServeLate(cell, free, std::exchange(late, {}), now);
   }
-  ServeLate(cell, free, late, now);
 }
 
 // Whether the request waits for reports of servers that have a slot but of whose hosts nothing is
@@ -307,8 +324,9 @@
 void Balancer::ServeLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                          MonotonicTime now) {
   if (late.empty()) return;
-  const double throughput = Throughput(cell, false, now) - Throughput(cell, true, now);
-  size_t kept = 0;  // Late ones that go on waiting.
+  const double throughput = Throughput(cell, false, now);
+  // Those that go on waiting: the others of these ranks, and then the late ones.
+  size_t ahead = Ahead(cell, requests_.at(late.front()).asked.kind.rank) - late.size();
   for (const AssignmentId id : late) {
     Request& request = requests_.at(id);
     const Duration work = WorkOf(cell, request.asked, now).Mean();
@@ -319,11 +337,11 @@
       turns_.emplace_back(Give(free, *best, request, work, now));
       continue;
     }
-    const double share = throughput > 0 ? static_cast<double>(kept + 1) / throughput : 0;
+    const double share = throughput > 0 ? static_cast<double>(ahead + 1) / throughput : 0;
     const Duration needed = Times(work, share + std::max(cell.typical_slowdown, 1.0));
     if (throughput > 0 && needed <= left) {
       request.late = true;
-      ++kept;
+      ++ahead;
       continue;
     }
     const bool any = std::any_of(cell.servers.begin(), cell.servers.end(), [now](const Server* it) {
@@ -375,7 +393,7 @@
   int32_t free = -static_cast<int32_t>(cell.waiting.size());
   for (const Candidate& it : Free(cell, now)) {
     if (!it.certain || it.pace >= kTurnedSlow) continue;
-    free += static_cast<int32_t>(it.server->config.slots) - static_cast<int32_t>(it.in_flight);
+    free += static_cast<int32_t>(SlotsOf(*it.server)) - static_cast<int32_t>(it.in_flight);
   }
   return free;
 }
@@ -408,9 +426,7 @@
       server.health.OnOutcome(false);
       if (request.usual_start) {
         WorkEstimate& work = WorkOf(cell, request.asked, now);
-        const double slots = std::max<uint32_t>(server.config.slots, 1);
-        const bool crowded = request.given.in_flight + 1 > kNearlyFull * slots;
-        if (crowded) {
+        if (CrowdingEstimate::Crowds(request.given.in_flight, server.config.slots)) {
           cell.crowding.OnAnswer(result.latency, Times(work.Mean(), request.given.slowdown));
         } else {
           work.OnAnswer(result.latency, request.given.slowdown);
@@ -419,7 +435,7 @@
       break;
     case AttemptEnd::kShed:
     case AttemptEnd::kNotStarted:
-      server.load.OnFull(std::max<uint32_t>(server.config.slots, 1));
+      server.load.OnFull(SlotsOf(server));
       break;
     case AttemptEnd::kConnectFailed:
       server.health.OnUnreachable(now);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -37,6 +37,7 @@
 #include "src/balance/assignment.h"
 #include "src/balance/cell_map.h"
 #include "src/balance/host_rhythm.h"
+#include "src/balance/return_estimate.h"
 #include "src/balance/server_load.h"
 #include "src/balance/work_estimate.h"
 #include "src/manifest/manifest.h"
@@ -47,10 +48,9 @@
  public:
   static constexpr double kTie = 0.05;  // Expected times this near count as equal.
   static constexpr std::chrono::milliseconds kTieFloor{2};
-  static constexpr double kNearlyFull = 0.8;   // Share of slots from which servers may slow down.
   static constexpr double kColdCost = 2.0;     // Times as long at a server that has just started
                                                // and has not reported yet.
-  static constexpr double kCrowdCost = 0.05;   // Of the time, per request there: the emptier of
+  static constexpr double kCrowdCost = 0.08;   // Of the time, per request there: the emptier of
                                                // two equal servers is safer.
   static constexpr double kRemoteCost = 0.25;  // Of the work: preference for the own place.
   static constexpr double kFailureCost = 3.0;  // Works lost by sending to a failing server.
@@ -77,6 +77,9 @@
   // Takes all servers; what is known of servers that stay is kept.
   void Apply(const std::vector<BackendServer>& servers, const CellMap& cells, MonotonicTime now);
 
+  // Moves the target of a request whose caller has come back to where it was at first. Once for
+  // each attempt, before anything else is asked about it.
+  void NoteReturn(AssignmentRequest& request);
   Assignment Assign(const AssignmentRequest& request, MonotonicTime now);
   // Queued requests that were assigned or refused since the last call.
   std::vector<Turn> TakeTurns(MonotonicTime now);
@@ -130,13 +133,15 @@
   using Candidates = std::vector<Candidate>;
   Cell& CellOf(const CellId& id);
   Candidate Judge(Server& server, MonotonicTime now) const;
-  Candidates Free(Cell& cell, MonotonicTime now) const;
+  Candidates Free(const Cell& cell, MonotonicTime now) const;
+  static uint32_t SlotsOf(const Server& server);
   std::optional<size_t> Best(const Candidates& free, const Request& request, Duration work,
                              MonotonicTime now);
   Assigned Give(Candidates& free, size_t i, Request& request, Duration work, MonotonicTime now);
   void Serve(Cell& cell, MonotonicTime now);
   void ServeLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                  MonotonicTime now);
+  static size_t Ahead(const Cell& cell, uint32_t rank);
   static void LeaveQueue(Request& request);
   bool WantReports(const Candidates& free, Request& request, MonotonicTime now);
   bool IsHopeful(const Request& request, Duration work, MonotonicTime now) const;
--- a/src/balance/balancer_test.cc
+++ b/src/balance/balancer_test.cc
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(OnReport_CountingLess_FreesSlotsWhoseEndWasLost);
   CPPUNIT_TEST(OnReport_HostTurnedSlowBefore_TellsOfTheLateStart);
   CPPUNIT_TEST(OnAnswers_FromANearlyFullServer_TeachWhatCrowdingCosts);
+  CPPUNIT_TEST(Assign_MoreUrgentButLate_GoesBeforeLessUrgent);
+  CPPUNIT_TEST(Assign_CallerThatCameBackLate_YieldsToANewOne);
   CPPUNIT_TEST(Apply_RebornServer_ForgetsItsLeaving);
   CPPUNIT_TEST(Assign_NothingKnownYet_WaitsForAFewReports);
   CPPUNIT_TEST(Apply_FewServers_AreOneCell);
@@ -92,10 +94,10 @@
   void Assign_WaitingMoreUrgent_GoesFirst() {
     for (const auto& server : servers_) Tell(server.id.Text(), 6, 7.0);
     AssignmentRequest routine = Request();
-    routine.rank = 2;
+    routine.kind.rank = 2;
     CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(routine, now_)));
     AssignmentRequest urgent = Request();
-    urgent.rank = 1;
+    urgent.kind.rank = 1;
     CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(urgent, now_)));
     now_ += milliseconds(10);
     Tell("s0", 2, 1.0);  // One slot.
@@ -131,7 +133,6 @@
     AssignmentRequest late = Request();
     late.target = now_ + milliseconds(10);
     late.deadline = now_ + milliseconds(4000);
-    late.rank = 0;
     CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(late, now_)));
     const AssignmentRequest in_time = Request();
     CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(in_time, now_)));
@@ -185,7 +186,7 @@
     Apply();
     Tell("s3", 2, 1.0);
     AssignmentRequest bulk = Request();
-    bulk.bulk = true;
+    bulk.kind.bulk = true;
     CPPUNIT_ASSERT_EQUAL(std::string("s3"), Sent(balancer_->Assign(bulk, now_)));
     // Elsewhere only when it would be late here.
     Tell("s3", 2, 7.0);
@@ -313,6 +314,47 @@
     CPPUNIT_ASSERT(third.expected < milliseconds(110));
   }
 
+  // An emergency that is late already is not left behind routine work that is still in time.
+  void Assign_MoreUrgentButLate_GoesBeforeLessUrgent() {
+    for (const auto& server : servers_) Tell(server.id.Text(), 3, 7.0);
+    AssignmentRequest routine = Request();
+    routine.kind.rank = 2;
+    CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(routine, now_)));
+    AssignmentRequest urgent = Request();
+    urgent.kind.rank = 0;
+    urgent.target = now_ + milliseconds(10);
+    urgent.deadline = now_ + milliseconds(4000);
+    CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(urgent, now_)));
+    now_ += milliseconds(10);
+    Tell("s0", 2, 1.0);
+    const std::vector<Turn> turns = balancer_->TakeTurns(now_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, turns.size());
+    CPPUNIT_ASSERT_EQUAL(urgent.id, std::get<Assigned>(turns[0]).id);
+  }
+
+  // Overload: one slot, for one that was refused half a second ago or for a new one.
+  void Assign_CallerThatCameBackLate_YieldsToANewOne() {
+    for (int i = 0; i < 100; ++i) {
+      AssignmentRequest seen = Request();
+      seen.caller_left = milliseconds(1800);
+      balancer_->NoteReturn(seen);
+      CPPUNIT_ASSERT(seen.target == now_ + milliseconds(400));
+    }
+    for (const auto& server : servers_) Tell(server.id.Text(), 3, 7.0);
+    AssignmentRequest back = Request();
+    back.caller_left = milliseconds(1000);
+    balancer_->NoteReturn(back);
+    CPPUNIT_ASSERT(back.target < now_ + milliseconds(100));
+    CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(back, now_)));
+    const AssignmentRequest fresh = Request();
+    CPPUNIT_ASSERT(std::holds_alternative<Queued>(balancer_->Assign(fresh, now_)));
+    now_ += milliseconds(10);
+    Tell("s0", 2, 1.0);
+    const std::vector<Turn> turns = balancer_->TakeTurns(now_);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, turns.size());
+    CPPUNIT_ASSERT_EQUAL(fresh.id, std::get<Assigned>(turns[0]).id);
+  }
+
   void Apply_RebornServer_ForgetsItsLeaving() {
     for (BackendServer& server : servers_) server.state = BackendState::kLeaving;
     Apply();
@@ -430,7 +472,8 @@
     request.home = PlaceId("here");
     request.deadline = now_ + milliseconds(2000);
     request.target = now_ + milliseconds(400);
-    request.rank = 1;
+    request.kind.rank = 1;
+    request.kind.target = milliseconds(400);
     return request;
   }
   PlaceId CellPlace() const {
--- a/src/balance/work_estimate.h
+++ b/src/balance/work_estimate.h
@@ -40,6 +40,7 @@
 // then, others don't.
 class CrowdingEstimate {
  public:
+  static constexpr double kNearlyFull = 0.8;  // Share of slots from which servers may slow down.
   static constexpr double kWeight = 0.05;     // Of the newest answer.
   static constexpr double kFirstGuess = 1.5;  // Until answers tell.
   static constexpr double kMost = 4.0;        // One answer counts at most so much.
@@ -51,6 +52,8 @@
     factor_ += kWeight * (std::clamp(ratio, 0.0, kMost) - factor_);
   }
 
+  // Whether a request beside `others` at a server with `slots` may work longer.
+  static bool Crowds(uint32_t others, uint32_t slots) { return others + 1 > kNearlyFull * slots; }
   double Factor() const { return std::max(factor_, 1.0); }
 
  private:
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -50,10 +50,12 @@
   bool repeatable = false;  // Idempotent: may be sent again after it may have run.
   uint32_t depth = 0;       // Calls above this one in the call tree, 0 for the first.
   // Of the request's route; unset where there is none.
-  uint32_t rank = 0;                    // 0 is the most urgent.
-  std::optional<MonotonicTime> target;  // Answers by then are worth most.
-  uint32_t max_attempts = 0;            // 0: bounded by the retry budget only.
-  bool bulk = false;                    // Large answers.
+  uint32_t rank = 0;                            // 0 is the most urgent.
+  std::optional<MonotonicTime> target;          // Answers by then are worth most.
+  std::chrono::milliseconds target_latency{0};  // The same as a time span; 0: none.
+  std::optional<MonotonicTime> caller_until;    // The caller goes away then; unset: not told.
+  uint32_t max_attempts = 0;                    // 0: bounded by the retry budget only.
+  bool bulk = false;                            // Large answers.
 };
 
 enum class RefusalCause {
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -90,9 +90,13 @@
   ask.rank = request.asked.rank;
   ask.bulk = request.asked.bulk;
   ask.hedge = attempt.hedge;
+  ask.target = request.asked.target_latency;
   ask.target_left =
       std::min(Left(request.asked.target.value_or(request.asked.deadline), now), kMostTargetLeft);
   ask.deadline_left = Left(request.asked.deadline, now);
+  if (request.asked.caller_until && request.attempts.size() == 1) {
+    ask.caller_left = Left(*request.asked.caller_until, now);
+  }
   for (const Attempt& other : request.attempts) {
     if (!other.server.Empty()) ask.tried.push_back(TagOf(other.server.Text()));
   }
--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -47,7 +47,10 @@
   if (ask.forwarded) flags |= kForwarded;
   out.Number(static_cast<unsigned char>(kAsk), 1).Number(ask.id, 4).Number(ask.service, 4);
   out.Number(ask.place, 4).Number(ask.rank, 1).Number(flags, 1);
-  out.Number(Millis(ask.target_left), 2).Number(Millis(ask.deadline_left), 3);
+  out.Number(Millis(ask.target), 2)
+      .Number(Millis(ask.target_left), 2)
+      .Number(Millis(ask.deadline_left), 3);
+  out.Number(Millis(ask.caller_left), 3);
   const size_t n = std::min(ask.tried.size(), kMostTried);
   out.Number(n, 1);
   for (size_t i = 0; i < n; ++i) out.Number(ask.tried[i], 4);
@@ -97,8 +100,10 @@
   const uint32_t flags = in.Number(1);
   ask.bulk = (flags & kBulk) != 0;
   ask.hedge = (flags & kHedge) != 0;
+  ask.target = milliseconds(in.Number(2));
   ask.target_left = milliseconds(in.Number(2));
   ask.deadline_left = milliseconds(in.Number(3));
+  ask.caller_left = milliseconds(in.Number(3));
   const size_t n = in.Number(1);
   if (n > kMostTried) return std::nullopt;
   for (size_t i = 0; i < n; ++i) ask.tried.push_back(in.Number(4));
--- a/src/schedule/schedule_message.h
+++ b/src/schedule/schedule_message.h
@@ -33,8 +33,10 @@
   uint32_t rank = 0;
   bool bulk = false;
   bool hedge = false;
+  std::chrono::milliseconds target{0};       // Latency that is wanted of its kind.
   std::chrono::milliseconds target_left{0};  // Until the answer is late.
   std::chrono::milliseconds deadline_left{0};
+  std::chrono::milliseconds caller_left{0};  // How long the caller will wait; 0: not told.
   std::vector<NameTag> tried;         // Servers not to be assigned again; at most kMostTried.
   std::optional<Endpoint> forwarded;  // The entry VM, when another scheduler passes this on.
 };
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -119,23 +119,26 @@
   request.home = place == places_.end() ? PlaceId() : place->second;
   request.cell = cell_map_.CellOf(service->second, request.home);
   const CellId home = request.cell;
-  request.rank = ask.rank;
-  request.bulk = ask.bulk;
+  request.kind.rank = ask.rank;
+  request.kind.bulk = ask.bulk;
+  request.kind.target = ask.target;
   request.hedge = ask.hedge;
   request.target = now + ask.target_left;
   request.deadline = now + ask.deadline_left;
+  request.caller_left = ask.caller_left;
   for (const NameTag tag : ask.tried) {
     const auto it = servers_.find(tag);
     if (it != servers_.end()) request.tried.push_back(it->second);
   }
   Cell& cell = cells_[home];
+  balancer_.NoteReturn(request);
   cell.asks = InUse(cell, now) ? cell.asks + 1 : 1;
   cell.last_ask = now;
   if (!ask.forwarded) {
     const Outlook outlook = balancer_.OutlookOf(request, now);
     // Large answers cross to another domain only if they would be late here.
     const bool looks_further =
-        outlook == Outlook::kLate || (outlook == Outlook::kSoon && !request.bulk);
+        outlook == Outlook::kLate || (outlook == Outlook::kSoon && !request.kind.bulk);
     const std::optional<CellId> other =
         looks_further ? CellWithRoom(home, now) : std::optional<CellId>();
     if (other) return Forward(*other, asker, ask);
--- a/src/schedule/scheduling_test.cc
+++ b/src/schedule/scheduling_test.cc
@@ -534,6 +534,7 @@
     request.service = ServiceId("service");
     request.deadline = fleet_->Now() + milliseconds(2000);
     request.target = fleet_->Now() + milliseconds(400);
+    request.target_latency = milliseconds(400);
     request.repeatable = true;
     request.rank = 1;
     return request;
