--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -27,8 +27,8 @@
   std::function<void(const std::shared_ptr<const Manifest>&)> on_manifest;
   std::function<void(const std::vector<BackendServer>&)> on_servers;
   std::function<void(const CatalogNews&)> tell;
-  // Ask another entry VM for the whole catalog, not the same one each time.
-  std::function<void()> ask;
+  // Send this to another entry VM, not the same one each time; `reply_to` is not filled in.
+  std::function<void(const CatalogQuestion&)> ask;
   // The store was lost (with the error) or regained (empty text).
   std::function<void(const std::string& table, const std::string& error)> on_store;
 };
@@ -45,7 +45,8 @@
         store_(store),
         clock_(clock),
         listener_(std::move(listener)),
-        manifest_watch_(WithAsks(times, kManifestAsks)),
+        is_asked_first_(times.start_patience.count() == 0),
+        manifest_watch_(times),
         servers_watch_(times) {}
 
   // Place in the order of election among the entry VMs that are alive; 0 asks the store.
@@ -53,7 +54,9 @@
 
   void Tick() {
     const MonotonicTime now = clock_.Now();
-    AskManifest(manifest_watch_.Next(rank_, now));
+    // Those that the others ask when all start wait for the first manifest themselves.
+    const bool first_reader = manifest_ == nullptr && is_asked_first_;
+    AskManifest(manifest_watch_.Next(first_reader ? 0 : rank_, now));
     AskServers(servers_watch_.Next(rank_, now));
     if (servers_.DropLapsed(Outage(now), now)) listener_.on_servers(servers_.All());
   }
@@ -64,9 +67,9 @@
     if (news.whole) return OnWholeNews(news, from_before_us, now);
     // The table holds other rows too: a new version of it need not be a new manifest.
     const bool same = manifest_ != nullptr && news.revision <= manifest_->revision;
-    manifest_watch_.OnNews(
-        {news.manifest_version, same, from_before_us, news.reaches_store, now - news.manifest_age},
-        now);
+    manifest_watch_.OnNews({news.manifest_version, same, from_before_us, news.reaches_store,
+                            now - news.manifest_age, false, news.manifest_too_large},
+                           now);
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
     if (covered && news.servers_version > before) {
@@ -80,13 +83,16 @@
     Tick();
   }
 
-  // The whole catalog for an entry VM that asks, whose manifest is `revision`; nullopt: not known.
-  std::optional<CatalogNews> AnswerQuestion(uint64_t revision) {
-    if (!Ready()) return std::nullopt;
+  // The whole catalog for an entry VM that asks; nullopt: we don't know yet what it lacks.
+  std::optional<CatalogNews> AnswerQuestion(const CatalogQuestion& question) {
+    if (!Ready() || manifest_watch_.Version() < question.manifest_version ||
+        servers_watch_.Version() < question.servers_version) {
+      return std::nullopt;
+    }
     CatalogNews news = NewsNow(clock_.Now());
     news.whole = true;
     news.changed = servers_.Present();
-    if (manifest_->revision > revision) news.manifest = ToldManifest();
+    if (manifest_->revision > question.revision) AddManifest(news);
     return news;
   }
 
@@ -109,12 +115,6 @@
   // Bytes. A larger manifest is read by each from the store: a reader with a small link would need
   // too long to send it to all.
   static constexpr size_t kMostToldManifest = 30000;
-  static constexpr uint32_t kManifestAsks = 1;  // It may be too large for an answer.
-
-  static TableWatchTimes WithAsks(TableWatchTimes times, uint32_t most_asks) {
-    times.most_asks = most_asks;
-    return times;
-  }
 
   // What one answer of the store, or one piece of news, changed since version `from`.
   struct Told {
@@ -140,7 +140,7 @@
     const bool same =
         news.revision == manifest_->revision;  // Else its manifest did not come along.
     manifest_watch_.OnNews({news.manifest_version, false, from_before_us, news.reaches_store,
-                            now - news.manifest_age, same},
+                            now - news.manifest_age, same, news.manifest_too_large},
                            now);
     if (newer) {
       told_.clear();
@@ -157,7 +157,10 @@
     const MonotonicTime now = clock_.Now();
     if (asked_ && now - *asked_ < kTick) return;
     asked_ = now;
-    listener_.ask();
+    listener_.ask({{},
+                   manifest_ ? manifest_->revision : 0,
+                   manifest_watch_.Newest(),
+                   servers_watch_.Newest()});
   }
 
   void AskManifest(Step step) {
@@ -187,10 +190,11 @@
     listener_.on_manifest(manifest_);
   }
 
-  // As it goes out with news; empty when it is too large. Most entry VMs never tell it.
-  std::string ToldManifest() {
+  // Most entry VMs never tell it.
+  void AddManifest(CatalogNews& news) {
     if (manifest_bytes_.empty()) manifest_bytes_ = EncodeManifest(*manifest_);
-    return manifest_bytes_.size() <= kMostToldManifest ? manifest_bytes_ : "";
+    news.manifest_too_large = manifest_bytes_.size() > kMostToldManifest;
+    if (!news.manifest_too_large) news.manifest = manifest_bytes_;
   }
 
   // A changed manifest reaches entry VMs with the news of it, so that not each reads the store.
@@ -265,6 +269,7 @@
     CatalogNews news;
     news.sender = self_;
     news.revision = manifest_ ? manifest_->revision : 0;
+    news.manifest_too_large = manifest_bytes_.size() > kMostToldManifest;
     news.manifest_version = manifest_watch_.Version();
     news.manifest_age = millis(now - manifest_watch_.Confirmed());
     news.servers_version = servers_watch_.Version();
@@ -300,7 +305,7 @@
     }
     if (manifest_tells_ > 0) {
       --manifest_tells_;
-      news.manifest = ToldManifest();
+      AddManifest(news);
     }
     listener_.tell(news);
   }
@@ -309,6 +314,7 @@
   Store& store_;
   const Clock& clock_;
   CatalogListener listener_;
+  bool is_asked_first_;
   TableWatch manifest_watch_;
   TableWatch servers_watch_;
   ServerList servers_;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -34,9 +34,12 @@
   CPPUNIT_TEST(Tell_AfterAnotherToldANewerManifest_CarriesThatOne);
   CPPUNIT_TEST(OnNews_WithANewManifest_TakesItWithoutTheStore);
   CPPUNIT_TEST(OnNews_OfANewManifestWithoutIt_AsksTheStore);
+  CPPUNIT_TEST(Tell_OfALargeManifest_SendsOthersToTheStore);
   CPPUNIT_TEST(OnNews_WithAManifestThatCantBeRead_AsksTheStore);
   CPPUNIT_TEST(AnswerQuestion_OfANewEntryVm_GivesItAllItNeeds);
   CPPUNIT_TEST(AnswerQuestion_BeforeTheCatalogIsKnown_IsNone);
+  CPPUNIT_TEST(AnswerQuestion_OfWhatWeLackToo_WaitsForIt);
+  CPPUNIT_TEST(Tick_StartedBeforeTheFirstManifest_WaitsForItAtTheStore);
   CPPUNIT_TEST(OnNews_OfTheWhole_FillsAGap);
   CPPUNIT_TEST(OnNews_OfTheWholeWithoutItsManifest_AsksTheStoreForThat);
   CPPUNIT_TEST(OnNews_WithAnOlderWhole_ChangesNothing);
@@ -57,7 +60,7 @@
     };
     listener.on_servers = [this](const auto& servers) { servers_ = servers; };
     listener.tell = [this](const CatalogNews& news) { told_.push_back(news); };
-    listener.ask = [this] { ++asked_; };
+    listener.ask = [this](const CatalogQuestion&) { ++asked_; };
     listener.on_store = [](const std::string&, const std::string&) {};
     follower_ = std::make_unique<CatalogFollower<FakeStore>>(EntryVmId("me"), store_, clock_,
                                                              std::move(listener));
@@ -155,6 +158,25 @@
     CPPUNIT_ASSERT(store_.manifest);
   }
 
+  void Tell_OfALargeManifest_SendsOthersToTheStore() {
+    Pass();
+    Manifest manifest = WithOneRoute();
+    manifest.revision = 2;
+    manifest.routes[0].id = RouteId(std::string(40000, 'r'));
+    std::exchange(store_.manifest,
+                  nullptr)(ManifestPage{11, std::make_shared<const Manifest>(manifest)});
+    CPPUNIT_ASSERT(told_.back().manifest.empty());
+    CatalogNews news = told_.back();
+    follower_->SetRank(5);
+    news.revision = 3;
+    news.manifest_version = 12;
+    Pass();
+    store_.manifest = nullptr;
+    follower_->OnNews(news, true);
+    CPPUNIT_ASSERT(store_.manifest);
+    CPPUNIT_ASSERT_EQUAL(size_t{0}, asked_);
+  }
+
   void OnNews_WithAManifestThatCantBeRead_AsksTheStore() {
     Pass();
     AnswerManifest(11, 2);
@@ -165,7 +187,7 @@
   }
 
   void AnswerQuestion_OfANewEntryVm_GivesItAllItNeeds() {
-    const std::optional<CatalogNews> answer = follower_->AnswerQuestion(0);
+    const std::optional<CatalogNews> answer = follower_->AnswerQuestion({});
     CPPUNIT_ASSERT(answer.has_value());
     FakeStore store;
     CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, SilentListener());
@@ -180,7 +202,29 @@
   void AnswerQuestion_BeforeTheCatalogIsKnown_IsNone() {
     FakeStore store;
     CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, SilentListener());
-    CPPUNIT_ASSERT(!starting.AnswerQuestion(0).has_value());
+    CPPUNIT_ASSERT(!starting.AnswerQuestion({}).has_value());
+  }
+
+  void AnswerQuestion_OfWhatWeLackToo_WaitsForIt() {
+    const CatalogQuestion question{{}, 1, 0, 12};
+    CPPUNIT_ASSERT(!follower_->AnswerQuestion(question).has_value());
+    Pass();
+    AnswerServers({12, false, {}, {BackendServerId("a")}});
+    CPPUNIT_ASSERT(follower_->AnswerQuestion(question).has_value());
+  }
+
+  // Whom the others ask at a start of all had read an empty store, and so all read it in the end.
+  void Tick_StartedBeforeTheFirstManifest_WaitsForItAtTheStore() {
+    FakeStore store;
+    CatalogFollower<FakeStore> seed(EntryVmId("seed"), store, clock_, SilentListener());
+    seed.SetRank(77);
+    seed.Tick();
+    std::exchange(store.servers, nullptr)(ServersPage{1, true, {}, {}});
+    std::exchange(store.manifest, nullptr)(ManifestPage{1, nullptr});
+    clock_.Advance(milliseconds(300));
+    seed.Tick();
+    CPPUNIT_ASSERT(store.manifest);
+    CPPUNIT_ASSERT(!store.servers);
   }
 
   void OnNews_OfTheWhole_FillsAGap() {
@@ -230,7 +274,7 @@
     listener.on_manifest = [](const auto&) {};
     listener.on_servers = [](const auto&) {};
     listener.tell = [](const CatalogNews&) {};
-    listener.ask = [] {};
+    listener.ask = [](const CatalogQuestion&) {};
     listener.on_store = [](const std::string&, const std::string&) {};
     return listener;
   }
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -33,7 +33,10 @@
                                                  // is an outage: a dead reader is replaced sooner.
   uint32_t most_steps = 8;                       // Places beyond it are as patient as this one,
   std::chrono::milliseconds led_patience{4000};  // or, while those before them are heard, so
-                                                 // patient: nine have tried by then.
+                                                 // patient: nine have tried by then. They retry no
+                                                 // sooner either.
+  std::chrono::milliseconds led_step{40};        // More of that for each place, so that the first
+                                                 // who succeeds spares the rest the call.
   std::chrono::milliseconds spacing{250};        // Least time between the starts of two calls.
   std::chrono::milliseconds peer_patience{150};  // For another entry VM's answer.
   uint32_t most_asks = 3;                        // Without an answer; then the store.
@@ -49,6 +52,7 @@
 
   // `rank`: place in the order of election, 0 first.
   Step Next(uint32_t rank, MonotonicTime now) {
+    far_back_ = rank > times_.most_steps;
     if (calling_ || now < not_before_) return Step::kNone;
     if (!known_) {
       if (!first_step_) first_step_ = now;
@@ -73,6 +77,7 @@
     behind_ = false;
     asks_ = 0;
     version_ = std::max(version_, version);
+    newest_ = version_;
     confirmed_ = now;
     // An answer to a call that began before those in front were heard changes nothing.
     if (taking_over_) reading_ = true;
@@ -81,8 +86,10 @@
   void OnFailure(MonotonicTime now) {
     calling_ = false;
     asks_ = 0;
-    const Duration longest = IsLed(now) ? times_.led_retry : times_.longest_retry;
-    retry_ = std::clamp<Duration>(retry_ * 2, times_.retry, longest);
+    const bool led = IsLed(now);
+    const Duration longest = led ? times_.led_retry : times_.longest_retry;
+    retry_ = std::clamp<Duration>(retry_ * 2, led && far_back_ ? times_.led_patience : times_.retry,
+                                  longest);
     not_before_ = now + retry_;
   }
   void OnHistoryGone() {
@@ -97,6 +104,7 @@
     bool reaches_store = true;    // The sender has just been answered by the store itself.
     MonotonicTime confirmed;      // When the sender last knew `version` to be the newest.
     bool whole = false;           // We have all up to `version`, whatever we had before.
+    bool only_in_store = false;   // No other entry VM can tell the change.
   };
   void OnNews(const News& news, MonotonicTime now) {
     if (news.from_before_us) {
@@ -109,25 +117,28 @@
         reading_ = false;
       }
     }
+    newest_ = std::max(newest_, news.version);
     if ((!known_ && !news.whole) || news.version < version_) return;
     if (news.version > version_ && !news.covered && !news.whole) {
       behind_ = true;
       // Others reach the store: so may we.
       if (asks_ == 0) not_before_ = std::min(not_before_, now);
+      if (news.only_in_store) asks_ = times_.most_asks;
       return;
     }
     NoteOutage(now);
     known_ = true;
-    if (news.version > version_ || news.whole) {
-      behind_ = false;
-      asks_ = 0;
-    }
     version_ = news.version;
     confirmed_ = std::max(confirmed_, news.confirmed);
+    // Whoever was asked may lack the same change.
+    behind_ = version_ < newest_;
+    if (!behind_) asks_ = 0;
   }
 
   bool Known() const { return known_; }
   uint64_t Version() const { return version_; }
+  // The newest that was heard of, ours or not.
+  uint64_t Newest() const { return std::max(newest_, version_); }
   MonotonicTime Confirmed() const { return confirmed_; }
   bool IsReading() const { return reading_; }
   std::chrono::milliseconds Hold() const { return times_.hold; }
@@ -140,7 +151,9 @@
   bool IsLed(MonotonicTime now) const { return led_ && now - heard_ < times_.heard; }
 
   Duration PatienceOf(uint32_t rank, MonotonicTime now) const {
-    if (rank > times_.most_steps && IsLed(now)) return times_.led_patience;
+    if (far_back_ && IsLed(now)) {
+      return times_.led_patience + times_.led_step * (rank - times_.most_steps);
+    }
     return times_.patience + times_.patience_step * std::min(rank, times_.most_steps);
   }
 
@@ -167,8 +180,10 @@
   bool reading_ = false;      // Took over from those before us.
   bool taking_over_ = false;  // The open call is to take over.
   bool led_ = false;          // Somebody before us in the order was heard, at `heard_`.
+  bool far_back_ = false;     // In the order, at the last Next.
   uint32_t asks_ = 0;         // Of peers, since we are behind or a call failed.
   uint64_t version_ = 0;
+  uint64_t newest_ = 0;  // Version that anybody has told of, since the store's last answer.
   std::optional<MonotonicTime> first_step_;  // The first call of Next.
   Duration retry_{};
   MonotonicTime confirmed_{};   // When the version was last known to be the newest.
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -29,6 +29,9 @@
   CPPUNIT_TEST(Next_AtStartWithPeers_AsksThemFirst);
   CPPUNIT_TEST(Next_WithAPeersAnswer_LeavesTheStoreAlone);
   CPPUNIT_TEST(Next_BehindWithoutAStore_KeepsAskingPeers);
+  CPPUNIT_TEST(OnNews_WholeFromOneThatIsBehindToo_AsksOn);
+  CPPUNIT_TEST(OnNews_OfWhatOnlyTheStoreHas_AsksItAtOnce);
+  CPPUNIT_TEST(OnFailure_FarBackInALongOutage_TriesTwiceInTenSeconds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -251,6 +254,45 @@
     CPPUNIT_ASSERT(calls <= 10);  // Two a second.
   }
 
+  // Found at a site of 103 entry VMs: the peer that was asked lacked the same change, and its
+  // answer was taken for the newest; a manifest needed three seconds to reach all.
+  void OnNews_WholeFromOneThatIsBehindToo_AsksOn() {
+    ReadWhole(5);
+    Pass(milliseconds(400));
+    watch_.OnNews({11, false, true, true, now_}, now_);
+    CPPUNIT_ASSERT(watch_.Next(5, now_) == Step::kAskPeers);
+    watch_.OnNews({10, false, false, false, now_, true}, now_);
+    Step step = Step::kNone;
+    for (int i = 0; i < 10 && step != Step::kCheck; ++i) {
+      Pass(milliseconds(50));
+      step = watch_.Next(5, now_);
+    }
+    CPPUNIT_ASSERT(step == Step::kCheck);
+    watch_.OnAnswer(11, now_);
+    CPPUNIT_ASSERT(watch_.Next(5, now_) == Step::kNone);
+  }
+
+  void OnFailure_FarBackInALongOutage_TriesTwiceInTenSeconds() {
+    ReadWhole(20);
+    const MonotonicTime confirmed = now_;
+    int calls = 0;
+    for (int i = 0; i < 200; ++i) {
+      Pass(milliseconds(50));
+      if (i % 10 == 0) watch_.OnNews({10, true, true, false, confirmed}, now_);
+      if (watch_.Next(20, now_) != Step::kCheck) continue;
+      ++calls;
+      watch_.OnFailure(now_);
+    }
+    CPPUNIT_ASSERT_EQUAL(2, calls);
+  }
+
+  void OnNews_OfWhatOnlyTheStoreHas_AsksItAtOnce() {
+    ReadWhole(5);
+    Pass(milliseconds(400));
+    watch_.OnNews({11, false, true, true, now_, false, true}, now_);
+    CPPUNIT_ASSERT(watch_.Next(5, now_) == Step::kCheck);
+  }
+
  private:
   // Answers of peers are waited for no longer than a quarter of the bound.
   void AssertAsksAPeerThenTheStore(uint32_t rank) {
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -18,7 +18,7 @@
 constexpr milliseconds kTick{25};          // Resolution of the catalog's calls.
 constexpr milliseconds kSettleTime{5000};  // Until members have found each other.
 constexpr uint32_t kUnsettledRanks = 8;    // Until then: one of these, by the order's hash.
-constexpr size_t kMostQuestions = 256;     // Kept until the catalog is known.
+constexpr size_t kMostQuestions = 256;     // Kept until we know what they ask for.
 constexpr size_t kFewPeers = 20;           // Each is told of a change at once; among more one
                                            // of each other domain passes it on.
 constexpr milliseconds kSecond{1000};
@@ -132,7 +132,7 @@
   };
   listener.on_servers = [this](const std::vector<BackendServer>& servers) { OnServers(servers); };
   listener.tell = [this](const CatalogNews& news) { Tell(news); };
-  listener.ask = [this] { AskPeer(); };
+  listener.ask = [this](CatalogQuestion question) { AskPeer(std::move(question)); };
   listener.on_store = [this](const std::string& table, const std::string& error) {
     log_.Write(error.empty() ? LogLevel::kInfo : LogLevel::kWarning,
                error.empty() ? "store regained" : "store lost",
@@ -238,7 +238,6 @@
 void RoutedEntry::ApplyCatalog() {
   scheduling_.ApplyCatalog(*manifest_, servers_);
   dispatcher_.PollSoon();
-  AnswerWaitingQuestions();
 }
 
 // One entry VM of each other domain, another one each time.
@@ -253,37 +252,47 @@
   if (all_peers_.size() <= kFewPeers) return datagrams_.Send(all_peers_, EncodeZoneMessage(news));
   CatalogNews relayed = news;
   relayed.relay = true;
-  datagrams_.Send(near_peers_, EncodeZoneMessage(news));
+  // The relays first: what a full link loses is lost for all of their domain.
   datagrams_.Send(NextRelays(), EncodeZoneMessage(relayed));
+  datagrams_.Send(near_peers_, EncodeZoneMessage(news));
 }
 
-void RoutedEntry::AskPeer() {
+void RoutedEntry::AskPeer(CatalogQuestion question) {
   // Another one each time: all questions to the reader would fill its link.
   const std::vector<Endpoint>& others = near_peers_.empty() ? settings_.peer.seeds : near_peers_;
   if (others.empty()) return;
-  const CatalogQuestion question{settings_.peer.advertise, manifest_->revision};
+  question.reply_to = settings_.peer.advertise;
+  if (news_from_afar_) return datagrams_.Send({*news_from_afar_}, EncodeZoneMessage(question));
   datagrams_.Send({others[next_asked_++ % others.size()]}, EncodeZoneMessage(question));
 }
 
 void RoutedEntry::OnQuestion(const CatalogQuestion& question) {
-  const std::optional<CatalogNews> answer = follower_.AnswerQuestion(question.revision);
+  const std::optional<CatalogNews> answer = follower_.AnswerQuestion(question);
   if (answer) return datagrams_.Send({question.reply_to}, EncodeZoneMessage(*answer));
+  std::erase_if(questions_, [&question](const CatalogQuestion& it) {
+    return it.reply_to == question.reply_to;
+  });
   if (questions_.size() < kMostQuestions) questions_.push_back(question);
 }
 
-// After a start of all, everyone asks the seeds before these have heard from the store.
+// After a start of all, everyone asks the seeds before these have heard from the store; and those
+// that missed a change ask each other.
 void RoutedEntry::AnswerWaitingQuestions() {
   if (!follower_.Ready()) return;
   for (const CatalogQuestion& question : std::exchange(questions_, {})) OnQuestion(question);
 }
 
-void RoutedEntry::OnNews(const CatalogNews& news) {
+void RoutedEntry::OnNews(const Endpoint& from, const CatalogNews& news) {
   if (news.relay) {
     CatalogNews relayed = news;
     relayed.relay = false;
     datagrams_.Send(near_peers_, EncodeZoneMessage(relayed));
   }
+  // What a relay lacks, its whole domain lacks.
+  if (news.relay) news_from_afar_ = from;
   follower_.OnNews(news, ElectionOrder(news.sender) < ElectionOrder(id_));
+  news_from_afar_.reset();
+  AnswerWaitingQuestions();
 }
 
 void RoutedEntry::LogMemberChange(const MemberChange& change) {
@@ -377,7 +386,7 @@
   const std::optional<ZoneMessage> message = DecodeZoneMessage(payload);
   if (!message) return metrics_.OnBadInput("datagram");
   if (const auto* question = std::get_if<CatalogQuestion>(&*message)) return OnQuestion(*question);
-  OnNews(std::get<CatalogNews>(*message));
+  OnNews(from, std::get<CatalogNews>(*message));
 }
 
 // ---- 4. Requests -------------------------------------------------------------------------------
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -73,8 +73,8 @@
   void ApplyCatalog();
   std::vector<Endpoint> NextRelays();
   void Tell(const CatalogNews& news);
-  void OnNews(const CatalogNews& news);
-  void AskPeer();
+  void OnNews(const Endpoint& from, const CatalogNews& news);
+  void AskPeer(CatalogQuestion question);
   void OnQuestion(const CatalogQuestion& question);
   void AnswerWaitingQuestions();
   void OnMembers();
@@ -130,10 +130,11 @@
   std::vector<Endpoint> near_peers_;                    // Of those in our failure domain.
   std::map<PlaceId, std::vector<Endpoint>> far_peers_;  // Of the others.
   size_t next_relay_ = 0;                               // Takes turns over far_peers_.
-  std::vector<CatalogQuestion> questions_;              // That came before we knew the catalog.
-  size_t next_asked_ = 0;                               // Takes turns over near peers or seeds.
-  uint32_t rank_ = 0;                                   // Place in the order of election.
-  MonotonicTime started_{};                             // When this process began to serve.
+  std::optional<Endpoint> news_from_afar_;  // Sender of the news that we are to relay, meanwhile.
+  std::vector<CatalogQuestion> questions_;  // About what we don't know yet.
+  size_t next_asked_ = 0;                   // Takes turns over near peers or seeds.
+  uint32_t rank_ = 0;                       // Place in the order of election.
+  MonotonicTime started_{};                 // When this process began to serve.
   LogBudget unusual_lines_;
   LogBudget usual_lines_;
   asio::signal_set signals_;
--- a/src/zone/zone_message.cc
+++ b/src/zone/zone_message.cc
@@ -102,7 +102,8 @@
           news.relay,
           news.reaches_store,
           json::binary(std::vector<uint8_t>(news.manifest.begin(), news.manifest.end())),
-          news.whole};
+          news.whole,
+          news.manifest_too_large};
 }
 
 ZoneMessage DecodeFields(const json& message) {
@@ -111,6 +112,8 @@
     const std::optional<Endpoint> reply_to = ParseEndpoint(message.at(1).get<std::string>());
     if (reply_to) question.reply_to = *reply_to;
     question.revision = message.at(2).get<uint64_t>();
+    question.manifest_version = message.at(3).get<uint64_t>();
+    question.servers_version = message.at(4).get<uint64_t>();
     return question;
   }
   CatalogNews news;
@@ -128,6 +131,7 @@
   const json::binary_t& manifest = message.at(12).get_binary();
   news.manifest.assign(manifest.begin(), manifest.end());
   news.whole = message.at(13).get<bool>();
+  news.manifest_too_large = message.at(14).get<bool>();
   return news;
 }
 
@@ -136,7 +140,8 @@
 std::string EncodeZoneMessage(const ZoneMessage& message) {
   json fields;
   if (const auto* question = std::get_if<CatalogQuestion>(&message)) {
-    fields = {kQuestion, question->reply_to.ToString(), question->revision};
+    fields = {kQuestion, question->reply_to.ToString(), question->revision,
+              question->manifest_version, question->servers_version};
   } else {
     fields = EncodeNews(std::get<CatalogNews>(message));
   }
--- a/src/zone/zone_message.h
+++ b/src/zone/zone_message.h
@@ -29,15 +29,19 @@
   std::chrono::milliseconds servers_age{0};
   std::vector<BackendServer> changed;
   std::vector<BackendServerId> gone;
-  std::string manifest;  // EncodeManifest of it; empty: not told this time.
-  bool whole = false;    // `changed` holds all servers there are; nothing needs to be known before.
-  bool relay = false;    // From another failure domain: the receiver passes it on within its own.
+  std::string manifest;             // EncodeManifest of it; empty: not told this time.
+  bool manifest_too_large = false;  // For a message: it is in the store only.
+  bool whole = false;  // `changed` holds all servers there are; nothing needs to be known before.
+  bool relay = false;  // From another failure domain: the receiver passes it on within its own.
 };
 
-// Asks for the whole catalog. An entry VM that has it answers with CatalogNews.
+// Asks for the whole catalog. An entry VM that has it answers with CatalogNews; one that lacks what
+// the sender lacks answers once it has it.
 struct CatalogQuestion {
   Endpoint reply_to;      // The sender's peer address.
   uint64_t revision = 0;  // Of the manifest that the sender has; a newer one comes with the answer.
+  uint64_t manifest_version = 0;  // The newest ones that the sender has heard of; 0: none.
+  uint64_t servers_version = 0;
 };
 
 using ZoneMessage = std::variant<CatalogNews, CatalogQuestion>;
--- a/src/zone/zone_message_test.cc
+++ b/src/zone/zone_message_test.cc
@@ -31,6 +31,7 @@
     news.reaches_store = true;
     news.servers_age = milliseconds(40);
     news.whole = true;
+    news.manifest_too_large = true;
     news.manifest = std::string("\0\xff bytes", 8);
     BackendServer server;
     server.id = BackendServerId("a");
@@ -47,16 +48,19 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{9}, back.servers_version);
     CPPUNIT_ASSERT(back.changed == news.changed);
     CPPUNIT_ASSERT(back.gone == news.gone);
-    CPPUNIT_ASSERT(back.reaches_store && !back.relay && back.whole);
+    CPPUNIT_ASSERT(back.reaches_store && !back.relay && back.whole && back.manifest_too_large);
     CPPUNIT_ASSERT(back.servers_age == milliseconds(40));
     CPPUNIT_ASSERT_EQUAL(news.manifest, back.manifest);
   }
 
   void Question_Encoded_ComesBackTheSame() {
-    const auto message = DecodeZoneMessage(EncodeZoneMessage(CatalogQuestion{{"10.0.0.7", 81}, 5}));
+    const auto message =
+        DecodeZoneMessage(EncodeZoneMessage(CatalogQuestion{{"10.0.0.7", 81}, 5, 6, 7}));
     const auto& back = std::get<CatalogQuestion>(message.value());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.7:81"), back.reply_to.ToString());
     CPPUNIT_ASSERT_EQUAL(uint64_t{5}, back.revision);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{6}, back.manifest_version);
+    CPPUNIT_ASSERT_EQUAL(uint64_t{7}, back.servers_version);
   }
 
   // Found by a measured day: 410 routes more, sent whole to each of 18 peers, filled small links.
