A starting entry VM reads the store after its patience, and holds requests until it knows the catalog

Change: the wait for a peer's answer at the start ends with the patience. Requests of the first 400 ms wait for the catalog, 10 ms at a time; later ones are refused at once as before.

Ruled out: loading of libraries (0.2 ms); slow placing after the start (waits of 1 to 9 ms, answers after 150 to 300 ms). Callers' own pause after a failed connection spreads them over the second after the start; that is theirs.

Tests seen failing: Next_AtStartOfAll_TurnsToTheStoreWhenThePatienceIsOver, Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown.

--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -56,10 +56,14 @@
     if (calling_ || now < not_before_) return Step::kNone;
     if (!known_) {
       if (!first_step_) first_step_ = now;
-      if (now - *first_step_ < times_.start_patience) return AskPeers(now);
+      const Duration left = times_.start_patience - (now - *first_step_);
+      if (left > Duration{}) return AskPeers(std::min<Duration>(left, times_.peer_patience), now);
       return Begin(Step::kReadWhole, now);
     }
-    if (behind_) return asks_ < times_.most_asks ? AskPeers(now) : Begin(Step::kCheck, now);
+    if (behind_) {
+      return asks_ < times_.most_asks ? AskPeers(times_.peer_patience, now)
+                                      : Begin(Step::kCheck, now);
+    }
     if (rank == 0 || reading_) return Begin(Step::kWatch, now);
     if (now - confirmed_ > PatienceOf(rank, now)) {
       taking_over_ = true;
@@ -157,9 +161,9 @@
     return times_.patience + times_.patience_step * std::min(rank, times_.most_steps);
   }
 
-  Step AskPeers(MonotonicTime now) {
+  Step AskPeers(Duration wait, MonotonicTime now) {
     ++asks_;
-    not_before_ = now + times_.peer_patience;
+    not_before_ = now + wait;
     return Step::kAskPeers;
   }
 
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(OnFailure_WhileLeadersAreHeard_BacksOffLonger);
   CPPUNIT_TEST(OnNews_OfAChangeWhileBackedOff_AsksAtOnce);
   CPPUNIT_TEST(Next_AtStartWithPeers_AsksThemFirst);
+  CPPUNIT_TEST(Next_AtStartOfAll_TurnsToTheStoreWhenThePatienceIsOver);
   CPPUNIT_TEST(Next_WithAPeersAnswer_LeavesTheStoreAlone);
   CPPUNIT_TEST(Next_BehindWithoutAStore_KeepsAskingPeers);
   CPPUNIT_TEST(OnNews_WholeFromOneThatIsBehindToo_AsksOn);
@@ -224,6 +225,18 @@
     CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kReadWhole);
   }
 
+  // After a power-off of all, no peer knows more.
+  void Next_AtStartOfAll_TurnsToTheStoreWhenThePatienceIsOver() {
+    TableWatchTimes times;
+    times.start_patience = milliseconds(40);
+    watch_ = TableWatch(times);
+    CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kAskPeers);
+    Pass(milliseconds(30));
+    CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kNone);
+    Pass(milliseconds(10));
+    CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kReadWhole);
+  }
+
   void Next_WithAPeersAnswer_LeavesTheStoreAlone() {
     ReadWhole(5);
     Pass(milliseconds(400));
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -17,6 +17,8 @@
 
 constexpr milliseconds kTick{25};          // Resolution of the catalog's calls.
 constexpr milliseconds kSettleTime{5000};  // Until members have found each other.
+constexpr milliseconds kStartWait{400};    // Requests are held so long after the start, until the
+                                           // catalog is known; a store that answers needs 100.
 constexpr uint32_t kUnsettledRanks = 8;    // Until then: one of these, by the order's hash.
 constexpr size_t kMostQuestions = 256;     // Kept until we know what they ask for.
 constexpr size_t kFewPeers = 20;           // Each is told of a change at once; among more one
@@ -101,6 +103,7 @@
   ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, nullptr};
   context.manifest = [this] { return manifest_; };
   context.ready = [this] { return follower_.Ready(); };
+  context.starting = [this] { return clock_.Now() - started_ < kStartWait; };
   context.on_report = [this](const BackendServerId& server, const Report& report) {
     scheduling_.OnAnswerReport(server, report);
   };
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -16,8 +16,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRetryAfterDeadline{1000};  // Told to callers whose deadline passed.
-constexpr milliseconds kRetryAfterStart{150};      // Told to callers of an entry VM that has just
-                                                   // started: it learns the manifest within this.
+constexpr milliseconds kRetryAfterStart{150};      // Told to callers of an entry VM that does not
+                                                   // know the manifest yet.
+constexpr milliseconds kReadyPoll{10};             // While requests wait for it at a start.
 
 // What a caller is told whose claim was not granted.
 Verdict VerdictOf(const ClaimAnswer& answer) {
@@ -79,6 +80,7 @@
 void Exchange::Start() {
   end_.started = context_.clock.WallNow();
   if (!context_.ready()) {
+    if (context_.starting && context_.starting()) return StartSoon();
     meta_.id = ReadRequestId(head_, context_.ids);
     return AnswerVerdict({503, Outcome::kNotRun, kRetryAfterStart, "proxy_configuration_error",
                           "this entry VM does not know the manifest in force yet"});
@@ -117,6 +119,15 @@
   });
 }
 
+void Exchange::StartSoon() {
+  timer_.expires_after(kReadyPoll);
+  timer_.async_wait([self = shared_from_this()](std::error_code ec) {
+    if (ec) return;
+    self->manifest_ = self->context_.manifest();
+    self->Start();
+  });
+}
+
 void Exchange::ReadFirstPart() {
   caller_->Read(
       [self = shared_from_this()](const HttpEvent& event) { self->OnRequestBody(event); });
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -57,6 +57,7 @@
   enum class TimerUse { kDeadline, kBackendSilence, kCallerSilence };
 
   // 1. Start
+  void StartSoon();
   void ReadFirstPart();
   void OnRequestBody(const HttpEvent& event);
   void OnFirstPartRead();
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -64,7 +64,8 @@
   BackendPool& pool;
   EntryClaims* claims;  // Null: keys of requests are passed on and not looked at.
   std::function<std::shared_ptr<const Manifest>()> manifest = {};  // In force now.
-  std::function<bool()> ready = {};  // Whether requests may be decided yet.
+  std::function<bool()> ready = {};     // Whether requests may be decided yet.
+  std::function<bool()> starting = {};  // Not ready, but may be at any moment; unset: never.
   std::function<std::string(const std::string& caller_ip, const std::string& query)> lookup = {};
   std::function<void(const BackendServerId&, const Report&)> on_report = {};  // Seen on an answer.
   RequestObserver observer = {};
--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -61,6 +61,14 @@
 
   void OnRequest(const HttpExchange& exchange) {
     ++reads_;
+    if (mode_ == "slow") return Later(loop_, kSlow, [this, exchange] { Decide(exchange); });
+    Decide(exchange);
+  }
+
+ private:
+  static constexpr milliseconds kSlow{100};
+
+  void Decide(const HttpExchange& exchange) {
     if (mode_ == "busy") return exchange.Answer({503, {}, "", {}});
     if (mode_ == "reset") return exchange.Drop();
     if (mode_ == "silent") return silent_.push_back(exchange);
@@ -76,7 +84,6 @@
     Later(loop_, milliseconds(NumberOr(request.Query("wait-ms"), 0)), [this, it] { EndWait(it); });
   }
 
- private:
   struct Row {
     std::string table;
     std::string key;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(Server_Leaving_GetsNoNewWorkInTime);
   CPPUNIT_TEST(Server_WithAForgedRow_IsNotUsed);
   CPPUNIT_TEST(Store_Silent_ServesOnAndCatchesUp);
+  CPPUNIT_TEST(Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown);
   CPPUNIT_TEST(Store_ThatForgotItsHistory_IsReadAgain);
   CPPUNIT_TEST(Store_WithQuietTables_IsAskedByOneEntryVm);
   CPPUNIT_TEST(UnsafeRequest_WithACutAnswer_RunsOnceAndPromisesNothing);
@@ -138,6 +139,19 @@
         milliseconds(3000) + kManifestBound));
   }
 
+  void Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown() {
+    Fleet fleet(1);
+    fleet.Entry(0).process->Signal(SIGKILL);
+    fleet.Entry(0).process->Wait(milliseconds(4000));
+    fleet.Control("PUT", "/control/store?mode=slow");
+    fleet.Start(0);
+    int status = 0;
+    for (int n = 0; status == 0; ++n) {
+      status = fleet.StatusOfSend(0, "/a/x", "early-" + std::to_string(n));
+    }
+    CPPUNIT_ASSERT_EQUAL(200, status);
+  }
+
   void Store_ThatForgotItsHistory_IsReadAgain() {
     Fleet fleet(2);
     fleet.Control("PUT", "/control/store?mode=busy");
