--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -11,8 +11,10 @@
 //     work several times slower for half a second, servers that slow down when nearly full;
 //   - at most as many requests at a server as it has slots; the others queue here, in order of rank
 //     and target, and go where a slot comes free first: bursts;
-//   - what can't be in time any more leaves the slots that can serve others in time to those, and
-//     takes what is left over, such as slow hosts: overload;
+//   - what can't be in time any more leaves the slots to those of its rank that can be, and takes
+//     what is left over, such as slow hosts: overload;
+//   - who was refused and came back counts from when it first asked (return_estimate.h): overload
+//     that lasts, and the time after an outage;
 //   - what can't be answered before its deadline is refused at once, with the time by which the
 //     queue should be shorter.
 //
