A second attempt that could not be had is asked for again

Their second attempt was due once, was declined as no slot was free or the retry budget was used up at that moment, and never asked for again.

Change: it is due again 100 ms later, until the request is over. It still needs a free slot, an empty queue and the budget.

Test seen failing: Hedge_WithoutAFreeServer_IsDueAgain.

--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -132,7 +132,7 @@
   if (attempt == nullptr) return;
   StopTimer(*attempt);
   if (attempt->asks >= kMostAsks || now >= request->asked.deadline) {
-    return GiveUp(*request, *attempt, {0, RefusalCause::kOverload, kRetryAfter});
+    return GiveUp(*request, *attempt, {0, RefusalCause::kOverload, kRetryAfter}, now);
   }
   const bool silent = attempt->stage == Stage::kAsking && attempt->scheduler != self_ &&
                       ++attempt->unanswered >= kUnanswered;
@@ -183,7 +183,7 @@
     case ScheduleReply::Kind::kAssigned:
       return OnAssigned(from, *request, *attempt, reply, now);
     case ScheduleReply::Kind::kRefused:
-      return GiveUp(*request, *attempt, {0, reply.cause, reply.retry_after});
+      return GiveUp(*request, *attempt, {0, reply.cause, reply.retry_after}, now);
   }
 }
 
@@ -203,7 +203,7 @@
     by_ask_[attempt.ask] = request.asked.ticket;
     attempt.stage = Stage::kAsking;
     if (attempt.asks >= kMostAsks) {
-      return GiveUp(request, attempt, {0, RefusalCause::kNoBackendServer, kRetryAfter});
+      return GiveUp(request, attempt, {0, RefusalCause::kNoBackendServer, kRetryAfter}, now);
     }
     return Ask(request, attempt, now);
   }
@@ -229,11 +229,13 @@
   ready_.emplace_back(std::move(send));
 }
 
-void RequestPlanner::GiveUp(Request& request, Attempt& attempt, const Refuse& refuse) {
+void RequestPlanner::GiveUp(Request& request, Attempt& attempt, const Refuse& refuse,
+                            MonotonicTime now) {
   by_ask_.erase(attempt.ask);
   attempt.stage = Stage::kEnded;
   if (attempt.hedge) {
-    // As if it had not been asked for: it may be asked for again, and is none of the attempts.
+    // As if it had not been asked for: it is asked for again, and is none of the attempts.
+    hedges_.emplace(now + kHedgeAgain, request.asked.ticket);
     const AskId ask = attempt.ask;
     std::erase_if(request.attempts, [ask](const Attempt& it) { return it.ask == ask; });
     return;
@@ -322,6 +324,7 @@
     return std::nullopt;
   }
   if (!services_[request.asked.service].budget.Affordable(terms_, entry_vms_, now)) {
+    hedges_.emplace(now + kHedgeAgain, ticket);
     return std::nullopt;
   }
   Begin(request, true, now);
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -45,6 +45,9 @@
   static constexpr double kHedgeSoonest = 1.4;
   static constexpr double kHedgeWork = 1.3;
   static constexpr std::chrono::milliseconds kHedgeFloor{20};
+  // One that was not to be had is asked for again after this: slots come free about as often. A
+  // server that hangs is left in the end, also when the answer will be late.
+  static constexpr std::chrono::milliseconds kHedgeAgain{100};
   // Told to callers when no scheduler told one: a server failed, and a caller that comes back soon
   // finds another.
   static constexpr std::chrono::milliseconds kRetryAfter{50};
@@ -129,7 +132,7 @@
   void OnAssigned(const Endpoint& from, Request& request, Attempt& attempt,
                   const ScheduleReply& reply, MonotonicTime now);
   void End(Attempt& attempt, const AttemptResult& result);
-  void GiveUp(Request& request, Attempt& attempt, const Refuse& refuse);
+  void GiveUp(Request& request, Attempt& attempt, const Refuse& refuse, MonotonicTime now);
   Attempt* FindAttempt(AskId ask, Request** request);
   void ForgetIfOver(Ticket ticket);
   static std::string Reason(const Endpoint& from, const ScheduleReply& reply);
--- a/src/schedule/scheduling_test.cc
+++ b/src/schedule/scheduling_test.cc
@@ -217,6 +217,7 @@
   CPPUNIT_TEST(Hedge_UnsafeWork_IsNeverSentTwice);
   CPPUNIT_TEST(Hedge_OverdueWork_GoesToAFreeServer);
   CPPUNIT_TEST(Hedge_WithoutAFreeServer_ChargesNothing);
+  CPPUNIT_TEST(Hedge_WithoutAFreeServer_IsDueAgain);
   CPPUNIT_TEST(SlowStart_ToldByTheScheduler_IsHedgedAtOnce);
   CPPUNIT_TEST(Probes_OfOneCell_ComeFromOneEntryVm);
   CPPUNIT_TEST(Probes_WithoutRequests_AreFew);
@@ -471,6 +472,33 @@
     CPPUNIT_ASSERT(std::holds_alternative<Wait>(vm.planner->Retry(request.ticket, fleet_->Now())));
   }
 
+  // A server hangs while all others are busy for a moment.
+  void Hedge_WithoutAFreeServer_IsDueAgain() {
+    SetUpFleet(4, 1);
+    auto& vm = fleet_->OtherIn("a");
+    const ChoiceRequest request = Request();
+    vm.planner->Choose(request, fleet_->Now());
+    fleet_->Advance(milliseconds(3));
+    const SendTo hung = Sent().at(0);
+    for (int i = 0; i < 5; ++i) Choose(vm);
+    fleet_->Advance(milliseconds(3));
+    const std::vector<SendTo> others = Sent();
+    CPPUNIT_ASSERT_EQUAL(size_t{5}, others.size());
+    fleet_->answers_probes = false;
+    vm.planner->Hedge(request.ticket, fleet_->Now());
+    fleet_->Advance(RequestPlanner::kHedgeAgain + milliseconds(5));
+    CPPUNIT_ASSERT(Sent().empty());
+    const std::vector<Ticket> due = vm.planner->HedgeDue(fleet_->Now());
+    CPPUNIT_ASSERT(std::find(due.begin(), due.end(), request.ticket) != due.end());
+    for (const SendTo& send : others) {
+      if (send.server != hung.server) Fail(vm, send, AttemptEnd::kCut);
+    }
+    fleet_->Advance(milliseconds(3));
+    vm.planner->Hedge(request.ticket, fleet_->Now());
+    fleet_->Advance(milliseconds(3));
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, Sent().size());
+  }
+
   void SlowStart_ToldByTheScheduler_IsHedgedAtOnce() {
     auto& vm = fleet_->OtherIn("a");
     fleet_->Advance(milliseconds(20));
