--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -18,7 +18,7 @@
 constexpr milliseconds kTick{25};          // Resolution of the catalog's calls.
 constexpr milliseconds kSettleTime{5000};  // Until members have found each other.
 constexpr milliseconds kStartWait{400};    // Requests are held so long after the start, until the
-                                           // catalog is known; a store that answers needs 100.
+                                           // catalog is known; a store that answers needs 100 ms.
 constexpr uint32_t kUnsettledRanks = 8;    // Until then: one of these, by the order's hash.
 constexpr size_t kMostQuestions = 256;     // Kept until we know what they ask for.
 constexpr size_t kFewPeers = 20;           // Each is told of a change at once; among more one
