--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -21,10 +21,6 @@
                                              // only show that servers live.
 constexpr milliseconds kAfterStep{2};        // A host's step is looked at so long after it.
 
-Duration Times(Duration duration, double factor) {
-  return duration_cast<Duration>(duration * factor);
-}
-
 // The turns of one cell's queue, most urgent first, then by target.
 using QueueKey = std::tuple<uint32_t, MonotonicTime, AssignmentId>;
 
@@ -238,11 +234,7 @@
   request.cell = &CellOf(asked.cell);
   request.came = now;
   Cell& cell = *request.cell;
-  if (cell.servers.empty()) {
-    const Declined refused = Decline(request, RefusalCause::kNoBackendServer, now);
-    requests_.erase(asked.id);
-    return refused;
-  }
+  if (cell.servers.empty()) return Decline(request, RefusalCause::kNoBackendServer, now);
   if (asked.hedge) {
     Candidates free = Free(cell, now);
     const Duration work = WorkOf(cell, asked, now).Mean();
@@ -250,9 +242,7 @@
     if (best && cell.waiting.empty() && now + Times(work, free[*best].pace) <= asked.deadline) {
       return Give(free, *best, request, work, now);
     }
-    const Declined refused = Decline(request, RefusalCause::kOverload, now);
-    requests_.erase(asked.id);
-    return refused;
+    return Decline(request, RefusalCause::kOverload, now);
   }
   const bool hopeless = !MayWait(cell, request, WorkOf(cell, asked, now).Mean(), now);
   request.waiting = true;
@@ -350,10 +340,10 @@
     LeaveQueue(request);
     turns_.emplace_back(
         Decline(request, any ? RefusalCause::kOverload : RefusalCause::kNoBackendServer, now));
-    requests_.erase(id);
   }
 }
 
+// The request is gone after it.
 Declined Balancer::Decline(const Request& request, RefusalCause cause, MonotonicTime now) {
   Declined refused;
   refused.id = request.asked.id;
@@ -366,6 +356,7 @@
   // Spread, so that those refused together don't come back together.
   std::uniform_real_distribution<double> spread(0.75, 1.75);
   refused.retry_after = duration_cast<milliseconds>(Times(wait, spread(random_)));
+  requests_.erase(refused.id);
   return refused;
 }
 
@@ -400,7 +391,7 @@
 
 // ---- What is heard of servers ------------------------------------------------------------------
 
-void Balancer::Forget(AssignmentId id) {
+void Balancer::Withdraw(AssignmentId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
   LeaveQueue(it->second);
@@ -411,11 +402,9 @@
   requests_.erase(it);
 }
 
-void Balancer::Withdraw(AssignmentId id) { Forget(id); }
-
 void Balancer::OnEnded(AssignmentId id, const AttemptResult& result, MonotonicTime now) {
   const auto it = requests_.find(id);
-  if (it == requests_.end() || it->second.server == nullptr) return Forget(id);
+  if (it == requests_.end() || it->second.server == nullptr) return Withdraw(id);
   const Request& request = it->second;
   Server& server = *request.server;
   const BackendServerId name = server.config.id;
@@ -451,7 +440,7 @@
       }
       break;
   }
-  Forget(id);
+  Withdraw(id);
   if (result.report) OnReport(name, *result.report, now);
 }
 
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -151,7 +151,6 @@
   double Throughput(Cell& cell, bool fast_only, MonotonicTime now) const;
   Declined Decline(const Request& request, RefusalCause cause, MonotonicTime now);
   WorkEstimate& WorkOf(Cell& cell, const AssignmentRequest& asked, MonotonicTime now);
-  void Forget(AssignmentId id);
   void NoteSlowStarts(Server& server);
 
   std::mt19937_64 random_;
--- a/src/balance/return_estimate.h
+++ b/src/balance/return_estimate.h
@@ -41,7 +41,7 @@
     const auto at =
         sorted.begin() + static_cast<std::ptrdiff_t>(kQuantile * static_cast<double>(count_ - 1));
     std::nth_element(sorted.begin(), at, end);
-    usual_ = std::chrono::duration_cast<Duration>(*at * kVaries);
+    usual_ = Times(*at, kVaries);
   }
 
   std::array<Duration, kKept> kept_{};
--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -100,7 +100,6 @@
     return steps_.NextLook(sampled_, *interval);
   }
 
-  uint32_t Open() const { return static_cast<uint32_t>(open_.size()); }
   bool Known() const { return known_; }
   MonotonicTime Sampled() const { return sampled_; }
 
--- a/src/balance/shared_retry_budget.h
+++ b/src/balance/shared_retry_budget.h
@@ -20,13 +20,19 @@
  public:
   static constexpr double kMargin = 0.7;  // Share of the budget that is used.
 
-  void OnRequest(MonotonicTime now) { requests_.push_back(now); }
+  explicit SharedRetryBudget(RetrySettings terms) : terms_(terms) {}
 
-  bool Affordable(const RetrySettings& terms, size_t entry_vms, MonotonicTime now) {
-    Forget(requests_, now - terms.window);
-    Forget(repeats_, now - terms.window);
-    const double part = terms.slack / static_cast<double>(std::max<size_t>(entry_vms, 1));
-    const double most = kMargin * (terms.ratio * static_cast<double>(requests_.size()) + part);
+  void OnRequest(MonotonicTime now) {
+    // Here too: a service whose requests never fail is never asked whether it can afford more.
+    Forget(requests_, now - terms_.window);
+    requests_.push_back(now);
+  }
+
+  bool Affordable(size_t entry_vms, MonotonicTime now) {
+    Forget(requests_, now - terms_.window);
+    Forget(repeats_, now - terms_.window);
+    const double part = terms_.slack / static_cast<double>(std::max<size_t>(entry_vms, 1));
+    const double most = kMargin * (terms_.ratio * static_cast<double>(requests_.size()) + part);
     return static_cast<double>(repeats_.size()) + 1.0 <= std::max(most, 0.0);
   }
   void OnRepeat(MonotonicTime now) { repeats_.push_back(now); }
@@ -36,6 +42,7 @@
     while (!times.empty() && times.front() < oldest) times.pop_front();
   }
 
+  RetrySettings terms_;
   std::deque<MonotonicTime> requests_;  // First attempts within the window.
   std::deque<MonotonicTime> repeats_;   // Further attempts within the window.
 };
--- a/src/balance/work_estimate.h
+++ b/src/balance/work_estimate.h
@@ -18,15 +18,14 @@
   static constexpr double kMostOfOne = 2.5;
   static constexpr Duration kLeast = std::chrono::milliseconds(1);
 
-  explicit WorkEstimate(Duration target)
-      : mean_(std::max(kLeast, std::chrono::duration_cast<Duration>(target * kFirstGuess))) {}
+  explicit WorkEstimate(Duration target) : mean_(std::max(kLeast, Times(target, kFirstGuess))) {}
 
   // `latency` of an answer from a server that had a free slot and worked `pace` times as long as
   // usual.
   void OnAnswer(Duration latency, double pace) {
-    const auto most = std::chrono::duration_cast<Duration>(mean_ * kMostOfOne);
-    const auto work = std::chrono::duration_cast<Duration>(latency / std::max(pace, 1.0));
-    mean_ += std::chrono::duration_cast<Duration>((std::min(work, most) - mean_) * kWeight);
+    const Duration most = Times(mean_, kMostOfOne);
+    const Duration work = Times(latency, 1 / std::max(pace, 1.0));
+    mean_ += Times(std::min(work, most) - mean_, kWeight);
     mean_ = std::max(mean_, kLeast);
   }
 
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -11,6 +11,10 @@
 using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+inline Duration Times(Duration time, double factor) {
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
+
 // Source of time. Monotonic time orders and measures; wall time only labels what people read.
 class Clock {
  public:
--- a/src/base/packed.h
+++ b/src/base/packed.h
@@ -32,7 +32,7 @@
   std::string out_;
 };
 
-// After the first read beyond the end, Good() is false and everything reads as zero.
+// After the first read beyond the end everything reads as zero, and Whole() is false.
 class PackedReader {
  public:
   explicit PackedReader(std::string_view bytes) : bytes_(bytes) {}
@@ -53,7 +53,6 @@
     at_ += n;
     return std::string(text);
   }
-  bool Good() const { return good_; }
   // Everything was read, and nothing beyond.
   bool Whole() const { return good_ && at_ == bytes_.size(); }
 
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -67,9 +67,9 @@
     if (news.whole) return OnWholeNews(news, from_before_us, now);
     // The table holds other rows too: a new version of it need not be a new manifest.
     const bool same = manifest_ != nullptr && news.revision <= manifest_->revision;
-    manifest_watch_.OnNews({news.manifest_version, same, from_before_us, news.reaches_store,
-                            now - news.manifest_age, false, news.manifest_too_large},
-                           now);
+    TableWatch::News manifest = OfManifest(news, from_before_us, now);
+    manifest.covered = same;
+    manifest_watch_.OnNews(manifest, now);
     const uint64_t before = servers_watch_.Version();
     const bool covered = news.from <= before;
     if (covered && news.servers_version > before) {
@@ -77,9 +77,9 @@
       Remember({before, news.changed, news.gone});
       TakeServers({news.servers_version, false, news.changed, news.gone}, now);
     }
-    servers_watch_.OnNews(
-        {news.servers_version, covered, from_before_us, news.reaches_store, now - news.servers_age},
-        now);
+    TableWatch::News servers = OfServers(news, from_before_us, now);
+    servers.covered = covered;
+    servers_watch_.OnNews(servers, now);
     Tick();
   }
 
@@ -131,6 +131,27 @@
     return servers_watch_.OutageWithin(ServerList::kReturnTime, now);
   }
 
+  // What news say of one table. Whether we then have all of it is for the caller to add.
+  static TableWatch::News OfManifest(const CatalogNews& news, bool from_before_us,
+                                     MonotonicTime now) {
+    TableWatch::News heard;
+    heard.version = news.manifest_version;
+    heard.from_before_us = from_before_us;
+    heard.reaches_store = news.reaches_store;
+    heard.confirmed = now - news.manifest_age;
+    heard.only_in_store = news.manifest_too_large;
+    return heard;
+  }
+  static TableWatch::News OfServers(const CatalogNews& news, bool from_before_us,
+                                    MonotonicTime now) {
+    TableWatch::News heard;
+    heard.version = news.servers_version;
+    heard.from_before_us = from_before_us;
+    heard.reaches_store = news.reaches_store;
+    heard.confirmed = now - news.servers_age;
+    return heard;
+  }
+
   // An answer to our question. Whoever sent it need not reach the store.
   void OnWholeNews(const CatalogNews& news, bool from_before_us, MonotonicTime now) {
     if (!manifest_ || news.revision < manifest_->revision) return;
@@ -139,16 +160,16 @@
                        (news.servers_version == before && !servers_watch_.Known());
     const bool same =
         news.revision == manifest_->revision;  // Else its manifest did not come along.
-    manifest_watch_.OnNews({news.manifest_version, false, from_before_us, news.reaches_store,
-                            now - news.manifest_age, same, news.manifest_too_large},
-                           now);
+    TableWatch::News manifest = OfManifest(news, from_before_us, now);
+    manifest.whole = same;
+    manifest_watch_.OnNews(manifest, now);
     if (newer) {
       told_.clear();
       TakeServers({news.servers_version, true, news.changed, {}}, now);
     }
-    servers_watch_.OnNews({news.servers_version, false, from_before_us, news.reaches_store,
-                           now - news.servers_age, true},
-                          now);
+    TableWatch::News servers = OfServers(news, from_before_us, now);
+    servers.whole = true;
+    servers_watch_.OnNews(servers, now);
     Tick();
   }
 
--- a/src/choose/service_state.h
+++ b/src/choose/service_state.h
@@ -16,10 +16,6 @@
 // Servers remembered for having just reported a free slot.
 inline constexpr size_t kHotServers = 3;
 
-inline Duration Times(Duration time, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(time.count()) * factor));
-}
-
 struct Chooser::ServiceState {
   explicit ServiceState(double slots) : window(slots) {}
 
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -512,7 +512,7 @@
 
 bool RoutedEntry::MayDepart(Duration waited) {
   if (context_.open_requests == 0 && edge_.OpenConnections() == 0) return true;
-  if (waited <= duration_cast<Duration>(settings_.stop_timeout * kWorkShare)) return false;
+  if (waited <= Times(settings_.stop_timeout, kWorkShare)) return false;
   if (context_.open_requests > 0) {
     log_.Write(LogLevel::kError, "stopping with work left",
                {{"open_requests", static_cast<int64_t>(context_.open_requests)}});
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -66,7 +66,6 @@
       caller_(std::move(caller)),
       head_(std::move(head)),
       done_(std::move(done)),
-      manifest_(context.manifest()),
       timer_(context.io),
       started_(context.clock.Now()) {
   ++context_.open_requests;
@@ -79,12 +78,24 @@
 
 void Exchange::Start() {
   end_.started = context_.clock.WallNow();
-  if (!context_.ready()) {
-    if (context_.starting && context_.starting()) return StartSoon();
+  AwaitCatalog();
+}
+
+void Exchange::AwaitCatalog() {
+  if (context_.ready()) return Admit();
+  if (!context_.starting || !context_.starting()) {
     meta_.id = ReadRequestId(head_, context_.ids);
     return AnswerVerdict({503, Outcome::kNotRun, kRetryAfterStart, "proxy_configuration_error",
                           "this entry VM does not know the manifest in force yet"});
   }
+  timer_.expires_after(kReadyPoll);
+  timer_.async_wait([self = shared_from_this()](std::error_code ec) {
+    if (!ec) self->AwaitCatalog();
+  });
+}
+
+void Exchange::Admit() {
+  manifest_ = context_.manifest();
   auto result = context_.wire.read_request(head_, *manifest_, context_.ids);
   if (!Ok(result)) {
     const BadRequest bad = ErrorOf(result);
@@ -109,7 +120,7 @@
   ticket_ = context_.next_ticket++;
   context_.exchanges[ticket_] = this;
   end_.record = context_.observer.on_started(meta_, end_.started);
-  Arm(TimerUse::kDeadline, deadline_ - started_);
+  Arm(TimerUse::kDeadline, deadline_ - context_.clock.Now());
   const bool wants_continue = head_.Find("expect").value_or("") == "100-continue";
   if (!wants_continue) return ReadFirstPart();
   caller_->Write("HTTP/1.1 100 Continue\r\n\r\n", [self = shared_from_this()](bool ok) {
@@ -119,15 +130,6 @@
   });
 }
 
-void Exchange::StartSoon() {
-  timer_.expires_after(kReadyPoll);
-  timer_.async_wait([self = shared_from_this()](std::error_code ec) {
-    if (ec) return;
-    self->manifest_ = self->context_.manifest();
-    self->Start();
-  });
-}
-
 void Exchange::ReadFirstPart() {
   caller_->Read(
       [self = shared_from_this()](const HttpEvent& event) { self->OnRequestBody(event); });
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -57,7 +57,8 @@
   enum class TimerUse { kDeadline, kBackendSilence, kCallerSilence };
 
   // 1. Start
-  void StartSoon();
+  void AwaitCatalog();
+  void Admit();
   void ReadFirstPart();
   void OnRequestBody(const HttpEvent& event);
   void OnFirstPartRead();
--- a/src/measure/probe_grant.cc
+++ b/src/measure/probe_grant.cc
@@ -13,10 +13,6 @@
 
 constexpr int kGrantVersion = 1;
 
-Duration Times(Duration time, double factor) {
-  return Duration(static_cast<int64_t>(static_cast<double>(time.count()) * factor));
-}
-
 }  // namespace
 
 std::string GrantKey(const ServiceId& service) { return "probes/" + service.Text(); }
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -14,10 +14,6 @@
 
 constexpr milliseconds kMostTargetLeft{0xffff};  // What an ask can carry.
 
-Duration Times(Duration duration, double factor) {
-  return duration_cast<Duration>(duration * factor);
-}
-
 milliseconds Left(MonotonicTime until, MonotonicTime now) {
   return duration_cast<milliseconds>(std::max(until - now, Duration{}));
 }
@@ -32,7 +28,7 @@
 
 void RequestPlanner::ApplyServers(const std::vector<Service>& services,
                                   const std::vector<BackendServer>& servers) {
-  for (const Service& service : services) services_[service.id];
+  for (const Service& service : services) budgets_.try_emplace(service.id, terms_);
   cell_map_ = CellMap(servers);
   auto before = std::exchange(servers_, {});
   by_tag_.clear();
@@ -61,11 +57,11 @@
 // ---- Asking ------------------------------------------------------------------------------------
 
 Choice RequestPlanner::Choose(const ChoiceRequest& asked, MonotonicTime now) {
-  const auto service = services_.find(asked.service);
-  if (service == services_.end()) {
+  const auto budget = budgets_.find(asked.service);
+  if (budget == budgets_.end()) {
     return Refuse{asked.ticket, RefusalCause::kUnknownService, kRetryAfter};
   }
-  service->second.budget.OnRequest(now);
+  budget->second.OnRequest(now);
   Request& request = requests_[asked.ticket];
   request.asked = asked;
   Begin(request, false, now);
@@ -163,9 +159,7 @@
   silent_until_.erase(from);
   Request* request = nullptr;
   Attempt* attempt = FindAttempt(reply.id, &request);
-  const bool wanted =
-      attempt != nullptr && (attempt->stage == Stage::kAsking || attempt->stage == Stage::kQueued);
-  if (!wanted) {
+  if (attempt == nullptr || !attempt->Waits()) {
     // Another one assigned a server too, or the request is over: that slot is free.
     const bool same = attempt != nullptr && attempt->stage == Stage::kSent &&
                       attempt->scheduler == from && TagOf(attempt->server.Text()) == reply.server;
@@ -210,9 +204,8 @@
   attempt.stage = Stage::kSent;
   attempt.scheduler = from;
   attempt.server = id->second;
-  attempt.sent = now;
   const bool first = request.attempts.size() == 1;
-  if (!first) services_[request.asked.service].budget.OnRepeat(now);
+  if (!first) budgets_.at(request.asked.service).OnRepeat(now);
   if (request.asked.repeatable) {
     const MonotonicTime target = request.asked.target.value_or(request.asked.deadline);
     const Duration patience = std::clamp<Duration>(target - Times(reply.work, kHedgeWork) - now,
@@ -304,7 +297,7 @@
   Request& request = requests_.at(ticket);
   const uint32_t most = request.asked.max_attempts;
   const bool may = most == 0 || request.attempts.size() < most;
-  if (!may || !services_[request.asked.service].budget.Affordable(terms_, entry_vms_, now)) {
+  if (!may || !budgets_.at(request.asked.service).Affordable(entry_vms_, now)) {
     return Refuse{ticket, RefusalCause::kRetryBudget, kRetryAfter};
   }
   Begin(request, false, now);
@@ -316,14 +309,12 @@
   if (it == requests_.end() || it->second.finished) return std::nullopt;
   Request& request = it->second;
   const uint32_t most = request.asked.max_attempts;
-  const bool waits =
-      std::any_of(request.attempts.begin(), request.attempts.end(), [](const Attempt& attempt) {
-        return attempt.stage == Stage::kAsking || attempt.stage == Stage::kQueued;
-      });
+  const bool waits = std::any_of(request.attempts.begin(), request.attempts.end(),
+                                 [](const Attempt& attempt) { return attempt.Waits(); });
   if (waits || !request.asked.repeatable || (most != 0 && request.attempts.size() >= most)) {
     return std::nullopt;
   }
-  if (!services_[request.asked.service].budget.Affordable(terms_, entry_vms_, now)) {
+  if (!budgets_.at(request.asked.service).Affordable(entry_vms_, now)) {
     hedges_.emplace(now + kHedgeAgain, ticket);
     return std::nullopt;
   }
@@ -336,8 +327,7 @@
   if (it == requests_.end()) return;
   it->second.finished = true;
   for (Attempt& attempt : it->second.attempts) {
-    const bool waits = attempt.stage == Stage::kAsking || attempt.stage == Stage::kQueued;
-    if (waits) End(attempt, {AttemptEnd::kCancelled, {}, {}});
+    if (attempt.Waits()) End(attempt, {AttemptEnd::kCancelled, {}, {}});
   }
   ForgetIfOver(ticket);
 }
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -84,7 +84,6 @@
 
   // Whether the server takes no new work, as far as this entry VM has heard.
   bool IsLeaving(const BackendServerId& server) const;
-  size_t Asking() const { return timers_.size(); }
   uint64_t SilentSchedulers() const { return silences_; }  // Times that one did not answer.
   const Endpoint& LastSilent() const { return last_silent_; }
 
@@ -109,7 +108,8 @@
     Endpoint scheduler;       // Last asked; of a sent attempt, the one that assigned.
     MonotonicTime patience;   // While asking or queued: until then.
     BackendServerId server;
-    MonotonicTime sent;
+    // For a scheduler's word.
+    bool Waits() const { return stage == Stage::kAsking || stage == Stage::kQueued; }
   };
   struct Request {
     ChoiceRequest asked;
@@ -117,9 +117,6 @@
     std::vector<NameTag> avoided;  // Servers assigned, but leaving or unknown here.
     bool finished = false;         // Kept only until its open attempts end.
   };
-  struct ServiceState {
-    SharedRetryBudget budget;
-  };
   using Timer = std::pair<MonotonicTime, AskId>;
   using HedgeTime = std::pair<MonotonicTime, Ticket>;
 
@@ -144,7 +141,7 @@
   SchedulerOrder order_;
   CellMap cell_map_;
   std::map<Endpoint, MonotonicTime> silent_until_;
-  std::map<ServiceId, ServiceState> services_;
+  std::map<ServiceId, SharedRetryBudget> budgets_;  // Of the services that are known.
   std::unordered_map<BackendServerId, Server> servers_;
   std::unordered_map<NameTag, BackendServerId> by_tag_;
   std::unordered_map<Ticket, Request> requests_;
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -51,7 +51,6 @@
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SilentSchedulers() const { return planner_.SilentSchedulers(); }
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
-  const Scheduler& Scheduling() const { return scheduler_; }
 
  private:
   void Deliver(const Endpoint& from, const ScheduleMessage& message);
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -12,7 +12,6 @@
 constexpr int32_t kRoom = 2;  // Free slots that another cell must have to be sent an ask: what it
                               // said is old by some arrivals.
 constexpr milliseconds kForgetInterval{500};
-constexpr milliseconds kOpenProbe{1000};  // A probe without an end: its client lost it.
 
 milliseconds AsMillis(Duration duration) {
   return duration_cast<milliseconds>(std::max(duration, Duration{}));
@@ -100,6 +99,24 @@
 
 // ---- Asks --------------------------------------------------------------------------------------
 
+AssignmentRequest Scheduler::RequestOf(const ScheduleAsk& ask, const ServiceId& service,
+                                       MonotonicTime now) const {
+  const auto place = places_.find(ask.place);
+  AssignmentRequest request;
+  request.home = place == places_.end() ? PlaceId() : place->second;
+  request.cell = cell_map_.CellOf(service, request.home);
+  request.kind = {ask.rank, ask.bulk, ask.target};
+  request.hedge = ask.hedge;
+  request.target = now + ask.target_left;
+  request.deadline = now + ask.deadline_left;
+  request.caller_left = ask.caller_left;
+  for (const NameTag tag : ask.tried) {
+    const auto it = servers_.find(tag);
+    if (it != servers_.end()) request.tried.push_back(it->second);
+  }
+  return request;
+}
+
 void Scheduler::OnAsk(const Endpoint& from, const ScheduleAsk& ask, MonotonicTime now) {
   const Endpoint asker = ask.forwarded.value_or(from);
   const auto known = by_ask_.find({asker, ask.id});
@@ -114,23 +131,8 @@
     return Reply(asker,
                  ReplyOf(ask.id, Declined{0, RefusalCause::kNoBackendServer, kNewsLifetime}));
   }
-  const auto place = places_.find(ask.place);
-  AssignmentRequest request;
-  request.home = place == places_.end() ? PlaceId() : place->second;
-  request.cell = cell_map_.CellOf(service->second, request.home);
-  const CellId home = request.cell;
-  request.kind.rank = ask.rank;
-  request.kind.bulk = ask.bulk;
-  request.kind.target = ask.target;
-  request.hedge = ask.hedge;
-  request.target = now + ask.target_left;
-  request.deadline = now + ask.deadline_left;
-  request.caller_left = ask.caller_left;
-  for (const NameTag tag : ask.tried) {
-    const auto it = servers_.find(tag);
-    if (it != servers_.end()) request.tried.push_back(it->second);
-  }
-  Cell& cell = cells_[home];
+  AssignmentRequest request = RequestOf(ask, service->second, now);
+  Cell& cell = cells_[request.cell];
   balancer_.NoteReturn(request);
   cell.asks = InUse(cell, now) ? cell.asks + 1 : 1;
   cell.last_ask = now;
@@ -140,7 +142,7 @@
     const bool looks_further =
         outlook == Outlook::kLate || (outlook == Outlook::kSoon && !request.kind.bulk);
     const std::optional<CellId> other =
-        looks_further ? CellWithRoom(home, now) : std::optional<CellId>();
+        looks_further ? CellWithRoom(request.cell, now) : std::optional<CellId>();
     if (other) return Forward(*other, asker, ask);
   }
   request.id = next_id_++;
@@ -231,9 +233,8 @@
     const auto cell = cell_of_.find(server);
     if (cell == cell_of_.end()) continue;
     Probe& probe = cell->second->probes[server];
-    if (probe.open && now - probe.asked <= kOpenProbe) continue;
-    probe.asked = now;
-    probe.open = true;
+    if (probe.UnderWay(now)) continue;
+    probe.Ask(now);
     wanted_.push_back(server);
   }
 }
@@ -243,8 +244,7 @@
 std::optional<MonotonicTime> Scheduler::ProbeDue(const Cell& cell, const BackendServerId& server,
                                                  const Probe& probe, MonotonicTime now) const {
   const bool in_use = settled_ && InUse(cell, now) && (cell.ours || cell.asks >= kForeignAsks);
-  const bool lost = probe.open && now - probe.asked > kOpenProbe;
-  if ((!cell.ours && !in_use) || (probe.open && !lost)) return std::nullopt;
+  if ((!cell.ours && !in_use) || probe.UnderWay(now)) return std::nullopt;
   if (!in_use) return probe.asked + kIdleProbes;
   if (!cell.ours) return probe.asked + kForeignProbes;
   return balancer_.NextProbe(server, probe.asked);
@@ -256,8 +256,7 @@
     for (auto& [server, probe] : cell.probes) {
       const std::optional<MonotonicTime> when = ProbeDue(cell, server, probe, now);
       if (!when || *when > now) continue;
-      probe.asked = now;
-      probe.open = true;
+      probe.Ask(now);
       due.push_back(server);
     }
   }
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -47,6 +47,7 @@
   static constexpr std::chrono::milliseconds kNewsLifetime{400};  // Of what they said.
   // An assignment whose end was not heard is forgotten so long after its deadline.
   static constexpr std::chrono::milliseconds kEndGrace{1000};
+  static constexpr std::chrono::milliseconds kOpenProbe{1000};  // Longest time for a probe.
   // Probes due this near to each other are sent together: each wake costs as much as a probe.
   static constexpr std::chrono::milliseconds kProbeBatch{4};
 
@@ -76,12 +77,18 @@
 
   size_t Waiting() const { return balancer_.Waiting(); }
   size_t CellsScheduled() const;
-  const Balancer& Policy() const { return balancer_; }
 
  private:
   struct Probe {
     MonotonicTime asked{};  // The last time.
     bool open = false;      // Asked, without an end yet.
+
+    void Ask(MonotonicTime now) {
+      asked = now;
+      open = true;
+    }
+    // One without an end for so long was lost by its client.
+    bool UnderWay(MonotonicTime now) const { return open && now - asked <= kOpenProbe; }
   };
   struct Cell {
     bool ours = false;  // To schedule, as long as we live.
@@ -106,6 +113,8 @@
   // When the server is to be probed; nullopt: it is not ours to ask, or is being asked.
   std::optional<MonotonicTime> ProbeDue(const Cell& cell, const BackendServerId& server,
                                         const Probe& probe, MonotonicTime now) const;
+  AssignmentRequest RequestOf(const ScheduleAsk& ask, const ServiceId& service,
+                              MonotonicTime now) const;
   std::optional<CellId> CellWithRoom(const CellId& home, MonotonicTime now);
   void Forward(const CellId& to, const Endpoint& asker, ScheduleAsk ask);
   void Reply(AssignmentId id, const Assignment& decided);
--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -56,18 +56,20 @@
     Change({table, key, "", ++version_, true});
   }
   void Compact() { forgotten_ = version_; }
-  void SetMode(const std::string& mode) { mode_ = mode; }
+  // `slow`: how long answers are held back in mode "slow".
+  void SetMode(const std::string& mode, milliseconds slow) {
+    mode_ = mode;
+    slow_ = slow;
+  }
   uint64_t Reads() const { return reads_; }
 
   void OnRequest(const HttpExchange& exchange) {
     ++reads_;
-    if (mode_ == "slow") return Later(loop_, kSlow, [this, exchange] { Decide(exchange); });
+    if (mode_ == "slow") return Later(loop_, slow_, [this, exchange] { Decide(exchange); });
     Decide(exchange);
   }
 
  private:
-  static constexpr milliseconds kSlow{100};
-
   void Decide(const HttpExchange& exchange) {
     if (mode_ == "busy") return exchange.Answer({503, {}, "", {}});
     if (mode_ == "reset") return exchange.Drop();
@@ -149,6 +151,7 @@
   std::list<Waiting> waiting_;
   std::vector<HttpExchange> silent_;  // Kept open, never answered.
   std::string mode_ = "ok";
+  milliseconds slow_{0};
   uint64_t version_ = 0;
   uint64_t forgotten_ = 0;  // Changes up to this version can't be asked for.
   uint64_t reads_ = 0;
@@ -281,7 +284,7 @@
     } else if (path == "/control/row") {
       store.Erase(request.Query("table"), request.Query("key"));
     } else if (path == "/control/store") {
-      store.SetMode(request.Query("mode"));
+      store.SetMode(request.Query("mode"), milliseconds(NumberOr(request.Query("slow_ms"), 100)));
     } else if (path == "/control/compact") {
       store.Compact();
     } else if (path == "/control/server" && servers.count(request.Query("name")) > 0) {
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -5,7 +5,7 @@
 // Control, on the store's address, untouched by faults:
 //   PUT /control/row?table=T&key=K     body: the row's value
 //   DELETE /control/row?table=T&key=K
-//   PUT /control/store?mode=ok|slow|busy|silent|reset
+//   PUT /control/store?mode=ok|slow|busy|silent|reset&slow_ms=MS
 //   POST /control/compact              forgets the history
 //   PUT
 //   /control/server?name=N&mode=ok|shed|hang|error|cut|other|stray|stream&work_ms=MS&slowdown=PERCENT
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(Server_WithAForgedRow_IsNotUsed);
   CPPUNIT_TEST(Store_Silent_ServesOnAndCatchesUp);
   CPPUNIT_TEST(Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown);
+  CPPUNIT_TEST(Request_HeldAtAStart_IsAnsweredByItsDeadlineAllTheSame);
   CPPUNIT_TEST(Store_ThatForgotItsHistory_IsReadAgain);
   CPPUNIT_TEST(Store_WithQuietTables_IsAskedByOneEntryVm);
   CPPUNIT_TEST(UnsafeRequest_WithACutAnswer_RunsOnceAndPromisesNothing);
@@ -141,10 +142,7 @@
 
   void Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown() {
     Fleet fleet(1);
-    fleet.Entry(0).process->Signal(SIGKILL);
-    fleet.Entry(0).process->Wait(milliseconds(4000));
-    fleet.Control("PUT", "/control/store?mode=slow");
-    fleet.Start(0);
+    RestartWithASlowStore(fleet, milliseconds(100));
     int status = 0;
     for (int n = 0; status == 0; ++n) {
       status = fleet.StatusOfSend(0, "/a/x", "early-" + std::to_string(n));
@@ -152,6 +150,23 @@
     CPPUNIT_ASSERT_EQUAL(200, status);
   }
 
+  void Request_HeldAtAStart_IsAnsweredByItsDeadlineAllTheSame() {
+    Fleet fleet(1);
+    SetAll(fleet, "hang");
+    RestartWithASlowStore(fleet, milliseconds(250));
+    const milliseconds limit(600);
+    int status = 0;
+    std::chrono::steady_clock::time_point sent;
+    for (int n = 0; status == 0; ++n) {
+      sent = std::chrono::steady_clock::now();
+      const auto result = fleet.Send(0, "/a/x", "held-" + std::to_string(n), limit);
+      status = result ? result->status : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(504, status);
+    // The hold of some 250 ms is part of the time limit.
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - sent < limit + milliseconds(150));
+  }
+
   void Store_ThatForgotItsHistory_IsReadAgain() {
     Fleet fleet(2);
     fleet.Control("PUT", "/control/store?mode=busy");
@@ -292,6 +307,12 @@
   }
 
  private:
+  static void RestartWithASlowStore(Fleet& fleet, milliseconds slow) {
+    fleet.Entry(0).process->Signal(SIGKILL);
+    fleet.Entry(0).process->Wait(milliseconds(4000));
+    fleet.Control("PUT", "/control/store?mode=slow&slow_ms=" + std::to_string(slow.count()));
+    fleet.Start(0);
+  }
   static std::set<std::string> Addresses(Fleet& fleet, size_t entry) {
     const auto result = ClientOf(fleet.Entry(entry).lookup)
                             .Get("/-/resolve?name=fleet.example&region=r&zone=place-a");
