Each failed call to the store is logged with its cause, duration and bytes

HttpClient now reports why a call failed, after which time and how many bytes of the body had arrived. No decision changes.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -41,6 +41,13 @@
   std::vector<BackendServerId> removed;
 };
 
+// Calls of a store client since its construction.
+struct StoreCallCounts {
+  uint64_t calls = 0;
+  uint64_t failed = 0;      // Without a usable answer.
+  uint64_t body_bytes = 0;  // Bodies received, of failed calls too.
+};
+
 template <typename Answer>
 using AnswerCallback = std::function<void(const Result<Answer, CatalogError>&)>;
 
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -34,6 +34,10 @@
   // Called when calls to the store for `table` begin to fail (`error` says why) or succeed again
   // (`error` is empty).
   std::function<void(const std::string& table, const std::string& error)> on_store_availability;
+  // Called for each failed call to the store. `call` is "table" if it read a whole table and
+  // "changes" if it read the changes since a version.
+  std::function<void(const std::string& table, const std::string& call, const std::string& error)>
+      on_store_call_failed;
 };
 
 template <CatalogStore Store>
@@ -204,9 +208,11 @@
   void RunManifestStep(Step step) {
     if (step == Step::kNone) return;
     if (step == Step::kRequestFromPeer) return SendRequest();
-    const auto done = [this](const Result<ManifestAnswer, CatalogError>& result) {
+    const auto done = [this, step](const Result<ManifestAnswer, CatalogError>& result) {
       const MonotonicTime now = clock_.Now();
-      if (!Ok(result)) return OnStoreFailure("manifest", manifest_watch_, ErrorOf(result), now);
+      if (!Ok(result)) {
+        return OnStoreFailure("manifest", step, manifest_watch_, ErrorOf(result), now);
+      }
       const ManifestAnswer& answer = ValueOf(result);
       OnStoreReached("manifest", manifest_calls_fail_);
       manifest_watch_.OnAnswer(answer.version, now);
@@ -248,9 +254,11 @@
   void RunServersStep(Step step) {
     if (step == Step::kNone) return;
     if (step == Step::kRequestFromPeer) return SendRequest();
-    const auto done = [this](const Result<ServersAnswer, CatalogError>& result) {
+    const auto done = [this, step](const Result<ServersAnswer, CatalogError>& result) {
       const MonotonicTime now = clock_.Now();
-      if (!Ok(result)) return OnStoreFailure("servers", servers_watch_, ErrorOf(result), now);
+      if (!Ok(result)) {
+        return OnStoreFailure("servers", step, servers_watch_, ErrorOf(result), now);
+      }
       const ServersAnswer& answer = ValueOf(result);
       OnStoreReached("servers", servers_calls_fail_);
       const uint64_t before = servers_watch_.Version();
@@ -282,8 +290,10 @@
     listener_.on_servers(servers_.All());
   }
 
-  void OnStoreFailure(const char* table, TableWatch& watch, const CatalogError& error,
+  void OnStoreFailure(const char* table, Step step, TableWatch& watch, const CatalogError& error,
                       MonotonicTime now) {
+    listener_.on_store_call_failed(table, step == Step::kReadTable ? "table" : "changes",
+                                   error.detail);
     if (error.kind == CatalogErrorKind::kHistoryGone) {
       watch.OnHistoryGone();
       return Tick();
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(OnUpdate_OlderSnapshot_ChangesNothing);
   CPPUNIT_TEST(OnAnswer_OlderThanUpdate_ChangesNothing);
   CPPUNIT_TEST(OnAnswer_ManifestWithLowerRevision_IsIgnored);
+  CPPUNIT_TEST(StoreCall_EachThatFails_IsReportedWithItsCause);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -54,6 +55,7 @@
     peer_requests_ = 0;
     servers_.clear();
     revisions_.clear();
+    failed_calls_.clear();
     CatalogListener listener;
     listener.on_manifest = [this](const auto& manifest) {
       revisions_.push_back(manifest->revision);
@@ -62,6 +64,10 @@
     listener.send_update = [this](const CatalogUpdate& update) { sent_updates_.push_back(update); };
     listener.send_request = [this](const CatalogRequest&) { ++peer_requests_; };
     listener.on_store_availability = [](const std::string&, const std::string&) {};
+    listener.on_store_call_failed = [this](const std::string& table, const std::string& call,
+                                           const std::string& error) {
+      failed_calls_.push_back(table + ", " + call + ": " + error);
+    };
     follower_ = std::make_unique<CatalogFollower<FakeStore>>(EntryVmId("me"), store_, clock_,
                                                              std::move(listener));
     follower_->SetRank(0);
@@ -272,6 +278,18 @@
     CPPUNIT_ASSERT((revisions_ == std::vector<uint64_t>{1, 7}));
   }
 
+  void StoreCall_EachThatFails_IsReportedWithItsCause() {
+    for (const char* cause : {"reset", "timed out"}) {
+      clock_.Advance(std::chrono::seconds(1));
+      follower_->Tick();
+      const auto done = std::exchange(store_.manifest, nullptr);
+      CPPUNIT_ASSERT(done);
+      done(CatalogError{CatalogErrorKind::kUnavailable, cause});
+      CPPUNIT_ASSERT_EQUAL(std::string("manifest, changes: ") + cause, failed_calls_.back());
+    }
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, failed_calls_.size());
+  }
+
  private:
   static CatalogListener NoOpListener() {
     CatalogListener listener;
@@ -280,6 +298,8 @@
     listener.send_update = [](const CatalogUpdate&) {};
     listener.send_request = [](const CatalogRequest&) {};
     listener.on_store_availability = [](const std::string&, const std::string&) {};
+    listener.on_store_call_failed = [](const std::string&, const std::string&,
+                                       const std::string&) {};
     return listener;
   }
   static CatalogUpdate UpdateRemovingA(uint64_t base_version, uint64_t version) {
@@ -354,6 +374,7 @@
   size_t peer_requests_ = 0;
   std::vector<BackendServer> servers_;
   std::vector<uint64_t> revisions_;
+  std::vector<std::string> failed_calls_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CatalogFollowerTest);
--- a/src/cli/platform_adapter.h
+++ b/src/cli/platform_adapter.h
@@ -23,7 +23,7 @@
   std::function<void(AnswerCallback<ServersAnswer>)> ReadServers;
   std::function<void(uint64_t, std::chrono::milliseconds, AnswerCallback<ServersAnswer>)>
       WatchServers;
-  std::function<uint64_t()> Calls;
+  std::function<StoreCallCounts()> Counts;
   std::function<void()> Close;
 };
 static_assert(CatalogStore<CatalogClient>);
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -153,6 +153,16 @@
                error.empty() ? "store regained" : "store lost",
                {{"table", table}, {"detail", error}});
   };
+  listener.on_store_call_failed = [this](const std::string& table, const std::string& call,
+                                         const std::string& error) {
+    if (!event_log_budget_.Allow(clock_.Now())) return;
+    log_.Write(LogLevel::kWarning, "store call failed",
+               {{"table", table},
+                {"call", call},
+                {"manifest_age_ms", Millis(follower_.ManifestAge())},
+                {"servers_age_ms", Millis(follower_.ServersAge())},
+                {"detail", error}});
+  };
   return listener;
 }
 
@@ -499,7 +509,11 @@
   set("cowsliphill_backend_servers", "Backend servers known", follower_.ServerCount());
   set("cowsliphill_store_reader", "1 while this entry VM asks the store for all",
       follower_.IsStoreReader() ? 1 : 0);
-  set("cowsliphill_store_calls", "Calls to the platform's store", store_.Calls());
+  const StoreCallCounts store = store_.Counts();
+  set("cowsliphill_store_calls", "Calls to the platform's store", store.calls);
+  set("cowsliphill_store_calls_failed", "Calls to the platform's store without a usable answer",
+      store.failed);
+  set("cowsliphill_store_bytes_in", "Bytes received from the platform's store", store.body_bytes);
   set("cowsliphill_ready", "1 when it takes requests", Ready() ? 1 : 0);
   set("cowsliphill_members", "Other entry VMs known", members_->Live().size());
   set("cowsliphill_peer_bytes_in", "Bytes from other entry VMs", peer.bytes_in);
--- a/src/forward/http_call.cc
+++ b/src/forward/http_call.cc
@@ -1,5 +1,7 @@
 #include "src/forward/http_call.h"
 
+#include <fmt/format.h>
+
 #include <asio/steady_timer.hpp>
 #include <utility>
 
@@ -7,9 +9,33 @@
 
 namespace cowsliphill {
 
+namespace {
+
+const char* NameOf(HttpCallErrorKind kind) {
+  switch (kind) {
+    case HttpCallErrorKind::kNotSent:
+      return "no connection could be made";
+    case HttpCallErrorKind::kTimedOut:
+      return "the response was not complete within the timeout";
+    case HttpCallErrorKind::kConnectionLost:
+      return "the connection ended or delivered bytes that are not a response";
+    case HttpCallErrorKind::kTooLarge:
+      return "the response's body exceeds the limit";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::string Describe(const HttpCallError& error) {
+  return fmt::format("{}: after {} ms, {} bytes of the body received", NameOf(error.kind),
+                     error.took.count(), error.body_bytes);
+}
+
 struct HttpClient::OpenCall {
-  explicit OpenCall(asio::io_context& io) : timer(io) {}
+  OpenCall(asio::io_context& io, MonotonicTime now) : timer(io), started(now) {}
   asio::steady_timer timer;
+  MonotonicTime started;
   std::shared_ptr<Attempt> attempt;
   HttpCallResponse response;
   Done done;  // Null after it was called.
@@ -24,11 +50,11 @@
 
 void HttpClient::Call(const Endpoint& server, std::string request,
                       std::chrono::milliseconds timeout, Done done) {
-  const auto call = std::make_shared<OpenCall>(io_);
+  const auto call = std::make_shared<OpenCall>(io_, clock_.Now());
   call->done = std::move(done);
   call->timer.expires_after(timeout);
   call->timer.async_wait([this, call](std::error_code ec) {
-    if (!ec) Finish(call, HttpCallError::kNoResponse);
+    if (!ec) Fail(call, HttpCallErrorKind::kTimedOut);
   });
   SendTo target;
   target.endpoint = server;
@@ -36,15 +62,17 @@
   Attempt::Events events;
   events.on_failed = [this, call](AttemptEnd end, const std::string&) {
     const bool sent = end != AttemptEnd::kConnectFailed;
-    Finish(call, sent ? HttpCallError::kNoResponse : HttpCallError::kNotSent);
+    Fail(call, sent ? HttpCallErrorKind::kConnectionLost : HttpCallErrorKind::kNotSent);
   };
   events.on_response = [this, call](const HttpEvent& event) {
     if (const auto* head = std::get_if<HttpHead>(&event)) call->response.head = *head;
     if (const auto* body = std::get_if<HttpBody>(&event)) call->response.body.append(body->bytes);
     if (std::holds_alternative<HttpEnd>(event)) return Finish(call, std::move(call->response));
-    const bool too_large = call->response.body.size() > max_body_bytes_;
-    if (too_large || std::holds_alternative<HttpError>(event)) {
-      return Finish(call, HttpCallError::kNoResponse);
+    if (std::holds_alternative<HttpError>(event)) {
+      return Fail(call, HttpCallErrorKind::kConnectionLost);
+    }
+    if (call->response.body.size() > max_body_bytes_) {
+      return Fail(call, HttpCallErrorKind::kTooLarge);
     }
     call->attempt->ReadNext();
   };
@@ -60,4 +88,10 @@
   done(result);
 }
 
+void HttpClient::Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind) {
+  const auto took =
+      std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - call->started);
+  Finish(call, HttpCallError{kind, took, call->response.body.size()});
+}
+
 }  // namespace cowsliphill
--- a/src/forward/http_call.h
+++ b/src/forward/http_call.h
@@ -20,11 +20,23 @@
   std::string body;
 };
 
-enum class HttpCallError {
-  kNotSent,     // No connection was made, so the request certainly had no effect.
-  kNoResponse,  // No complete response arrived; the request may have had an effect.
+// Why a call failed. Unless it was not sent, the request may have had an effect.
+enum class HttpCallErrorKind {
+  kNotSent,         // No connection was made, so the request certainly had no effect.
+  kTimedOut,        // The response was not complete within the timeout.
+  kConnectionLost,  // The connection ended, or delivered bytes that are not a response.
+  kTooLarge,        // The response's body exceeds the limit.
 };
 
+struct HttpCallError {
+  HttpCallErrorKind kind = HttpCallErrorKind::kNotSent;
+  std::chrono::milliseconds took{0};  // From the call to its failure.
+  size_t body_bytes = 0;              // Bytes of the response's body that had arrived.
+};
+
+// Returns one sentence for logs.
+std::string Describe(const HttpCallError& error);
+
 class HttpClient {
  public:
   using Done = std::function<void(const Result<HttpCallResponse, HttpCallError>&)>;
@@ -42,6 +54,7 @@
   struct OpenCall;
   void Finish(const std::shared_ptr<OpenCall>& call,
               Result<HttpCallResponse, HttpCallError> result);
+  void Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind);
 
   asio::io_context& io_;
   const Clock& clock_;
