Lines about failed calls to the store don't share the limit of request lines

An entry VM starts at most eight calls to the store a second, so the lines need no limit of their own.

--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -298,8 +298,8 @@
     listener.send_update = [](const CatalogUpdate&) {};
     listener.send_request = [](const CatalogRequest&) {};
     listener.on_store_availability = [](const std::string&, const std::string&) {};
-    listener.on_store_call_failed = [](const std::string&, const std::string&,
-                                       const std::string&) {};
+    listener.on_store_call_failed = [](const std::string&, const std::string&, const std::string&) {
+    };
     return listener;
   }
   static CatalogUpdate UpdateRemovingA(uint64_t base_version, uint64_t version) {
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -155,7 +155,7 @@
   };
   listener.on_store_call_failed = [this](const std::string& table, const std::string& call,
                                          const std::string& error) {
-    if (!event_log_budget_.Allow(clock_.Now())) return;
+    // TableWatchOptions limits the number of calls, so these lines need no log budget.
     log_.Write(LogLevel::kWarning, "store call failed",
                {{"table", table},
                 {"call", call},
