--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -21,6 +21,7 @@
 
 constexpr const char* kServersTable = "servers";
 constexpr uint64_t kStreamedBytes = 100000;
+constexpr size_t kMaxHistory = 20000;  // Number of changes kept for the feed.
 
 std::string Base64(const std::string& bytes) {
   std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
@@ -55,11 +56,15 @@
   void Erase(const std::string& table, const std::string& key) {
     ApplyChange({table, key, "", ++version_, true});
   }
-  void Compact() { compacted_version_ = version_; }
+  void Compact() {
+    compacted_version_ = version_;
+    history_.clear();
+  }
   // `delay` is the delay of answers in mode "slow".
-  void SetMode(const std::string& mode, milliseconds delay) {
+  void SetMode(const std::string& mode, milliseconds delay, uint64_t bytes_per_second) {
     mode_ = mode;
     delay_ = delay;
+    bytes_per_second_ = bytes_per_second;
   }
   uint64_t Reads() const { return reads_; }
 
@@ -111,11 +116,22 @@
     return json;
   }
   HttpAnswer RowsAnswer(Json rows) const {
-    return JsonAnswer(
+    HttpAnswer answer = JsonAnswer(
         200, {{"rows", std::move(rows)}, {"has-more", false}, {"ver", version_}, {"now-ms", 1}});
+    if (bytes_per_second_ == 0) return answer;
+    const auto body = std::make_shared<const std::string>(std::move(answer.body));
+    answer.generated.size = body->size();
+    answer.generated.bytes_per_second = bytes_per_second_;
+    answer.generated.bytes = [body](uint64_t at, size_t most) { return body->substr(at, most); };
+    return answer;
   }
   void ApplyChange(const Row& row) {
     rows_[{row.table, row.key}] = row;
+    history_.push_back(row);
+    if (history_.size() > kMaxHistory) {
+      compacted_version_ = history_.front().version;
+      history_.pop_front();
+    }
     for (LongPoll& poll : long_polls_) {
       if (poll.answered || poll.table != row.table) continue;
       poll.answered = true;
@@ -127,13 +143,12 @@
     long_polls_.erase(it);
   }
   bool HasChanges(const std::string& table, uint64_t after) const {
-    return std::any_of(rows_.begin(), rows_.end(), [&](const auto& item) {
-      return item.second.table == table && item.second.version > after;
-    });
+    return std::any_of(history_.rbegin(), history_.rend(),
+                       [&](const Row& row) { return row.table == table && row.version > after; });
   }
   HttpAnswer ChangesAfter(const std::string& table, uint64_t after) const {
     Json rows = Json::array();
-    for (const auto& [key, row] : rows_) {
+    for (const Row& row : history_) {
       if (row.table == table && row.version > after) rows.push_back(ToJson(row));
     }
     return RowsAnswer(std::move(rows));
@@ -149,10 +164,12 @@
 
   asio::io_context& loop_;
   std::map<std::pair<std::string, std::string>, Row> rows_;
+  std::deque<Row> history_;  // Changes after compacted_version_, oldest first.
   std::list<LongPoll> long_polls_;
   std::vector<HttpExchange> unanswered_;  // Requests of mode "silent": kept open, never answered.
   std::string mode_ = "ok";
   milliseconds delay_{0};
+  uint64_t bytes_per_second_ = 0;  // Bandwidth of each answer; 0: unlimited.
   uint64_t version_ = 0;
   uint64_t compacted_version_ = 0;  // The feed answers 410 for changes up to this version.
   uint64_t reads_ = 0;
@@ -285,7 +302,8 @@
     } else if (path == "/control/row") {
       store.Erase(request.Query("table"), request.Query("key"));
     } else if (path == "/control/store") {
-      store.SetMode(request.Query("mode"), milliseconds(NumberOr(request.Query("slow_ms"), 100)));
+      store.SetMode(request.Query("mode"), milliseconds(NumberOr(request.Query("slow_ms"), 100)),
+                    NumberOr(request.Query("bytes_per_s"), 0));
     } else if (path == "/control/compact") {
       store.Compact();
     } else if (path == "/control/server" && servers.count(request.Query("name")) > 0) {
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -2,12 +2,14 @@
 // a few backend servers in one process. It speaks the platform's published wire format and contains
 // nothing of cowsliphill. platform_standin.h imitates the platform of kind "http".
 //
-// The store answers GET /-/rows-get and GET /-/rows-feed. The feed is a long poll of up to wait-ms
-// and answers 410 if the requested history has been compacted. Control requests go to the store's
-// address and are not subject to faults:
+// The store answers GET /-/rows-get and GET /-/rows-feed. The feed is a long poll of up to wait-ms.
+// It lists a row that was written several times once for each write, and answers 410 if the
+// requested history has been compacted. Control requests go to the store's address and are not
+// subject to faults:
 //   PUT /control/row?table=T&key=K     the body is the row's value
 //   DELETE /control/row?table=T&key=K
-//   PUT /control/store?mode=ok|slow|busy|silent|reset&slow_ms=MS
+//   PUT /control/store?mode=ok|slow|busy|silent|reset&slow_ms=MS&bytes_per_s=N
+//     bytes_per_s: bandwidth of each answer; 0 or absent: unlimited
 //   POST /control/compact              discards the history of changes
 //   PUT /control/server?name=N&mode=MODE&work_ms=MS&slowdown=PERCENT
 //     ok: executes the request and answers 200; with all slots busy, refuses as in mode shed (so do
--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -81,17 +81,22 @@
   CPPUNIT_ASSERT_MESSAGE(path, result && result->status == 200);
 }
 
-void Fleet::PutManifest(uint64_t version, const std::string& prefix) {
-  const auto route = [](const std::string& at, const char* type) {
-    return json{{"host", "fleet.example"}, {"prefix", at},     {"route-type", type},
-                {"timeout-ms", 2500},      {"priority", 1},    {"target-latency-ms", 500},
-                {"service", "service-a"},  {"max-attempts", 2}};
+void Fleet::PutManifest(uint64_t version, const std::string& prefix, size_t further_routes) {
+  const auto route = [](const std::string& at, const char* type,
+                        const char* host = "fleet.example") {
+    return json{{"host", host},           {"prefix", at},     {"route-type", type},
+                {"timeout-ms", 2500},     {"priority", 1},    {"target-latency-ms", 500},
+                {"service", "service-a"}, {"max-attempts", 2}};
   };
-  const json config = {
-      {"version", version},
-      {"routes", {{"r-1", route(prefix, "safe")}, {"r-2", route("/u/", "unsafe")}}},
-      {"services", {{"service-a", {{"health-path", "/health"}}}}},
-      {"limits", {{"max-body-bytes", 1000}}}};
+  json routes = {{"r-1", route(prefix, "safe")}, {"r-2", route("/u/", "unsafe")}};
+  for (size_t i = 0; i < further_routes; ++i) {
+    const std::string name = "further-" + std::to_string(i);
+    routes[name] = route("/" + name + "/", "safe", "further.example");
+  }
+  const json config = {{"version", version},
+                       {"routes", std::move(routes)},
+                       {"services", {{"service-a", {{"health-path", "/health"}}}}},
+                       {"limits", {{"max-body-bytes", 1000}}}};
   Control("PUT", "/control/row?table=op&key=config", config.dump());
 }
 
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -48,8 +48,9 @@
   int SendForStatus(size_t entry, const std::string& path, const std::string& id) const;
 
   void Control(const std::string& method, const std::string& path, const std::string& body = "");
-  // `prefix` is the path prefix of the idempotent route.
-  void PutManifest(uint64_t version, const std::string& prefix);
+  // `prefix` is the path prefix of the idempotent route. `further_routes` routes of another host
+  // make the manifest larger, by some 200 bytes each.
+  void PutManifest(uint64_t version, const std::string& prefix, size_t further_routes = 0);
   nlohmann::json Journal() const;
   // Number of times that the request started at a backend server.
   size_t RunCount(const std::string& id) const;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -20,12 +20,15 @@
 
 constexpr milliseconds kMaxManifestDelay{2000};  // From a write in the store to all entry VMs.
 constexpr milliseconds kMaxDrainDelay{2000};     // From a "draining" row to the last new request.
+// From the end of an outage of the store until all that changed meanwhile must be in force.
+constexpr milliseconds kSettleTime{3000};
 
 class PlatformPathTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlatformPathTest);
   CPPUNIT_TEST(Request_AtEachEntryVm_GetsItsOwnSignedAnswer);
   CPPUNIT_TEST(Lookup_AtAnEntryVm_ListsAllOfTheFailureDomain);
   CPPUNIT_TEST(Manifest_Changed_IsInForceEverywhereInTime);
+  CPPUNIT_TEST(Manifest_ManyLargeRevisionsMissedOnSlowLink_IsInForceInTime);
   CPPUNIT_TEST(Manifest_Malformed_ChangesNothing);
   CPPUNIT_TEST(Server_Leaving_GetsNoNewWorkInTime);
   CPPUNIT_TEST(Server_WithAMalformedRow_IsNotUsed);
@@ -88,6 +91,24 @@
     }
   }
 
+  // Regression: after an outage of the store, the answer with all revisions written meanwhile took
+  // longer than the time limit of a call. Every retry started over.
+  void Manifest_ManyLargeRevisionsMissedOnSlowLink_IsInForceInTime() {
+    constexpr uint64_t kRevisions = 7;
+    constexpr size_t kRoutes = 1500;             // Some 400 KB a revision.
+    constexpr size_t kBytesPerSecond = 1250000;  // 10 Mbit/s
+    Fleet fleet(1);
+    fleet.Control("PUT", "/control/store?mode=reset");
+    std::this_thread::sleep_for(milliseconds(300));
+    for (uint64_t revision = 2; revision < kRevisions; ++revision) {
+      fleet.PutManifest(revision, "/a/", kRoutes);
+    }
+    fleet.PutManifest(kRevisions, "/b/", kRoutes);
+    fleet.Control("PUT", "/control/store?mode=ok&bytes_per_s=" + std::to_string(kBytesPerSecond));
+    CPPUNIT_ASSERT(
+        WaitUntil([&fleet] { return fleet.SendForStatus(0, "/b/x", "r") == 200; }, kSettleTime));
+  }
+
   void Manifest_Malformed_ChangesNothing() {
     Fleet fleet(1);
     fleet.Control("PUT", "/control/row?table=op&key=config", "{\"version\":9,");
