A call to the store that makes progress is not aborted after 700 ms

The callers of an entry VM on a slow link get old routes for as long as the answer of the store is larger than what the link carries in 700 ms.

Cause: HttpClient limits the whole call, whatever the size of the response, and a retry starts from nothing. Three revisions of 350 KB take 0.9 s over 10 Mbit/s; each retry had as much or more to read, until the store forgot the history. A single manifest or list of servers of 875 KB could never arrive.

Change: a call has three limits, on the wait for the head, on the silence between two parts of the body and on the whole. Probes keep one limit on the whole call.

--- a/src/forward/http_call.cc
+++ b/src/forward/http_call.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <utility>
 
@@ -16,7 +17,7 @@
     case HttpCallErrorKind::kNotSent:
       return "no connection could be made";
     case HttpCallErrorKind::kTimedOut:
-      return "the response was not complete within the timeout";
+      return "the response was not complete in time";
     case HttpCallErrorKind::kConnectionLost:
       return "the connection ended or delivered bytes that are not a response";
     case HttpCallErrorKind::kTooLarge:
@@ -33,8 +34,10 @@
 }
 
 struct HttpClient::OpenCall {
-  OpenCall(asio::io_context& io, MonotonicTime now) : timer(io), started(now) {}
+  OpenCall(asio::io_context& io, const HttpCallTimeouts& limits, MonotonicTime now)
+      : timer(io), timeouts(limits), started(now) {}
   asio::steady_timer timer;
+  HttpCallTimeouts timeouts;
   MonotonicTime started;
   std::shared_ptr<Attempt> attempt;
   HttpCallResponse response;
@@ -48,14 +51,20 @@
       pool_(io, clock, settings, max_header_bytes, buffer_bytes),
       max_body_bytes_(max_body_bytes) {}
 
-void HttpClient::Call(const Endpoint& server, std::string request,
-                      std::chrono::milliseconds timeout, Done done) {
-  const auto call = std::make_shared<OpenCall>(io_, clock_.Now());
-  call->done = std::move(done);
-  call->timer.expires_after(timeout);
+void HttpClient::ArmTimer(const std::shared_ptr<OpenCall>& call,
+                          std::chrono::milliseconds duration) {
+  const Duration left = call->timeouts.total - (clock_.Now() - call->started);
+  call->timer.expires_after(std::clamp<Duration>(duration, Duration{}, std::max(left, Duration{})));
   call->timer.async_wait([this, call](std::error_code ec) {
     if (!ec) Fail(call, HttpCallErrorKind::kTimedOut);
   });
+}
+
+void HttpClient::Call(const Endpoint& server, std::string request, const HttpCallTimeouts& timeouts,
+                      Done done) {
+  const auto call = std::make_shared<OpenCall>(io_, timeouts, clock_.Now());
+  call->done = std::move(done);
+  ArmTimer(call, timeouts.head);
   SendTo target;
   target.endpoint = server;
   call->attempt = std::make_shared<Attempt>(pool_, clock_, target, RequestClass::kRoutine);
@@ -74,6 +83,7 @@
     if (call->response.body.size() > max_body_bytes_) {
       return Fail(call, HttpCallErrorKind::kTooLarge);
     }
+    ArmTimer(call, call->timeouts.silence);
     call->attempt->ReadNext();
   };
   call->attempt->Start(std::move(request), ConnectionReuse::kAllowed, false, std::move(events));
--- a/src/forward/http_call.h
+++ b/src/forward/http_call.h
@@ -1,4 +1,4 @@
-// Sends single HTTP requests and reads each response completely within a timeout. Never retries.
+// Sends single HTTP requests and reads each response completely within its timeouts. Never retries.
 
 #ifndef COWSLIPHILL_FORWARD_HTTP_CALL_H_
 #define COWSLIPHILL_FORWARD_HTTP_CALL_H_
@@ -20,10 +20,21 @@
   std::string body;
 };
 
+// Limits of one call. A transfer that makes progress may take up to `total`, so that the size of a
+// response does not decide whether it arrives.
+struct HttpCallTimeouts {
+  std::chrono::milliseconds head;     // From the call to the head of the response.
+  std::chrono::milliseconds silence;  // Between two parts of the body.
+  std::chrono::milliseconds total;    // From the call to the end of the response.
+
+  // Limits only the whole call.
+  static HttpCallTimeouts Total(std::chrono::milliseconds total) { return {total, total, total}; }
+};
+
 // Why a call failed. Unless it was not sent, the request may have had an effect.
 enum class HttpCallErrorKind {
   kNotSent,         // No connection was made, so the request certainly had no effect.
-  kTimedOut,        // The response was not complete within the timeout.
+  kTimedOut,        // One of the timeouts passed before the response was complete.
   kConnectionLost,  // The connection ended, or delivered bytes that are not a response.
   kTooLarge,        // The response's body exceeds the limit.
 };
@@ -45,7 +56,7 @@
              size_t max_header_bytes, size_t buffer_bytes, size_t max_body_bytes);
 
   // `request` is the head and the body. `done` runs once, never inside the call.
-  void Call(const Endpoint& server, std::string request, std::chrono::milliseconds timeout,
+  void Call(const Endpoint& server, std::string request, const HttpCallTimeouts& timeouts,
             Done done);
   void CloseIdle() { pool_.CloseIdle(); }
   void CloseAll() { pool_.CloseAll(); }
@@ -55,6 +66,8 @@
   void Finish(const std::shared_ptr<OpenCall>& call,
               Result<HttpCallResponse, HttpCallError> result);
   void Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind);
+  // Fails the call after `duration`, or earlier if its total time is over before.
+  void ArmTimer(const std::shared_ptr<OpenCall>& call, std::chrono::milliseconds duration);
 
   asio::io_context& io_;
   const Clock& clock_;
--- a/src/forward/probe_client.cc
+++ b/src/forward/probe_client.cc
@@ -24,7 +24,7 @@
 
 void ProbeClient::Send(const ProbeTarget& target) {
   ++counts_.sent;
-  client_.Call(target.endpoint, ProbeRequest(target), target.timeout,
+  client_.Call(target.endpoint, ProbeRequest(target), HttpCallTimeouts::Total(target.timeout),
                [this, target](const Result<HttpCallResponse, HttpCallError>& result) {
                  std::optional<Report> report;
                  if (Ok(result)) report = read_report_(ValueOf(result).head, target);
