An entry VM that missed revisions reads only the newest manifest from the store

Cause: the store's feed lists a row once for each write. An entry VM that had missed revisions asked for the changes since its own, received every revision in between and used the last.

Change: when a newer revision was reported or the last call failed, the manifest's row is read in place of its changes. A watch or a check without such a sign still reads changes, which are empty as a rule. If the newest row is unreadable, the changes are read after all, since an earlier readable revision may be among them. The list of servers is still caught up by its changes: its rows are small, and a whole list would make every other entry VM ask for one.

--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -208,22 +208,38 @@
   void RunManifestStep(Step step) {
     if (step == Step::kNone) return;
     if (step == Step::kRequestFromPeer) return SendRequest();
-    const auto done = [this, step](const Result<ManifestAnswer, CatalogError>& result) {
-      const MonotonicTime now = clock_.Now();
-      if (!Ok(result)) {
-        return OnStoreFailure("manifest", step, manifest_watch_, ErrorOf(result), now);
+    // The changes contain every revision since the last answer, the table only the newest.
+    const bool reads_table = step == Step::kReadTable || manifest_watch_.MayLackChanges();
+    if (!reads_table) return ReadManifestChanges(LongPollTimeout(step));
+    store_.ReadManifest([this, step](const Result<ManifestAnswer, CatalogError>& result) {
+      // If the newest revision is unreadable, an earlier one may be among the changes.
+      const bool is_unreadable = Ok(result) && !ValueOf(result).manifest;
+      if (is_unreadable && step != Step::kReadTable) {
+        return ReadManifestChanges(std::chrono::milliseconds(0));
       }
-      const ManifestAnswer& answer = ValueOf(result);
-      OnStoreReached("manifest", manifest_calls_fail_);
-      manifest_watch_.OnAnswer(answer.version, now);
-      if (answer.manifest && (!manifest_ || answer.manifest->revision > manifest_->revision)) {
-        ApplyManifest(answer.manifest, "");
-      }
-      if (IsStoreReader()) SendUpdate(true, now);
-      Tick();
-    };
-    if (step == Step::kReadTable) return store_.ReadManifest(done);
-    store_.WatchManifest(manifest_watch_.Version(), LongPollTimeout(step), done);
+      OnManifestAnswer("table", result);
+    });
+  }
+
+  void ReadManifestChanges(std::chrono::milliseconds wait) {
+    store_.WatchManifest(manifest_watch_.Version(), wait,
+                         [this](const Result<ManifestAnswer, CatalogError>& result) {
+                           OnManifestAnswer("changes", result);
+                         });
+  }
+
+  // `call`: what was read, for on_store_call_failed.
+  void OnManifestAnswer(const char* call, const Result<ManifestAnswer, CatalogError>& result) {
+    const MonotonicTime now = clock_.Now();
+    if (!Ok(result)) return OnStoreFailure("manifest", call, manifest_watch_, ErrorOf(result), now);
+    const ManifestAnswer& answer = ValueOf(result);
+    OnStoreReached("manifest", manifest_calls_fail_);
+    manifest_watch_.OnAnswer(answer.version, now);
+    if (answer.manifest && (!manifest_ || answer.manifest->revision > manifest_->revision)) {
+      ApplyManifest(answer.manifest, "");
+    }
+    if (IsStoreReader()) SendUpdate(true, now);
+    Tick();
   }
 
   // `bytes`: the encoded manifest, or empty if the caller does not have it.
@@ -254,10 +270,12 @@
   void RunServersStep(Step step) {
     if (step == Step::kNone) return;
     if (step == Step::kRequestFromPeer) return SendRequest();
-    const auto done = [this, step](const Result<ServersAnswer, CatalogError>& result) {
+    const bool reads_table = step == Step::kReadTable;
+    const auto done = [this, reads_table](const Result<ServersAnswer, CatalogError>& result) {
       const MonotonicTime now = clock_.Now();
       if (!Ok(result)) {
-        return OnStoreFailure("servers", step, servers_watch_, ErrorOf(result), now);
+        const char* call = reads_table ? "table" : "changes";
+        return OnStoreFailure("servers", call, servers_watch_, ErrorOf(result), now);
       }
       const ServersAnswer& answer = ValueOf(result);
       OnStoreReached("servers", servers_calls_fail_);
@@ -275,7 +293,7 @@
       if (IsStoreReader()) SendUpdate(true, now);
       Tick();
     };
-    if (step == Step::kReadTable) return store_.ReadServers(done);
+    if (reads_table) return store_.ReadServers(done);
     store_.WatchServers(servers_watch_.Version(), LongPollTimeout(step), done);
   }
 
@@ -290,10 +308,9 @@
     listener_.on_servers(servers_.All());
   }
 
-  void OnStoreFailure(const char* table, Step step, TableWatch& watch, const CatalogError& error,
-                      MonotonicTime now) {
-    listener_.on_store_call_failed(table, step == Step::kReadTable ? "table" : "changes",
-                                   error.detail);
+  void OnStoreFailure(const char* table, const char* call, TableWatch& watch,
+                      const CatalogError& error, MonotonicTime now) {
+    listener_.on_store_call_failed(table, call, error.detail);
     if (error.kind == CatalogErrorKind::kHistoryGone) {
       watch.OnHistoryGone();
       return Tick();
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -179,6 +179,8 @@
   // When Version() was last known to be the newest.
   MonotonicTime Confirmed() const { return confirmed_; }
   bool HasTakenOver() const { return has_taken_over_; }
+  // Whether there probably are changes after Version(): one was reported, or the last call failed.
+  bool MayLackChanges() const { return behind_ || backoff_ > Duration{}; }
   std::chrono::milliseconds LongPollTimeout() const { return options_.long_poll_timeout; }
   // Whether the store is unreachable, or was so less than `span` ago.
   bool OutageWithin(Duration span, MonotonicTime now) const {
