Changes that are too large to be received are replaced by reading the table

After a long outage an entry VM would keep sending work to servers that have left.

The changes of the list of servers since an old version may exceed what a call to the store accepts (4 MB, 4 s); the same request was then repeated until the store had forgotten the history.

Change: the store client tells an answer that is too large from a store that does not answer, and TableWatch reads the whole table next. Other failures still lead to a call for changes: a reader that has read the whole list makes every other entry VM ask for one.

Tests: Server_LeavingAmongTooManyMissedChanges_GetsNoNewWorkInTime failed before.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -19,6 +19,7 @@
 
 enum class CatalogErrorKind {
   kUnavailable,  // The store did not answer, refused the call, or its answer was unreadable.
+  kTooLarge,     // The answer was too large to be received within the limits of a call.
   kHistoryGone,  // The store no longer keeps the changes since the requested version: read the
                  // whole table.
 };
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -315,7 +315,11 @@
       watch.OnHistoryGone();
       return Tick();
     }
-    watch.OnFailure(now);
+    if (error.kind == CatalogErrorKind::kTooLarge) {
+      watch.OnTooLarge(now);
+    } else {
+      watch.OnFailure(now);
+    }
     if (rank_ < kRanksThatReportFailures) SendUpdate(false, now);
     bool& calls_fail = &watch == &manifest_watch_ ? manifest_calls_fail_ : servers_calls_fail_;
     if (!calls_fail) listener_.on_store_availability(table, error.detail);
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -76,7 +76,7 @@
   explicit TableWatch(TableWatchOptions options = {}) : options_(options) {}
 
   // `rank`: position in the election order, 0 first. For kReadTable, kWatch and kCheck the caller
-  // starts the call and reports its end by OnAnswer, OnFailure or OnHistoryGone.
+  // starts the call and reports its end by OnAnswer, OnFailure, OnTooLarge or OnHistoryGone.
   Step Next(uint32_t rank, MonotonicTime now) {
     is_high_rank_ = rank > options_.max_rank_steps;
     if (call_open_ || now < not_before_) return Step::kNone;
@@ -105,6 +105,7 @@
   void OnAnswer(uint64_t version, MonotonicTime now) {
     call_open_ = false;
     backoff_ = Duration{};
+    must_read_table_ = false;
     RecordOutageEnd(now);
     is_loaded_ = true;
     behind_ = false;
@@ -129,6 +130,11 @@
                                     max_backoff);
     not_before_ = now + backoff_;
   }
+  // The answer was too large to be received. The changes only grow, so the table is read instead.
+  void OnTooLarge(MonotonicTime now) {
+    OnFailure(now);
+    must_read_table_ = true;
+  }
   void OnHistoryGone() {
     call_open_ = false;
     is_loaded_ = false;
@@ -210,7 +216,7 @@
   Step BeginCall(Step step, MonotonicTime now) {
     call_open_ = true;
     not_before_ = now + options_.min_call_interval;
-    return step;
+    return must_read_table_ ? Step::kReadTable : step;
   }
 
   void RecordOutageEnd(MonotonicTime now) {
@@ -218,11 +224,12 @@
   }
 
   TableWatchOptions options_;
-  bool is_loaded_ = false;       // This entry VM has the table as of version_.
-  bool behind_ = false;          // Another entry VM reported a newer version.
-  bool call_open_ = false;       // A call to the store has not ended yet.
-  bool has_taken_over_ = false;  // This entry VM is the store reader in place of a predecessor.
-  bool taking_over_ = false;     // If the open call succeeds, has_taken_over_ will be set.
+  bool is_loaded_ = false;        // This entry VM has the table as of version_.
+  bool behind_ = false;           // Another entry VM reported a newer version.
+  bool must_read_table_ = false;  // The changes since version_ are too large to be received.
+  bool call_open_ = false;        // A call to the store has not ended yet.
+  bool has_taken_over_ = false;   // This entry VM is the store reader in place of a predecessor.
+  bool taking_over_ = false;      // If the open call succeeds, has_taken_over_ will be set.
   bool has_predecessor_update_ = false;  // An update of a predecessor has arrived.
   bool is_high_rank_ = false;            // The rank at the last Next was above max_rank_steps.
   uint32_t peer_requests_ = 0;  // Requests to peers since a call last succeeded or failed, or
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(OnTableUpdate_FromPredecessorCutOffFromStore_KeepsTakeover);
   CPPUNIT_TEST(OnAnswer_CallOpenAtPredecessorsReport_DoesNotTakeOverAgain);
   CPPUNIT_TEST(OnHistoryGone_Always_ReadsTheTableAgain);
+  CPPUNIT_TEST(OnTooLarge_Always_ReadsTheTableAfterABackoff);
   CPPUNIT_TEST(OnFailure_CutOffFromStoreAndPeers_RetriesSoon);
   CPPUNIT_TEST(OnFailure_WhilePredecessorSendsUpdates_BacksOffLonger);
   CPPUNIT_TEST(OnTableUpdate_NewVersionDuringBackoff_RequestsAtOnce);
@@ -169,6 +170,19 @@
     CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kReadTable);
   }
 
+  void OnTooLarge_Always_ReadsTheTableAfterABackoff() {
+    ReadTable(0);
+    Advance(milliseconds(300));
+    CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kWatch);
+    watch_.OnTooLarge(now_);
+    CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kNone);
+    Advance(TableWatchOptions().initial_backoff);
+    CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kReadTable);
+    watch_.OnAnswer(12, now_);
+    Advance(milliseconds(300));
+    CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kWatch);
+  }
+
   // Regression: an entry VM that was cut off from the store and from its peers called the store
   // again only three seconds after the network had recovered.
   void OnFailure_CutOffFromStoreAndPeers_RetriesSoon() {
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(Manifest_ManyLargeRevisionsMissedOnSlowLink_IsInForceInTime);
   CPPUNIT_TEST(Manifest_Malformed_ChangesNothing);
   CPPUNIT_TEST(Server_Leaving_GetsNoNewWorkInTime);
+  CPPUNIT_TEST(Server_LeavingAmongTooManyMissedChanges_GetsNoNewWorkInTime);
   CPPUNIT_TEST(Server_WithAMalformedRow_IsNotUsed);
   CPPUNIT_TEST(Store_Unresponsive_RequestsAreServedAndChangesArriveLater);
   CPPUNIT_TEST(Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown);
@@ -123,13 +124,27 @@
     row["state"] = "draining";
     fleet.Control("PUT", "/control/row?table=servers&key=s-0", row.dump());
     std::this_thread::sleep_for(kMaxDrainDelay);
-    const size_t before = fleet.Journal().size();
-    for (int n = 0; n < 20; ++n) {
-      CPPUNIT_ASSERT_EQUAL(
-          200, fleet.SendForStatus(static_cast<size_t>(n % 2), "/a/x", "r" + std::to_string(n)));
+    AssertUnused(fleet, "s-0");
+  }
+
+  // Regression: changes that are too large to be received were requested again and again until the
+  // store forgot them.
+  void Server_LeavingAmongTooManyMissedChanges_GetsNoNewWorkInTime() {
+    Fleet fleet(1);
+    fleet.Control("PUT", "/control/store?mode=reset");
+    std::this_thread::sleep_for(milliseconds(300));
+    json row = ServerRow("s-9");
+    row["padding"] = std::string(1 << 20, 'x');
+    for (int n = 0; n < 6; ++n) {
+      fleet.Control("PUT", "/control/row?table=servers&key=s-9", row.dump());
     }
-    const json journal = fleet.Journal();
-    for (size_t i = before; i < journal.size(); ++i) CPPUNIT_ASSERT(journal[i]["server"] != "s-0");
+    fleet.Control("DELETE", "/control/row?table=servers&key=s-9");
+    row = ServerRow("s-0");
+    row["state"] = "draining";
+    fleet.Control("PUT", "/control/row?table=servers&key=s-0", row.dump());
+    fleet.Control("PUT", "/control/store?mode=ok");
+    std::this_thread::sleep_for(kSettleTime);
+    AssertUnused(fleet, "s-0");
   }
 
   void Server_WithAMalformedRow_IsNotUsed() {
@@ -331,6 +346,15 @@
   }
 
  private:
+  static void AssertUnused(const Fleet& fleet, const std::string& server) {
+    const size_t before = fleet.Journal().size();
+    for (size_t n = 0; n < 20; ++n) {
+      CPPUNIT_ASSERT_EQUAL(
+          200, fleet.SendForStatus(n % fleet.Entries(), "/a/x", "r" + std::to_string(n)));
+    }
+    const json journal = fleet.Journal();
+    for (size_t i = before; i < journal.size(); ++i) CPPUNIT_ASSERT(journal[i]["server"] != server);
+  }
   static void RestartWithASlowStore(Fleet& fleet, milliseconds store_delay) {
     fleet.Entry(0).process->Signal(SIGKILL);
     fleet.Entry(0).process->Wait(milliseconds(4000));
