Chunk framing no longer counts towards the limit of a response's head

What callers saw: nothing reported; found while testing responses without end. A long chunked response could be cut off in the middle with "first line and headers exceed the size limit".

Cause: the reader adds up all bytes that it reads without an event while a message is open. Within a body these are chunk sizes that arrive apart from the data; nothing ever set the sum back, so some 2,000 such reads reached the limit of 16 KB.

Change: data of the body sets the sum to 0. The limit then covers the head, the framing between two pieces of data, and the trailers, so that endless chunk extensions and trailers are still rejected; tests for these and for endless heads are new and passed before too.

Response_InManyChunksSentInParts_IsReadCompletely failed before.

--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -51,7 +51,8 @@
   http_parser parser;
   HttpMessageType type = HttpMessageType::kRequests;
   size_t max_header_bytes = 0;
-  size_t header_bytes = 0;     // Size of the head being read, in bytes.
+  // Bytes of the head being read, or of a body's framing and trailers since its last data.
+  size_t header_bytes = 0;
   bool in_message = false;     // Set from the first byte of a message to its end.
   bool reading_value = false;  // http_parser last delivered part of a header value.
   bool no_body = false;        // The response belongs to a HEAD request.
@@ -103,7 +104,9 @@
     return state.no_body ? 1 : 0;  // Returning 1 tells http_parser that no body follows.
   }
   static int OnBody(http_parser* parser, const char* at, size_t n) {
-    Of(parser).event = HttpBody{std::string_view(at, n)};
+    State& state = Of(parser);
+    state.header_bytes = 0;
+    state.event = HttpBody{std::string_view(at, n)};
     return Pause(parser);
   }
   static int OnComplete(http_parser* parser) {
@@ -175,8 +178,8 @@
   if (error != HPE_OK && error != HPE_PAUSED) {
     return {n, HttpError{HttpErrorKind::kMalformed, http_errno_description(error)}};
   }
-  const bool head_open = state.in_message && std::holds_alternative<HttpNeedBytes>(state.event);
-  if (head_open || std::holds_alternative<HttpHead>(state.event)) {
+  const bool no_data = state.in_message && std::holds_alternative<HttpNeedBytes>(state.event);
+  if (no_data || std::holds_alternative<HttpHead>(state.event)) {
     state.header_bytes += n;
     if (state.header_bytes > state.max_header_bytes) {
       return {n, HttpError{HttpErrorKind::kHeadersTooLarge,
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -21,6 +21,10 @@
   CPPUNIT_TEST(Body_Truncated_IsAnError);
   CPPUNIT_TEST(Response_WithoutFraming_IsCloseDelimited);
   CPPUNIT_TEST(Response_ToHead_HasNoBody);
+  CPPUNIT_TEST(Response_InManyChunksSentInParts_IsReadCompletely);
+  CPPUNIT_TEST(Response_WithEndlessHead_IsRejectedAtTheLimit);
+  CPPUNIT_TEST(Response_WithEndlessChunkExtension_IsRejectedAtTheLimit);
+  CPPUNIT_TEST(Response_WithEndlessTrailers_IsRejectedAtTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -94,7 +98,42 @@
                          Events(reader, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"));
   }
 
+  // Regression: the framing of chunks counted as part of the head, so that a long response was
+  // rejected if its chunk sizes arrived apart from the data.
+  void Response_InManyChunksSentInParts_IsReadCompletely() {
+    HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
+    Events(reader, kChunkedHead);
+    for (size_t i = 0; i < kMaxHeaderBytes; ++i) {
+      CPPUNIT_ASSERT_EQUAL(std::string(), Events(reader, "3\r\n"));
+      CPPUNIT_ASSERT_EQUAL(std::string("body:abc "), Events(reader, "abc"));
+      CPPUNIT_ASSERT_EQUAL(std::string(), Events(reader, "\r\n"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("end "), Events(reader, "0\r\n\r\n"));
+  }
+
+  void Response_WithEndlessHead_IsRejectedAtTheLimit() {
+    AssertRejectedAtTheLimit("HTTP/1.1 200 OK\r\nX-Filler: ", "x");
+    AssertRejectedAtTheLimit("HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n");
+    AssertRejectedAtTheLimit("HTTP/1.1 200 ", "OK");
+  }
+  void Response_WithEndlessChunkExtension_IsRejectedAtTheLimit() {
+    AssertRejectedAtTheLimit(std::string(kChunkedHead) + "3;", "x");
+  }
+  void Response_WithEndlessTrailers_IsRejectedAtTheLimit() {
+    AssertRejectedAtTheLimit(std::string(kChunkedHead) + "3\r\nabc\r\n0\r\n", "X-Filler: x\r\n");
+  }
+
  private:
+  static constexpr const char* kChunkedHead =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  static void AssertRejectedAtTheLimit(const std::string& beginning, const std::string& filler) {
+    HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
+    std::string events = Events(reader, beginning);
+    for (size_t n = 0; n <= kMaxHeaderBytes; n += filler.size()) events += Events(reader, filler);
+    CPPUNIT_ASSERT_MESSAGE(beginning + events, events.find("too large") != std::string::npos);
+  }
+
   // Returns the events that `text` produces, as words. Stops at the first error.
   static std::string Events(HttpReader& reader, std::string_view text) {
     std::string events;
