An error response too long to buffer is replaced, not streamed

A caller of an unsafe request could get 503, which says that the request has not run and never will, although the server had begun to answer it. A caller of a repeatable request could get a server's endless 500 in place of another server's answer.

Cause: an error response is kept back until a retry or a status of our own replaces it, but the checks run at its end. A body over 1 MiB was streamed before, with its head.

Change: a response with status 5xx, 408, 421 or 429 that outgrows the buffer ends the attempt as a server's error: retried if the request may be repeated, answered with 502 otherwise.

Tests: Response_EndlessError_IsReplacedByAnotherServersAnswer (19 of 20 before) and UnsafeRequest_EndlessRefusalThatMayHaveRun_IsNotReportedNotRun (503 before) failed before.

--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -92,6 +92,7 @@
   void OnResponse(const std::shared_ptr<Attempt>& attempt, const HttpEvent& event);
   void OnResponseHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& response);
   void BufferResponse(std::string_view bytes);
+  void StreamBufferedResponse();
   void OnResponseBuffered();
   bool DeliverBufferedResponse();
   // Sends the head and `first_bytes` of the body to the caller.
--- a/src/forward/exchange_answer.cc
+++ b/src/forward/exchange_answer.cc
@@ -88,10 +88,20 @@
 void Exchange::BufferResponse(std::string_view bytes) {
   partial_response_->body.append(bytes);
   if (partial_response_->body.size() <= kMaxBufferedResponseBytes) return attempt_->ReadNext();
-  // The response is too large to buffer. It is streamed from here on, and the caller will see if it
-  // is interrupted.
+  StreamBufferedResponse();
+}
+
+// Sends what is buffered and streams the rest. The caller will see if it is interrupted.
+void Exchange::StreamBufferedResponse() {
   BufferedResponse response = std::move(*partial_response_);
   partial_response_.reset();
+  const int status = response.head.status;
+  if (status >= 500 || StatusMeansNotRun(status)) {
+    // Such a response may have to be replaced, which is impossible once its head was sent.
+    const std::shared_ptr<Attempt> attempt = attempt_;
+    return OnAttemptFailed(attempt, AttemptEnd::kServerError,
+                           "the backend server's error response is too long");
+  }
   response.head.chunked = !response.head.content_length;
   ForwardHead(response.head, response.body);
 }
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(Response_EndlessTrailers_EndsInTimeWithBoundedMemory);
   CPPUNIT_TEST(Response_EndlessFromOneServer_IsGivenByAnother);
   CPPUNIT_TEST(Response_EndlessAndNoAnswer_IsCutOffBeforeTheDeadline);
+  CPPUNIT_TEST(Response_EndlessError_IsReplacedByAnotherServersAnswer);
+  CPPUNIT_TEST(UnsafeRequest_EndlessRefusalThatMayHaveRun_IsNotReportedNotRun);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -114,24 +116,64 @@
     }
   }
 
+  // Regression: an error response too long to be buffered was streamed to the caller.
+  void Response_EndlessError_IsReplacedByAnotherServersAnswer() {
+    Fleet fleet(1, 1);
+    const EndlessServer server(kName, "HTTP/1.1 500 Error\r\nX-Request-Id: ID\r\n\r\n", "x");
+    Register(fleet, server);
+    int answered = 0;
+    for (int n = 0; n < 20; ++n) {
+      if (StatusOfCall(fleet, "r" + std::to_string(n)) == 200) ++answered;
+    }
+    CPPUNIT_ASSERT(server.EndlessAnswers() > 0);
+    CPPUNIT_ASSERT_EQUAL(20, answered);
+  }
+
+  // Regression: status 503 without the statement that the request did not run was replaced only if
+  // the response could be buffered.
+  void UnsafeRequest_EndlessRefusalThatMayHaveRun_IsNotReportedNotRun() {
+    Fleet fleet(1, 0);
+    const EndlessServer server(kName, "HTTP/1.1 503 Busy\r\nX-Request-Id: ID\r\n\r\n", "x");
+    Register(fleet, server);
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/u/x";
+    request.headers = {{"Host", "fleet.example"}, {"X-Request-Id", "u"}};
+    request.body = "body";
+    int status = 0;
+    request.response_handler = [&status](const httplib::Response& response) {
+      status = response.status;
+      return true;
+    };
+    request.content_receiver = [](const char*, size_t, uint64_t, uint64_t) { return false; };
+    HttpClientFor(fleet.Entry(0).edge).send(request);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, server.EndlessAnswers());
+    CPPUNIT_ASSERT_EQUAL(502, status);
+  }
+
  private:
   static constexpr const char* kName = "endless";
 
-  static void Register(Fleet& fleet, const EndlessServer& server) {
+  static void Register(Fleet& fleet, const EndlessServer& server, const std::string& name = kName) {
     const json row = {{"service", "service-a"}, {"address", server.Address().ToString()},
                       {"zone", "place-a"},      {"version", "v1"},
                       {"slots", 400},           {"state", "ready"},
                       {"warmup-left-ms", 0},    {"seq-no", 1}};
-    fleet.Control("PUT", std::string("/control/row?table=servers&key=") + kName, row.dump());
+    fleet.Control("PUT", "/control/row?table=servers&key=" + name, row.dump());
     std::this_thread::sleep_for(milliseconds(2000));  // The list of servers is in force by then.
   }
 
-  // Sends kCallers requests at once to an entry VM whose only server answers as given.
-  static void AssertBounded(const std::string& beginning, const std::string& filler,
-                            milliseconds pause = milliseconds(0)) {
+  static void AssertBounded(const std::string& beginning, const std::string& filler) {
     Fleet fleet(1, 0);
-    const EndlessServer server(kName, beginning, filler, pause);
+    const EndlessServer server(kName, beginning, filler);
     Register(fleet, server);
+    AssertCallsEndInTime(fleet);
+    AssertCutOff(server);
+    AssertBoundedMemory(fleet);
+  }
+
+  // Sends kCallers requests at once.
+  static void AssertCallsEndInTime(Fleet& fleet) {
     std::vector<milliseconds> took(kCallers);
     std::vector<int> status(kCallers);
     std::vector<std::thread> callers;
@@ -143,13 +185,19 @@
       });
     }
     for (std::thread& it : callers) it.join();
-    CPPUNIT_ASSERT(server.EndlessAnswers() > 0);
     for (size_t i = 0; i < kCallers; ++i) {
       CPPUNIT_ASSERT(status[i] != 200);
       CPPUNIT_ASSERT_MESSAGE(std::to_string(took[i].count()) + " ms",
                              took[i] <= kDeadline + kMaxDelay);
     }
+  }
+
+  static void AssertCutOff(const EndlessServer& server) {
+    CPPUNIT_ASSERT(server.EndlessAnswers() > 0);
     CPPUNIT_ASSERT(WaitUntil([&] { return server.OpenEndlessAnswers() == 0; }, kMaxDelay));
+  }
+
+  static void AssertBoundedMemory(Fleet& fleet) {
     const size_t peak = PeakMemoryKb(fleet.Entry(0).process->Pid());
     CPPUNIT_ASSERT_MESSAGE(std::to_string(peak) + " KB", peak <= kMaxMemoryKb);
     CPPUNIT_ASSERT_EQUAL(200, Fleet::GetStatus(fleet.Entry(0).readiness, "/-/readiness"));
