Buffered responses of all exchanges together are limited to 32 MiB

Cause: each response was buffered up to 1 MiB, whatever the others held.

Change: the bytes of all buffered responses are counted. Above 32 MiB a response is streamed from its next bytes on, which costs the chance to replace it should it break off, and nothing else.

Test: Responses_EndlessBelowTheBufferLimit_EndInTimeWithBoundedMemory failed before (335,380 and 332,852 KB; limit 160 MB). EndlessResponseTest: 13 passed, 0 failed. Unit tests: 362 passed, 0 failed.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -77,6 +77,7 @@
 }
 
 Exchange::~Exchange() {
+  ReleaseBufferedBytes();
   context_.exchanges.erase(ticket_);
   --context_.open_requests;
 }
@@ -429,6 +430,7 @@
   }
   if (response_started_) return;
   partial_response_.reset();
+  ReleaseBufferedBytes();
   CloseAttempts(AttemptEnd::kTimedOut);
   if (DeliverBufferedResponse()) return;
   const bool status_denies_run = context_.wire.status_implies_outcome && !MayHaveRun();
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -93,6 +93,8 @@
   void OnResponseHead(const std::shared_ptr<Attempt>& attempt, const HttpHead& response);
   void BufferResponse(std::string_view bytes);
   void StreamBufferedResponse();
+  // Counts the bytes of this exchange no longer as buffered.
+  void ReleaseBufferedBytes();
   void OnResponseBuffered();
   bool DeliverBufferedResponse();
   // Sends the head and `first_bytes` of the body to the caller.
@@ -153,6 +155,7 @@
     std::string body;
   };
   std::optional<BufferedResponse> partial_response_;  // Being read from attempt_.
+  size_t buffered_bytes_ = 0;                         // Part of context_.buffered_response_bytes.
   // A complete response. A server error is kept here until no retry can replace it.
   std::optional<BufferedResponse> buffered_response_;
   bool ended_ = false;
--- a/src/forward/exchange_answer.cc
+++ b/src/forward/exchange_answer.cc
@@ -17,6 +17,9 @@
 constexpr uint64_t kResumeProgressBytes = 16384;
 
 constexpr size_t kMaxBufferedResponseBytes = 1 << 20;  // Larger responses are streamed.
+// Limit on the bodies buffered by all exchanges. Above it, responses are streamed whatever their
+// size.
+constexpr size_t kMaxBufferedResponsesBytes = 32 << 20;
 
 // Whether the status by itself tells the caller that the request did not run.
 bool StatusMeansNotRun(int status) {
@@ -43,6 +46,7 @@
   }
   if (partial_response_) {
     partial_response_.reset();
+    ReleaseBufferedBytes();
     return OnAttemptFailed(attempt, AttemptEnd::kConnectionLost, std::get<HttpError>(event).detail);
   }
   OnResponseInterrupted(AttemptEnd::kConnectionLost, std::get<HttpError>(event).detail);
@@ -87,8 +91,15 @@
 
 void Exchange::BufferResponse(std::string_view bytes) {
   partial_response_->body.append(bytes);
-  if (partial_response_->body.size() <= kMaxBufferedResponseBytes) return attempt_->ReadNext();
-  StreamBufferedResponse();
+  buffered_bytes_ += bytes.size();
+  context_.buffered_response_bytes += bytes.size();
+  const bool fits = partial_response_->body.size() <= kMaxBufferedResponseBytes &&
+                    context_.buffered_response_bytes <= kMaxBufferedResponsesBytes;
+  return fits ? attempt_->ReadNext() : StreamBufferedResponse();
+}
+
+void Exchange::ReleaseBufferedBytes() {
+  context_.buffered_response_bytes -= std::exchange(buffered_bytes_, 0);
 }
 
 // Sends what is buffered and streams the rest. The caller will see if it is interrupted.
@@ -98,6 +109,7 @@
   const int status = response.head.status;
   if (status >= 500 || StatusMeansNotRun(status)) {
     // Such a response may have to be replaced, which is impossible once its head was sent.
+    ReleaseBufferedBytes();
     const std::shared_ptr<Attempt> attempt = attempt_;
     return OnAttemptFailed(attempt, AttemptEnd::kServerError,
                            "the backend server's error response is too long");
@@ -159,6 +171,7 @@
   caller_stream_->Write(std::move(out), [self = shared_from_this()](bool ok) {
     if (self->ended_) return;
     if (!ok) return self->OnCallerGone();
+    self->ReleaseBufferedBytes();
     self->ArmStreamTimer(TimerUse::kBackendSilence,
                          self->context_.settings.backend.silence_timeout);
     self->attempt_->ReadNext();
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -80,8 +80,9 @@
   std::unordered_map<Ticket, Exchange*> exchanges = {};  // Admitted and not finished.
   RequestIdSource ids = {};
   Ticket next_ticket = 1;
-  bool leaving = false;      // Shutting down: callers' connections close after responses.
-  size_t open_requests = 0;  // Requests in flight in this entry VM.
+  bool leaving = false;                // Shutting down: callers' connections close after responses.
+  size_t open_requests = 0;            // Requests in flight in this entry VM.
+  size_t buffered_response_bytes = 0;  // Bodies held by all exchanges.
 };
 
 }  // namespace cowsliphill
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -20,7 +20,7 @@
 
 constexpr milliseconds kDeadline{1000};     // Stated by each caller.
 constexpr milliseconds kMaxDelay{500};      // From the deadline to the final answer.
-constexpr size_t kCallers = 150;            // Concurrent ones.
+constexpr size_t kCallers = 300;            // Concurrent ones.
 constexpr size_t kMaxMemoryKb = 160 << 10;  // The smallest entry VM has 160 MB.
 
 // A late response to another request has at most 1 MiB; the rest are buffers of both sockets.
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(Response_EndlessBodyOfAnotherRequest_EndsInTimeWithBoundedMemory);
   CPPUNIT_TEST(Response_EndlessBodyUntilClose_EndsInTimeWithBoundedMemory);
   CPPUNIT_TEST(Response_EndlessChunkedBody_EndsInTimeWithBoundedMemory);
+  CPPUNIT_TEST(Responses_EndlessBelowTheBufferLimit_EndInTimeWithBoundedMemory);
   CPPUNIT_TEST(Response_EndlessTrailers_EndsInTimeWithBoundedMemory);
   CPPUNIT_TEST(Response_EndlessFromOneServer_IsGivenByAnother);
   CPPUNIT_TEST(Response_EndlessAndNoAnswer_IsCutOffBeforeTheDeadline);
@@ -79,6 +80,21 @@
     AssertBounded(std::string(kSignedHead) + "Transfer-Encoding: chunked\r\n\r\n",
                   "1000\r\n" + std::string(0x1000, 'x') + "\r\n");
   }
+  // Regression: the buffer of each response was limited, but not all of them together.
+  void Responses_EndlessBelowTheBufferLimit_EndInTimeWithBoundedMemory() {
+    constexpr milliseconds kPause{65};  // Some 1 MB until the deadline.
+    Fleet fleet(1, 0);
+    std::vector<std::unique_ptr<EndlessServer>> servers;
+    for (size_t i = 0; i < 5; ++i) {
+      const std::string name = kName + std::to_string(i);
+      servers.push_back(
+          std::make_unique<EndlessServer>(name, std::string(kSignedHead) + "\r\n", "x", kPause));
+      Register(fleet, *servers.back(), name);
+    }
+    AssertCallsEndInTime(fleet);
+    for (const auto& it : servers) AssertCutOff(*it);
+    AssertBoundedMemory(fleet);
+  }
   void Response_EndlessTrailers_EndsInTimeWithBoundedMemory() {
     AssertBounded(std::string(kSignedHead) + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
                   "X-Filler: x\r\n");
