Requests that wait for a server are refused before an entry VM stops

Cause: the graceful stop waits for open requests to end by themselves and then cuts what is left, whether a server works on it or not. A request that waits could have been given to another entry VM all the time.

Change: after 0.8 of the stop time, requests that wait are refused as not run, 503 with Retry-After 0.05 s; requests at a server keep their 0.93.

--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -69,6 +69,7 @@
   kOverload,         // The request is not expected to be answered by its deadline.
   kDeadline,         // The deadline has passed or is too near for an answer.
   kRetryBudget,      // The limit on retries does not allow another attempt.
+  kStopping,         // This entry VM stops before a server can be found. Not sent to others.
 };
 
 struct SendTo {
--- a/src/choose/chooser_views.cc
+++ b/src/choose/chooser_views.cc
@@ -20,6 +20,8 @@
       return "overload";
     case RefusalCause::kDeadline:
       return "deadline";
+    case RefusalCause::kStopping:
+      return "stopping";
     case RefusalCause::kRetryBudget:
       return "retry budget";
   }
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -32,6 +32,10 @@
 constexpr milliseconds kDepartureTime{150};  // Time to send the last peer messages.
 // Fraction of the stop timeout during which new connections are accepted.
 constexpr double kAcceptFraction = 0.5;
+// Fraction of the stop timeout after which requests that wait for a server are refused, so that
+// their callers can try another entry VM.
+constexpr double kWaitFraction = 0.8;
+constexpr milliseconds kRetryAfterStop{50};  // Retry-After value for these callers.
 // Fraction of the stop timeout after which open requests are aborted.
 constexpr double kWorkFraction = 0.93;
 constexpr double kEventLinesPerSecond = 20;
@@ -561,6 +565,9 @@
 
 bool RoutedEntry::MayDepart(Duration waited) {
   if (context_.open_requests == 0 && edge_.OpenConnections() == 0) return true;
+  if (waited > Times(settings_.stop_timeout, kWaitFraction)) {
+    dispatcher_.RefuseWaiting(kRetryAfterStop);
+  }
   if (waited <= Times(settings_.stop_timeout, kWorkFraction)) return false;
   if (context_.open_requests > 0) {
     log_.Write(LogLevel::kError, "stopping with work left",
--- a/src/forward/dispatcher.cc
+++ b/src/forward/dispatcher.cc
@@ -52,6 +52,13 @@
   if (on_policy_called_) on_policy_called_();
 }
 
+void Dispatcher::RefuseWaiting(std::chrono::milliseconds retry_after) {
+  // The callbacks call Finish, which changes waiting_.
+  for (const auto& [ticket, done] : std::exchange(waiting_, {})) {
+    done(Refuse{ticket, RefusalCause::kStopping, retry_after});
+  }
+}
+
 void Dispatcher::PollSoon() {
   if (poll_pending_) return;
   poll_pending_ = true;
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -466,6 +466,10 @@
       error_response.error = "connection_timeout";
       error_response.detail = "the request's deadline has passed";
       return error_response;
+    case RefusalCause::kStopping:
+      error_response.error = "destination_unavailable";
+      error_response.detail = "this entry VM is stopping";
+      return error_response;
     case RefusalCause::kRetryBudget:
       error_response.detail = "the retry budget allows no further attempt";
       return error_response;
--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -81,11 +81,13 @@
   CPPUNIT_ASSERT_MESSAGE(path, result && result->status == 200);
 }
 
-void Fleet::PutManifest(uint64_t version, const std::string& prefix, size_t further_routes) {
-  const auto route = [](const std::string& at, const char* type,
-                        const char* host = "fleet.example") {
-    return json{{"host", host},           {"prefix", at},     {"route-type", type},
-                {"timeout-ms", 2500},     {"priority", 1},    {"target-latency-ms", 500},
+void Fleet::PutManifest(uint64_t version, const std::string& prefix, size_t further_routes,
+                        std::chrono::milliseconds route_timeout) {
+  const auto route = [route_timeout](const std::string& at, const char* type,
+                                     const char* host = "fleet.example") {
+    return json{{"host", host},           {"prefix", at},
+                {"route-type", type},     {"timeout-ms", route_timeout.count()},
+                {"priority", 1},          {"target-latency-ms", 500},
                 {"service", "service-a"}, {"max-attempts", 2}};
   };
   json routes = {{"r-1", route(prefix, "safe")}, {"r-2", route("/u/", "unsafe")}};
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -50,7 +50,8 @@
   void Control(const std::string& method, const std::string& path, const std::string& body = "");
   // `prefix` is the path prefix of the idempotent route. `further_routes` routes of another host
   // make the manifest larger, by some 200 bytes each.
-  void PutManifest(uint64_t version, const std::string& prefix, size_t further_routes = 0);
+  void PutManifest(uint64_t version, const std::string& prefix, size_t further_routes = 0,
+                   std::chrono::milliseconds route_timeout = std::chrono::milliseconds(2500));
   nlohmann::json Journal() const;
   // Number of times that the request started at a backend server.
   size_t RunCount(const std::string& id) const;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(Sighup_ToAnEntryVm_ChangesNothing);
   CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndExits);
   CPPUNIT_TEST(Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout);
+  CPPUNIT_TEST(Sigterm_WithRequestsThatWaitForASlot_RefusesThemAsNotRun);
   CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
   CPPUNIT_TEST(Metrics_OfAnEntryVm_IncludeStoreCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -328,6 +329,39 @@
     caller.join();
   }
 
+  // Regression: requests that still waited for a server at the end of the stop timeout were cut off
+  // without an answer.
+  void Sigterm_WithRequestsThatWaitForASlot_RefusesThemAsNotRun() {
+    constexpr size_t callers = 20;  // The servers have 9 slots.
+    const milliseconds minute(60000);
+    Fleet fleet(1);
+    fleet.PutManifest(2, "/a/", 0, minute);
+    SetModeOfAllServers(fleet, "ok&work_ms=60000");
+    std::this_thread::sleep_for(kMaxManifestDelay);
+    std::vector<int> status(callers);
+    std::vector<std::string> retry_after(callers);
+    std::vector<std::thread> threads;
+    for (size_t i = 0; i < callers; ++i) {
+      threads.emplace_back([&, i] {
+        const auto result = fleet.Send(0, "/u/x", "u" + std::to_string(i), minute);
+        if (!result) return;
+        status[i] = result->status;
+        retry_after[i] = result->get_header_value("Retry-After");
+      });
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    fleet.Entry(0).process->Signal(SIGTERM);
+    for (std::thread& it : threads) it.join();
+    size_t refused = 0;
+    for (size_t i = 0; i < callers; ++i) {
+      if (fleet.RunCount("u" + std::to_string(i)) > 0) continue;
+      ++refused;
+      CPPUNIT_ASSERT_EQUAL(503, status[i]);
+      CPPUNIT_ASSERT(!retry_after[i].empty());
+    }
+    CPPUNIT_ASSERT(refused > 0);
+  }
+
   void Kill_OfTheReader_LeavesTheOthersUpToDate() {
     Fleet fleet(3);
     std::this_thread::sleep_for(std::chrono::seconds(2));
