Limits that backend servers name are read, logged and counted

Log line "backend server limit" (named, changed, withdrawn, with both values) and the gauge cowsliphill_limited_servers. Requests are still assigned as before. The stand-in of the fleet names limits and lists arrivals.

--- a/src/balance/assignment.h
+++ b/src/balance/assignment.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <tuple>
 #include <variant>
 #include <vector>
@@ -74,6 +75,13 @@
 using Assignment = std::variant<Assigned, Queued, Declined>;
 using QueueDecision = std::variant<Assigned, Declined>;
 
+// A backend server has named another limit than before, in requests per second; nullopt: none.
+struct LimitChange {
+  BackendServerId server;
+  std::optional<double> before;
+  std::optional<double> after;
+};
+
 // How soon a cell can serve a request.
 enum class Availability {
   kFreeSlot,     // A slot is free at which the request meets its target.
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -42,6 +42,7 @@
   MonotonicTime warmup_end;  // Time from which the server runs at full speed.
   ServerLoad load;
   ServerHealth health;
+  ServerLimit limit;
   std::vector<AssignmentId> open_requests;
 };
 
@@ -77,6 +78,7 @@
       // The state of the previous process with this id does not apply to the new one.
       server->load = ServerLoad();
       server->health = ServerHealth();
+      UpdateLimit(*server, [](ServerLimit& limit) { limit = ServerLimit(); });
       server->leaving = false;
     }
     const bool is_new = server->config.id.Empty() || restarted;
@@ -469,6 +471,12 @@
       }
       break;
   }
+  // Only a whole answer without a limit states that there is none.
+  if (result.limit || result.end == AttemptEnd::kAnswered) {
+    UpdateLimit(server, [&](ServerLimit& limit) {
+      limit.OnAnswer(result.limit, request.assigned_at, now);
+    });
+  }
   Withdraw(id);
   if (result.report) OnReport(server_id, *result.report, now);
 }
@@ -482,6 +490,9 @@
       server.load.OnReport(report, received_at, host_interval_.Interval());
   server.health.OnReached();
   if (report.draining) server.leaving = true;
+  if (report.limit) {
+    UpdateLimit(server, [&](ServerLimit& limit) { limit.OnStatement(report.limit, received_at); });
+  }
   if (change.changed) server.cell->last_speed_change = received_at;
   if (change.gap) host_interval_.OnGapBetweenChanges(*change.gap);
   if (!report.slowdown) return;
@@ -490,6 +501,20 @@
   if (*report.slowdown >= kSlowHostThreshold) RecordSlowStarts(server);
 }
 
+template <typename Update>
+void Balancer::UpdateLimit(Server& server, Update update) {
+  const std::optional<double> before = server.limit.Limit();
+  update(server.limit);
+  const std::optional<double> after = server.limit.Limit();
+  if (after != before) limit_changes_.push_back({server.config.id, before, after});
+}
+
+size_t Balancer::LimitedServers() const {
+  return static_cast<size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& item) {
+    return item.second->listed && item.second->limit.Limit();
+  }));
+}
+
 // How fast a request runs depends on its host's speed when the request started. A request that was
 // assigned after the host had turned slow, but before a report showed that, will therefore be late.
 void Balancer::RecordSlowStarts(Server& server) {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -41,6 +41,7 @@
 #include "src/balance/caller_elapsed_estimate.h"
 #include "src/balance/cell_map.h"
 #include "src/balance/host_steps.h"
+#include "src/balance/server_limit.h"
 #include "src/balance/server_load.h"
 #include "src/balance/service_time_estimate.h"
 #include "src/manifest/manifest.h"
@@ -113,6 +114,9 @@
   void OnMissedProbe(const BackendServerId& server);
   // Servers to probe at once, because requests queued since the last call wait for their reports.
   std::vector<BackendServerId> TakeServersToProbe() { return std::exchange(servers_to_probe_, {}); }
+  // Changes of the limits that servers name, since the last call.
+  std::vector<LimitChange> TakeLimitChanges() { return std::exchange(limit_changes_, {}); }
+  size_t LimitedServers() const;  // Number of servers that name a limit.
   // Assignments whose host was already slow when they started, as reports received since the last
   // call show.
   std::vector<AssignmentId> TakeStartedSlow() { return std::exchange(started_slow_, {}); }
@@ -169,6 +173,9 @@
   Declined Decline(const Request& request, RefusalCause cause, MonotonicTime now);
   ServiceTimeEstimate& ServiceTimeOf(Cell& cell, const AssignmentRequest& spec, MonotonicTime now);
   void RecordSlowStarts(Server& server);
+  // Calls `update` with the server's limit and records the change that this makes.
+  template <typename Update>
+  void UpdateLimit(Server& server, Update update);
 
   std::mt19937_64 random_;
   HostIntervalEstimate host_interval_;
@@ -177,6 +184,7 @@
   std::unordered_map<AssignmentId, Request> requests_;
   std::vector<QueueDecision> decisions_;  // Decisions since the last TakeQueueDecisions.
   std::vector<AssignmentId> started_slow_;
+  std::vector<LimitChange> limit_changes_;
   std::vector<BackendServerId> servers_to_probe_;
 };
 
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -110,6 +110,9 @@
   AttemptEnd end = AttemptEnd::kAnswered;
   Duration latency{};            // From sending to the answer's first byte, or to the failure.
   std::optional<Report> report;  // Report that came with the answer.
+  // Limit that the server named in this answer, in requests per second. An answer without one (end
+  // is kAnswered) states that the server has no limit.
+  std::optional<double> limit = {};
 };
 
 // State of one backend server as seen by this entry VM, for the status and explain views.
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -425,6 +425,15 @@
     if (!event_log_budget_.Allow(clock_.Now())) return;
     log_.Write(LogLevel::kInfo, event, {{"detail", detail}});
   };
+  listener.on_limit = [this](const LimitChange& change) {
+    if (!event_log_budget_.Allow(clock_.Now())) return;
+    const char* kind = !change.before ? "named" : change.after ? "changed" : "withdrawn";
+    log_.Write(LogLevel::kInfo, "backend server limit",
+               {{"backend_server", change.server.Text()},
+                {"change", std::string(kind)},
+                {"per_second", change.after.value_or(0)},
+                {"per_second_before", change.before.value_or(0)}});
+  };
   return listener;
 }
 
@@ -511,6 +520,8 @@
   set("cowsliphill_servers_age_seconds", "Since the list of servers was known to be the newest",
       std::chrono::duration<double>(follower_.ServersAge()).count());
   set("cowsliphill_backend_servers", "Backend servers known", follower_.ServerCount());
+  set("cowsliphill_limited_servers", "Backend servers that name a limit of requests per second",
+      scheduling_.LimitedServers());
   set("cowsliphill_store_reader", "1 while this entry VM asks the store for all",
       follower_.IsStoreReader() ? 1 : 0);
   const StoreCallCounts store = store_.Counts();
--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -48,6 +49,10 @@
   // ended.
   bool MarkEndReported() { return !std::exchange(end_reported_, true); }
 
+  // The limit that the server named in the response's head, in requests per second.
+  void SetNamedLimit(std::optional<double> limit) { named_limit_ = limit; }
+  std::optional<double> NamedLimit() const { return named_limit_; }
+
   const SendTo& Target() const { return target_; }
   bool HasSentBytes() const { return write_started_; }  // The server may have received bytes.
   bool IsReused() const { return connection_.reused; }
@@ -68,8 +73,9 @@
   RequestClass request_class_;
   Events events_;
   PooledConnection connection_;
-  MonotonicTime start_time_;             // Creation of this attempt.
-  MonotonicTime response_head_time_;     // Arrival of the response's head.
+  MonotonicTime start_time_;          // Creation of this attempt.
+  MonotonicTime response_head_time_;  // Arrival of the response's head.
+  std::optional<double> named_limit_;
   bool write_started_ = false;           // The request's first write has begun.
   bool request_body_complete_ = true;    // See SetRequestBodyComplete.
   bool has_response_ = false;            // The response's head has arrived.
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -334,6 +334,7 @@
   result.end = end;
   result.latency = attempt->HasResponse() ? attempt->FirstByteLatency() : attempt->Age();
   result.report = report;
+  result.limit = attempt->NamedLimit();
   context_.dispatcher.OnEnded(ticket_, attempt->Target().server, result);
 }
 
--- a/src/forward/exchange_answer.cc
+++ b/src/forward/exchange_answer.cc
@@ -59,6 +59,7 @@
     return CloseAttempt(unused, AttemptEnd::kCancelled);
   }
   const std::optional<Report> report = context_.wire.report(response, meta_.service->report_format);
+  attempt->SetNamedLimit(report ? report->limit : std::nullopt);
   if (context_.wire.says_not_started(response)) {
     const AttemptEnd refused = RefusalEnd(report);
     ReportAttemptEnd(attempt, refused, report);
--- a/src/measure/report.h
+++ b/src/measure/report.h
@@ -18,8 +18,10 @@
   std::optional<uint32_t> in_flight;  // Requests executing or queued on the server.
   std::optional<uint32_t> slots;      // Requests that the server can execute concurrently.
   std::optional<double> slowdown;     // Current execution time relative to normal; 1 is normal.
-  bool draining = false;              // The server is shutting down and must get no new requests.
-  bool shedding = false;              // The server rejects requests because it is overloaded.
+  // Requests per second that the server accepts from all entry VMs together.
+  std::optional<double> limit;
+  bool draining = false;  // The server is shutting down and must get no new requests.
+  bool shedding = false;  // The server rejects requests because it is overloaded.
 };
 
 // Returns the value of the header with this lower-case name, or nullopt if there is none.
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -295,6 +295,7 @@
   end.end = result.end;
   end.latency = duration_cast<microseconds>(result.latency);
   end.report = result.report;
+  end.limit = result.limit;
   const auto server = servers_.find(attempt.server);
   if (server != servers_.end() && server->second.report) {
     if (!end.report) end.report = server->second.report;
--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -32,7 +32,9 @@
 constexpr uint32_t kHasSlowdown = 4;
 constexpr uint32_t kDraining = 8;
 constexpr uint32_t kShedding = 16;
+constexpr uint32_t kHasLimit = 32;
 constexpr double kPercent = 100.0;
+constexpr double kMilli = 1000.0;  // Limits are encoded in requests per 1000 s.
 
 constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kRetryBudget);
 constexpr auto kLastEnd = static_cast<uint32_t>(AttemptEnd::kCancelled);
@@ -41,6 +43,8 @@
 uint64_t Millis(milliseconds time) { return NonNegative(time.count()); }
 uint64_t Percent(double value) { return NonNegative(static_cast<int64_t>(value * kPercent)); }
 
+uint64_t EncodeLimit(double limit) { return NonNegative(static_cast<int64_t>(limit * kMilli)); }
+
 void Put(PackedWriter& out, const ScheduleRequest& request) {
   uint32_t flags = request.bulk ? kBulk : 0;
   if (request.hedge) flags |= kHedge;
@@ -80,10 +84,12 @@
   if (report.slowdown) flags |= kHasSlowdown;
   if (report.draining) flags |= kDraining;
   if (report.shedding) flags |= kShedding;
+  if (end.limit) flags |= kHasLimit;
   out.Number(static_cast<unsigned char>(kEnd), 1).Number(end.id, 4);
   out.Number(static_cast<uint32_t>(end.end), 1).Number(NonNegative(end.latency.count()), 4);
   out.Number(flags, 1).Number(report.in_flight.value_or(0), 2);
   out.Number(Percent(report.slowdown.value_or(0)), 2);
+  if (end.limit) out.Number(EncodeLimit(*end.limit), 4);
 }
 
 void Put(PackedWriter& out, const SlowHost& slow) {
@@ -160,6 +166,7 @@
   report.draining = (flags & kDraining) != 0;
   report.shedding = (flags & kShedding) != 0;
   if ((flags & kHasReport) != 0) end.report = report;
+  if ((flags & kHasLimit) != 0) end.limit = in.Number(4) / kMilli;
   return end;
 }
 
--- a/src/schedule/schedule_message.h
+++ b/src/schedule/schedule_message.h
@@ -71,6 +71,8 @@
   // Newest report of the server that was not passed on yet. With kNotStarted it may be made by the
   // entry VM, to say only whether it knows the server to be draining.
   std::optional<Report> report;
+  // Limit that the server named in its answer, in requests per second; see AttemptResult::limit.
+  std::optional<double> limit = {};
 };
 
 // Scheduler to entry VM: the server's host was already slow when the attempt started there.
--- a/src/schedule/schedule_message_test.cc
+++ b/src/schedule/schedule_message_test.cc
@@ -94,6 +94,9 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{5}, decoded.report->in_flight.value_or(0));
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.4, decoded.report->slowdown.value_or(0), 0.01);
     CPPUNIT_ASSERT(decoded.report->draining && !decoded.report->shedding);
+    CPPUNIT_ASSERT(!decoded.limit);
+    end.limit = 1.3;
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.3, RoundTrip(end).limit.value_or(0), 0.001);
     end.report = Report();  // A missing load must not be decoded as 0.
     CPPUNIT_ASSERT(!RoundTrip(end).report->in_flight && !RoundTrip(end).report->slowdown);
   }
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -103,6 +103,7 @@
     }
   }
   flushing_ = false;
+  for (const LimitChange& change : scheduler_.TakeLimitChanges()) listener_.on_limit(change);
   if (scheduler_.HasServersToProbe()) SendProbes();
   if (dispatcher_ != nullptr && planner_.HasReady()) dispatcher_->PollSoon();
   // The timer may be set to the next probe, but a queue that has just formed must be processed
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -26,6 +26,8 @@
   // Called for each change to be logged: an unresponsive scheduler, or a change of the number of
   // cells that this entry VM schedules.
   std::function<void(const std::string& event, const std::string& detail)> on_event;
+  // Called for each change of the limit that a backend server names.
+  std::function<void(const LimitChange&)> on_limit;
 };
 
 class ScheduleNode {
@@ -49,6 +51,7 @@
   void Close();
 
   size_t Waiting() const { return scheduler_.Waiting(); }
+  size_t LimitedServers() const { return scheduler_.LimitedServers(); }
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -213,7 +213,7 @@
   const auto it = assignment_ids_.find({from, end.id});
   if (it == assignment_ids_.end()) return;
   const AssignmentId id = it->second;
-  balancer_.OnAttemptEnded(id, {end.end, end.latency, end.report}, now);
+  balancer_.OnAttemptEnded(id, {end.end, end.latency, end.report, end.limit}, now);
   EraseRequest(id);
   SendDecisions(now);
 }
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -87,6 +87,8 @@
   std::optional<MonotonicTime> NextWake(MonotonicTime now) const;
   std::vector<Outgoing> TakeOutbox() { return std::exchange(outbox_, {}); }
 
+  std::vector<LimitChange> TakeLimitChanges() { return balancer_.TakeLimitChanges(); }
+  size_t LimitedServers() const { return balancer_.LimitedServers(); }
   size_t Waiting() const { return balancer_.Waiting(); }
   size_t CellsScheduled() const;
 
--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -175,6 +175,12 @@
   uint64_t reads_ = 0;
 };
 
+struct Arrival {
+  std::string request;
+  std::string server;
+  milliseconds at{0};  // On the clock of the stand-in.
+};
+
 struct JournalEntry {
   std::string request;
   std::string server;
@@ -184,13 +190,15 @@
 // One backend server of the fleet.
 class Server {
  public:
-  Server(asio::io_context& loop, std::string name, const FleetOptions& options,
-         std::vector<JournalEntry>& journal)
+  Server(asio::io_context& loop, const Clock& clock, std::string name, const FleetOptions& options,
+         std::vector<JournalEntry>& journal, std::vector<Arrival>& arrivals)
       : loop_(loop),
+        clock_(clock),
         name_(std::move(name)),
         slots_(options.slots),
         work_(options.work),
         journal_(journal),
+        arrivals_(arrivals),
         server_(loop, {"127.0.0.1", 0}, [this](const HttpExchange& it) { OnRequest(it); }) {}
 
   Endpoint Address() const { return server_.Address(); }
@@ -198,17 +206,22 @@
     mode_ = control.Query("mode").empty() ? mode_ : control.Query("mode");
     work_ = milliseconds(NumberOr(control.Query("work_ms"), static_cast<uint64_t>(work_.count())));
     slowdown_ = NumberOr(control.Query("slowdown"), slowdown_);
+    if (!control.Query("limit").empty()) limit_ = control.Query("limit");
   }
 
  private:
   std::vector<HttpHeader> Headers() const {
-    return {{"X-Instance-Id", name_},
-            {"X-Server-Load", std::to_string(running_) + ",0," + std::to_string(slots_) + "," +
-                                  std::to_string(slowdown_)}};
+    std::vector<HttpHeader> headers = {
+        {"X-Instance-Id", name_},
+        {"X-Server-Load", std::to_string(running_) + ",0," + std::to_string(slots_) + "," +
+                              std::to_string(slowdown_)}};
+    if (limit_ != "0") headers.push_back({"Server-Limit", limit_});
+    return headers;
   }
   void OnRequest(const HttpExchange& exchange) {
     const HttpRequest& request = exchange.Request();
     if (request.path == "/health") return exchange.Answer({200, Headers(), "", {}});
+    arrivals_.push_back({request.Header("x-request-id"), name_, Now()});
     if (request.Header("x-target-instance") != name_) {
       return exchange.Answer({421, Headers(), "", {}});
     }
@@ -220,6 +233,9 @@
     }
     Run(exchange);
   }
+  milliseconds Now() const {
+    return std::chrono::duration_cast<milliseconds>(clock_.Now().time_since_epoch());
+  }
   void Run(const HttpExchange& exchange) {
     ++running_;
     const size_t entry = journal_.size();
@@ -254,13 +270,16 @@
   }
 
   asio::io_context& loop_;
+  const Clock& clock_;
   std::string name_;
   uint32_t slots_;
   milliseconds work_;
   uint64_t slowdown_ = 100;  // Execution time in percent of `work_`.
   uint32_t running_ = 0;
   std::string mode_ = "ok";
+  std::string limit_ = "0";  // Requests per second, as sent; "0": none.
   std::vector<JournalEntry>& journal_;
+  std::vector<Arrival>& arrivals_;
   std::vector<HttpExchange> unanswered_;
   HttpServer server_;
 };
@@ -271,7 +290,7 @@
   State(asio::io_context& loop, const Clock& clock, const FleetOptions& options) : store(loop) {
     for (size_t i = 0; i < options.servers; ++i) {
       const std::string name = "s-" + std::to_string(i);
-      servers[name] = std::make_unique<Server>(loop, name, options, journal);
+      servers[name] = std::make_unique<Server>(loop, clock, name, options, journal, arrivals);
       const Json row = {{"service", options.service},
                         {"address", servers[name]->Address().ToString()},
                         {"zone", options.failure_domain},
@@ -296,6 +315,7 @@
   HttpAnswer Control(const HttpRequest& request) {
     const std::string& path = request.path;
     if (path == "/control/journal") return Journal();
+    if (path == "/control/arrivals") return Arrivals();
     if (path == "/control/counts") return JsonAnswer(200, {{"reads", store.Reads()}});
     if (path == "/control/row" && request.method == "PUT") {
       store.Put(request.Query("table"), request.Query("key"), request.body);
@@ -322,8 +342,17 @@
     return JsonAnswer(200, list);
   }
 
+  HttpAnswer Arrivals() const {
+    Json list = Json::array();
+    for (const Arrival& it : arrivals) {
+      list.push_back({{"request", it.request}, {"server", it.server}, {"at_ms", it.at.count()}});
+    }
+    return JsonAnswer(200, list);
+  }
+
   RowStore store;
   std::vector<JournalEntry> journal;
+  std::vector<Arrival> arrivals;
   std::map<std::string, std::unique_ptr<Server>> servers;
   std::unique_ptr<HttpServer> http;
 };
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -11,7 +11,7 @@
 //   PUT /control/store?mode=ok|slow|busy|silent|reset&slow_ms=MS&bytes_per_s=N
 //     bytes_per_s: bandwidth of each answer; 0 or absent: unlimited
 //   POST /control/compact              discards the history of changes
-//   PUT /control/server?name=N&mode=MODE&work_ms=MS&slowdown=PERCENT
+//   PUT /control/server?name=N&mode=MODE&work_ms=MS&slowdown=PERCENT&limit=N
 //     ok: executes the request and answers 200; with all slots busy, refuses as in mode shed (so do
 //         the modes below, except hang)
 //     shed: refuses with 503 and X-Not-Executed, without executing
@@ -20,6 +20,10 @@
 //     cut: executes, then closes the connection without an answer
 //     stray: executes, then answers with an X-Request-Id that is not the request's
 //     stream: the answer starts at once and its body is sent over the execution time
+//     limit: the answers name a Server-Limit of N requests a second (a decimal number); 0: none
+//   GET /control/arrivals              [{"request","server","at_ms"}], also of refused requests,
+//   but
+//                                      not of probes
 //   GET /control/journal               [{"request","server","ended"}], in the order of their starts
 //   GET /control/counts                {"reads": N}
 //
--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -106,6 +106,16 @@
   return json::parse(HttpClientFor(store_).Get("/control/journal")->body);
 }
 
+json Fleet::Arrivals() const {
+  return json::parse(HttpClientFor(store_).Get("/control/arrivals")->body);
+}
+
+double Fleet::Metric(size_t entry, const std::string& name) const {
+  const auto result = HttpClientFor(entries_[entry].metrics).Get("/metrics");
+  const size_t at = result ? result->body.find("\n" + name + " ") : std::string::npos;
+  return at == std::string::npos ? 0 : std::stod(result->body.substr(at + name.size() + 2));
+}
+
 size_t Fleet::RunCount(const std::string& id) const {
   const json journal = Journal();
   return static_cast<size_t>(std::count_if(journal.begin(), journal.end(),
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -53,6 +53,10 @@
   void PutManifest(uint64_t version, const std::string& prefix, size_t further_routes = 0,
                    std::chrono::milliseconds route_timeout = std::chrono::milliseconds(2500));
   nlohmann::json Journal() const;
+  // All requests that arrived at the backend servers, as GET /control/arrivals lists them.
+  nlohmann::json Arrivals() const;
+  // Value of a metric without labels at an entry VM; 0 if the entry VM does not answer.
+  double Metric(size_t entry, const std::string& name) const;
   // Number of times that the request started at a backend server.
   size_t RunCount(const std::string& id) const;
   // Number of read requests that the store has received.
