A backend server that names a limit gets no more requests than it allows

Change: the scheduler of a cell, which assigns all its requests, keeps a token bucket for each server with a limit (rate: the limit; burst: a quarter of a second, at least two). Queued requests wait for tokens as for slots, and the expected wait is calculated from the rate, so that what can't be served in time is refused at once ("server limit"). One scheduler at a time shares out the limits of a cell: the first in the order, or a backup that has received no LimitUpdate of those before it for 400 ms times its position; it starts with empty buckets. All others, such as an entry VM that schedules for itself, assign nothing to servers with a limit. LimitUpdates (ten a second to the cell's schedulers, one a second to all) are sent only while a server names a limit or has just withdrawn it.

Why it works: the rate of one bucket is the limit itself; during a change of schedulers two buckets run side by side for less than a second, within the half that the rule leaves.

--- a/src/balance/assignment.h
+++ b/src/balance/assignment.h
@@ -75,6 +75,13 @@
 using Assignment = std::variant<Assigned, Queued, Declined>;
 using QueueDecision = std::variant<Assigned, Declined>;
 
+// What a backend server last stated about its limit.
+struct LimitStatement {
+  BackendServerId server;
+  std::optional<double> limit;  // Requests per second; nullopt: it has withdrawn its limit.
+  MonotonicTime stated_at;
+};
+
 // A backend server has named another limit than before, in requests per second; nullopt: none.
 struct LimitChange {
   BackendServerId server;
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -23,6 +23,10 @@
 // A cell is quiet after this time without a speed change at any of its hosts: probes then only show
 // that its servers are alive.
 constexpr milliseconds kQuietPeriod{3000};
+// Smallest number of effective slots by which the time to empty a queue is estimated: without
+// limits the slots of slow hosts still serve some requests.
+constexpr double kMinEffectiveSlots = 1.0;
+constexpr double kMinLimitedSlots = 0.05;
 constexpr milliseconds kStepDelay{2};  // Delay of a probe after an expected speed change.
 
 // Position in a cell's queue: by rank, the most urgent first, then by target.
@@ -53,6 +57,7 @@
   std::map<uint32_t, size_t> queued_by_rank;
   std::map<RequestKind, CallerElapsedEstimate> caller_elapsed;
   NearCapacityEstimate near_capacity;
+  bool shares_limits = true;          // See SetSharesLimits.
   double mean_slowdown = 1.0;         // Exponentially weighted mean of reported slowdowns.
   MonotonicTime last_speed_change{};  // Newest speed change of any host in the cell.
 };
@@ -128,12 +133,19 @@
   return std::max<uint32_t>(server.config.slots, 1);
 }
 
+// Whether the server accepts requests, and a limit that it names allows one more.
+bool Balancer::MayAssign(const Cell& cell, Server& server, MonotonicTime now) {
+  if (server.leaving || server.health.IsDown(now)) return false;
+  if (!server.limit.Limit()) return true;
+  return cell.shares_limits && server.limit.Allows(now);
+}
+
 // Returns the servers that accept requests and have a free slot.
 Balancer::Candidates Balancer::FreeCandidates(const Cell& cell, MonotonicTime now) const {
   Candidates free;
   free.reserve(cell.servers.size());
   for (Server* server : cell.servers) {
-    if (server->leaving || server->health.IsDown(now)) continue;
+    if (!MayAssign(cell, *server, now)) continue;
     const Candidate candidate = Evaluate(*server, now);
     if (candidate.in_flight < SlotsOf(*server)) free.push_back(candidate);
   }
@@ -189,9 +201,11 @@
   assignment.report_age = server.load.HasReport() ? now - server.load.ReceivedAt() : Duration(-1);
   assignment.usable_servers = static_cast<uint32_t>(free.size());
   server.load.OnAssigned(now);
+  server.limit.OnAssigned(now);
+  if (server.limit.Limit()) ++assigned_within_limits_;
   server.open_requests.push_back(request.spec.id);
   const Candidate next = Evaluate(server, now);
-  if (next.in_flight < SlotsOf(server)) {
+  if (next.in_flight < SlotsOf(server) && MayAssign(*request.cell, server, now)) {
     free[i] = next;
   } else {
     free.erase(free.begin() + static_cast<std::ptrdiff_t>(i));
@@ -206,16 +220,37 @@
   return now + Times(service_time, kOnTimeMargin) <= request.spec.target;
 }
 
-// Returns the number of the cell's slots, each weighted by the inverse of its host's slowdown.
-// `fast_only` leaves out slow hosts.
-double Balancer::EffectiveSlots(Cell& cell, bool fast_only, MonotonicTime now) const {
+bool Balancer::HasLimits(const Cell& cell) const {
+  if (!saw_limits_) return false;
+  return std::any_of(cell.servers.begin(), cell.servers.end(),
+                     [](const Server* it) { return it->limit.Limit().has_value(); });
+}
+
+// Whether a server could take a request now but for its limit.
+bool Balancer::IsHeldBackByLimits(const Cell& cell, MonotonicTime now) {
+  return std::any_of(cell.servers.begin(), cell.servers.end(), [&](Server* it) {
+    return it->limit.Limit() && !it->leaving && !it->health.IsDown(now) &&
+           it->load.InFlight(now) < SlotsOf(*it) && !MayAssign(cell, *it, now);
+  });
+}
+
+// Returns the number of the cell's slots, each weighted by the inverse of its host's slowdown. A
+// server with a limit counts with at most the slots that its limit keeps busy. `fast_only` leaves
+// out slow hosts.
+double Balancer::EffectiveSlots(Cell& cell, bool fast_only, Duration service_time,
+                                MonotonicTime now) const {
   double sum = 0;
   for (const Server* server : cell.servers) {
     if (server->leaving || server->health.IsDown(now)) continue;
     const double slowdown =
         server->load.Slowdown(cell.mean_slowdown, now, host_interval_.Interval());
     if (fast_only && slowdown >= kSlowHostThreshold) continue;
-    sum += SlotsOf(*server) / std::max(slowdown, 1.0);
+    double slots = SlotsOf(*server) / std::max(slowdown, 1.0);
+    if (const std::optional<double> limit = server->limit.Limit()) {
+      const double busy = *limit * std::chrono::duration<double>(service_time).count();
+      slots = cell.shares_limits ? std::min(slots, busy) : 0;
+    }
+    sum += slots;
   }
   return sum;
 }
@@ -227,17 +262,32 @@
   return n;
 }
 
+// Counts those of them that should still meet their target.
+size_t Balancer::CountOnTimeAhead(const Cell& cell, uint32_t rank) const {
+  return static_cast<size_t>(
+      std::count_if(cell.queue.begin(), cell.queue.end(), [this, rank](const QueueKey& key) {
+        return std::get<0>(key) <= rank && !requests_.at(std::get<2>(key)).late;
+      }));
+}
+
 // Whether the request, if queued now, should reach a slot in time to meet its target, given the
 // number of requests ahead of it.
 bool Balancer::MayQueue(Cell& cell, const Request& request, Duration service_time,
                         MonotonicTime now) {
   if (!CanMeetTarget(request, service_time, now) || cell.queue.size() >= kQueueLimit) return false;
-  const size_t ahead = CountQueuedAhead(cell, request.spec.kind.rank);
-  const double effective_slots = EffectiveSlots(cell, true, now);
-  if (ahead == 0) return true;
+  const bool has_limits = HasLimits(cell);
+  const uint32_t rank = request.spec.kind.rank;
+  // Late requests get no token before those that are on time.
+  const size_t ahead = has_limits ? CountOnTimeAhead(cell, rank) : CountQueuedAhead(cell, rank);
+  if (ahead == 0 && !has_limits) return true;
+  const double effective_slots = EffectiveSlots(cell, true, service_time, now);
   if (effective_slots <= 0) return false;
-  const Duration wait = Times(service_time, static_cast<double>(ahead) / effective_slots);
-  return wait <= Times(request.spec.target - now - Times(service_time, kOnTimeMargin), kQueueSlack);
+  // With less than one slot, even the first request in the queue has to wait for a token.
+  const size_t turn = has_limits && effective_slots < 1 ? ahead + 1 : ahead;
+  const Duration wait = Times(service_time, static_cast<double>(turn) / effective_slots);
+  // The rate of tokens is known, so with limits the expected wait needs no slack.
+  const double slack = has_limits && effective_slots < 1 ? 1.0 : kQueueSlack;
+  return wait <= Times(request.spec.target - now - Times(service_time, kOnTimeMargin), slack);
 }
 
 void Balancer::AdjustTargetForRetry(AssignmentRequest& spec) {
@@ -337,10 +387,13 @@
 void Balancer::AssignOrDeclineLate(Cell& cell, Candidates& free,
                                    const std::vector<AssignmentId>& late, MonotonicTime now) {
   if (late.empty()) return;
-  const double effective_slots = EffectiveSlots(cell, false, now);
+  const double effective_slots = EffectiveSlots(
+      cell, false, ServiceTimeOf(cell, requests_.at(late.front()).spec, now).Mean(), now);
   // Queued requests of this or a more urgent rank that are not in `late`, plus those in `late` that
   // stay queued below.
   size_t ahead = CountQueuedAhead(cell, requests_.at(late.front()).spec.kind.rank) - late.size();
+  // Requests that are on time take every token of the limits, so none is left for late ones.
+  const bool no_tokens_left = ahead > 0 && HasLimits(cell) && effective_slots < 1;
   for (const AssignmentId id : late) {
     Request& request = requests_.at(id);
     const Duration service_time = ServiceTimeOf(cell, request.spec, now).Mean();
@@ -355,7 +408,7 @@
         effective_slots > 0 ? static_cast<double>(ahead + 1) / effective_slots : 0;
     const Duration needed =
         Times(service_time, wait_service_times + std::max(cell.mean_slowdown, 1.0));
-    if (effective_slots > 0 && needed <= left) {
+    if (effective_slots > 0 && needed <= left && !no_tokens_left) {
       request.late = true;
       ++ahead;
       continue;
@@ -376,7 +429,12 @@
   declined.cause = cause;
   Cell& cell = *request.cell;
   const Duration service_time = ServiceTimeOf(cell, request.spec, now).Mean();
-  const double effective_slots = std::max(EffectiveSlots(cell, true, now), 1.0);
+  const double effective_slots = std::max(EffectiveSlots(cell, true, service_time, now),
+                                          HasLimits(cell) ? kMinLimitedSlots : kMinEffectiveSlots);
+  if (cause == RefusalCause::kOverload && IsHeldBackByLimits(cell, now)) {
+    declined.cause = RefusalCause::kServerLimit;
+    ++declined_by_limits_;
+  }
   const Duration time_to_empty_queue =
       Times(service_time, static_cast<double>(cell.queue.size()) / effective_slots);
   const Duration wait = std::max<Duration>({kMinRetryAfter, service_time, time_to_empty_queue});
@@ -413,7 +471,11 @@
   int32_t free = -static_cast<int32_t>(cell.queue.size());
   for (const Candidate& it : FreeCandidates(cell, now)) {
     if (!it.host_speed_known || it.expected_service_times >= kSlowHostThreshold) continue;
-    free += static_cast<int32_t>(SlotsOf(*it.server)) - static_cast<int32_t>(it.in_flight);
+    int32_t slots = static_cast<int32_t>(SlotsOf(*it.server)) - static_cast<int32_t>(it.in_flight);
+    if (it.server->limit.Limit()) {
+      slots = std::min(slots, static_cast<int32_t>(it.server->limit.Tokens(now)));
+    }
+    free += slots;
   }
   return free;
 }
@@ -506,7 +568,41 @@
   const std::optional<double> before = server.limit.Limit();
   update(server.limit);
   const std::optional<double> after = server.limit.Limit();
-  if (after != before) limit_changes_.push_back({server.config.id, before, after});
+  if (after == before) return;
+  saw_limits_ = true;
+  ++limit_changes_seen_;
+  limit_changes_.push_back({server.config.id, before, after});
+}
+
+void Balancer::SetSharesLimits(const CellId& id, bool shares, MonotonicTime now) {
+  Cell& cell = FindOrCreateCell(id);
+  if (shares && !cell.shares_limits) {
+    for (Server* server : cell.servers) server->limit.Restart(now);
+  }
+  cell.shares_limits = shares;
+}
+
+void Balancer::OnLimitStatement(const LimitStatement& statement) {
+  const auto it = servers_.find(statement.server);
+  if (it == servers_.end()) return;
+  const uint64_t seen = limit_changes_seen_;
+  UpdateLimit(*it->second,
+              [&](ServerLimit& limit) { limit.OnStatement(statement.limit, statement.stated_at); });
+  limit_changes_seen_ = seen;
+}
+
+std::vector<LimitStatement> Balancer::LimitsOf(const CellId& id, MonotonicTime now) const {
+  std::vector<LimitStatement> limits;
+  const auto cell = cells_.find(id);
+  if (cell == cells_.end()) return limits;
+  for (const Server* server : cell->second->servers) {
+    const std::optional<MonotonicTime> stated_at = server->limit.StatedAt();
+    if (!stated_at) continue;
+    const std::optional<double> limit = server->limit.Limit();
+    if (!limit && now - *stated_at > kWithdrawnLimitTime) continue;
+    limits.push_back({server->config.id, limit, *stated_at});
+  }
+  return limits;
 }
 
 size_t Balancer::LimitedServers() const {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -16,6 +16,9 @@
 //     and takes what is left over, such as slow hosts. This handles overload.
 //   - The target of a request that its caller retries after a refusal is measured from the first
 //     try (caller_elapsed_estimate.h). This handles lasting overload, and the time after an outage.
+//   - A server that names a limit gets at most that many requests a second, out of a token bucket
+//     (server_limit.h). Queued requests wait for its tokens as they wait for slots. This handles
+//     servers in need.
 //   - A request that can't be answered before its deadline is declined at once, with the time
 //     after which the queue should be shorter.
 //
@@ -84,6 +87,8 @@
   // After that it may take such a server. A probe usually takes half as long.
   static constexpr std::chrono::milliseconds kMaxProbeWait{15};
   static constexpr size_t kProbesPerRequest = 3;  // Servers probed at once for one request.
+  // Time for which LimitsOf lists a limit that was withdrawn.
+  static constexpr std::chrono::milliseconds kWithdrawnLimitTime{5000};
 
   explicit Balancer(uint64_t seed);
   ~Balancer();
@@ -114,9 +119,23 @@
   void OnMissedProbe(const BackendServerId& server);
   // Servers to probe at once, because requests queued since the last call wait for their reports.
   std::vector<BackendServerId> TakeServersToProbe() { return std::exchange(servers_to_probe_, {}); }
+  // Whether requests may be assigned to servers of the cell that name a limit. Only one of the
+  // balancers that know the cell may share out its limits. True unless it is set to false.
+  void SetSharesLimits(const CellId& cell, bool shares, MonotonicTime now);
+  // Handles what another balancer knows about a server's limit.
+  void OnLimitStatement(const LimitStatement& statement);
+  // What the servers of the cell have stated about their limits; empty if they have none.
+  std::vector<LimitStatement> LimitsOf(const CellId& cell, MonotonicTime now) const;
+  // Number of requests assigned to servers that named a limit, and of requests declined while such
+  // a server had a free slot but its limit was used up.
+  uint64_t AssignedWithinLimits() const { return assigned_within_limits_; }
+  uint64_t DeclinedByLimits() const { return declined_by_limits_; }
   // Changes of the limits that servers name, since the last call.
   std::vector<LimitChange> TakeLimitChanges() { return std::exchange(limit_changes_, {}); }
   size_t LimitedServers() const;  // Number of servers that name a limit.
+  // Number of changes of limits that this balancer learned from answers and reports.
+  uint64_t LimitChangesSeen() const { return limit_changes_seen_; }
+  bool SawLimits() const { return saw_limits_; }  // Whether any server has ever named a limit.
   // Assignments whose host was already slow when they started, as reports received since the last
   // call show.
   std::vector<AssignmentId> TakeStartedSlow() { return std::exchange(started_slow_, {}); }
@@ -165,11 +184,15 @@
   void AssignOrDeclineLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                            MonotonicTime now);
   static size_t CountQueuedAhead(const Cell& cell, uint32_t rank);
+  size_t CountOnTimeAhead(const Cell& cell, uint32_t rank) const;
   static void RemoveFromQueue(Request& request);
   bool ShouldAwaitReports(const Candidates& free, Request& request, MonotonicTime now);
   bool CanMeetTarget(const Request& request, Duration service_time, MonotonicTime now) const;
   bool MayQueue(Cell& cell, const Request& request, Duration service_time, MonotonicTime now);
-  double EffectiveSlots(Cell& cell, bool fast_only, MonotonicTime now) const;
+  static bool MayAssign(const Cell& cell, Server& server, MonotonicTime now);
+  bool HasLimits(const Cell& cell) const;
+  static bool IsHeldBackByLimits(const Cell& cell, MonotonicTime now);
+  double EffectiveSlots(Cell& cell, bool fast_only, Duration service_time, MonotonicTime now) const;
   Declined Decline(const Request& request, RefusalCause cause, MonotonicTime now);
   ServiceTimeEstimate& ServiceTimeOf(Cell& cell, const AssignmentRequest& spec, MonotonicTime now);
   void RecordSlowStarts(Server& server);
@@ -185,6 +208,10 @@
   std::vector<QueueDecision> decisions_;  // Decisions since the last TakeQueueDecisions.
   std::vector<AssignmentId> started_slow_;
   std::vector<LimitChange> limit_changes_;
+  bool saw_limits_ = false;
+  uint64_t limit_changes_seen_ = 0;
+  uint64_t assigned_within_limits_ = 0;
+  uint64_t declined_by_limits_ = 0;
   std::vector<BackendServerId> servers_to_probe_;
 };
 
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -70,6 +70,7 @@
   kDeadline,         // The deadline has passed or is too near for an answer.
   kRetryBudget,      // The limit on retries does not allow another attempt.
   kStopping,         // This entry VM stops before a server can be found. Not sent to others.
+  kServerLimit,      // The backend servers' own limits allow no further request in time.
 };
 
 struct SendTo {
--- a/src/choose/chooser_views.cc
+++ b/src/choose/chooser_views.cc
@@ -22,6 +22,8 @@
       return "deadline";
     case RefusalCause::kStopping:
       return "stopping";
+    case RefusalCause::kServerLimit:
+      return "server limit";
     case RefusalCause::kRetryBudget:
       return "retry budget";
   }
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -522,6 +522,12 @@
   set("cowsliphill_backend_servers", "Backend servers known", follower_.ServerCount());
   set("cowsliphill_limited_servers", "Backend servers that name a limit of requests per second",
       scheduling_.LimitedServers());
+  set("cowsliphill_requests_within_limits",
+      "Requests that this entry VM's scheduler assigned to servers with a limit",
+      scheduling_.AssignedWithinLimits());
+  set("cowsliphill_requests_refused_by_limits",
+      "Requests that this entry VM's scheduler refused because limits of servers were used up",
+      scheduling_.DeclinedByLimits());
   set("cowsliphill_store_reader", "1 while this entry VM asks the store for all",
       follower_.IsStoreReader() ? 1 : 0);
   const StoreCallCounts store = store_.Counts();
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -471,6 +471,9 @@
       error_response.error = "destination_unavailable";
       error_response.detail = "this entry VM is stopping";
       return error_response;
+    case RefusalCause::kServerLimit:
+      error_response.detail = "the limits that its backend servers name are used up";
+      return error_response;
     case RefusalCause::kRetryBudget:
       error_response.detail = "the retry budget allows no further attempt";
       return error_response;
--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -21,7 +21,8 @@
 constexpr char kEnd = 'E';
 constexpr char kSlowHost = 'S';
 constexpr char kCellUpdate = 'N';
-constexpr std::string_view kFirstBytes = "ARESN";
+constexpr char kLimitUpdate = 'L';
+constexpr std::string_view kFirstBytes = "ARESNL";
 
 constexpr uint32_t kBulk = 1;
 constexpr uint32_t kHedge = 2;
@@ -36,7 +37,7 @@
 constexpr double kPercent = 100.0;
 constexpr double kMilli = 1000.0;  // Limits are encoded in requests per 1000 s.
 
-constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kRetryBudget);
+constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kServerLimit);
 constexpr auto kLastEnd = static_cast<uint32_t>(AttemptEnd::kCancelled);
 
 uint64_t NonNegative(int64_t value) { return static_cast<uint64_t>(std::max<int64_t>(value, 0)); }
@@ -101,6 +102,18 @@
   out.Number(update.failure_domain, 4).Number(update.free_slots, 2);
 }
 
+void Put(PackedWriter& out, const LimitUpdate& update) {
+  out.Number(static_cast<unsigned char>(kLimitUpdate), 1).Number(update.service, 4);
+  out.Number(update.failure_domain, 4).Number(update.shares ? 1 : 0, 1);
+  const size_t n = std::min(update.limits.size(), kMaxLimits);
+  out.Number(n, 2);
+  for (size_t i = 0; i < n; ++i) {
+    const LimitUpdate::Limit& limit = update.limits[i];
+    out.Number(limit.server, 4).Number(limit.per_second ? 1 : 0, 1);
+    out.Number(EncodeLimit(limit.per_second.value_or(0)), 4).Number(Millis(limit.age), 3);
+  }
+}
+
 std::optional<ScheduleMessage> ReadRequest(PackedReader& in) {
   ScheduleRequest request;
   request.id = in.Number(4);
@@ -178,6 +191,25 @@
   return update;
 }
 
+std::optional<ScheduleMessage> ReadLimitUpdate(PackedReader& in) {
+  LimitUpdate update;
+  update.service = in.Number(4);
+  update.failure_domain = in.Number(4);
+  update.shares = in.Number(1) != 0;
+  const size_t n = in.Number(2);
+  if (n > kMaxLimits) return std::nullopt;
+  for (size_t i = 0; i < n; ++i) {
+    LimitUpdate::Limit limit;
+    limit.server = in.Number(4);
+    const bool has_limit = in.Number(1) != 0;
+    const double per_second = in.Number(4) / kMilli;
+    if (has_limit) limit.per_second = per_second;
+    limit.age = milliseconds(in.Number(3));
+    update.limits.push_back(limit);
+  }
+  return update;
+}
+
 std::optional<ScheduleMessage> ReadMessage(char first, PackedReader& in) {
   switch (first) {
     case kRequest:
@@ -190,6 +222,8 @@
       return SlowHost{in.Number(4)};
     case kCellUpdate:
       return ReadCellUpdate(in);
+    case kLimitUpdate:
+      return ReadLimitUpdate(in);
     default:
       return std::nullopt;
   }
--- a/src/schedule/schedule_message.h
+++ b/src/schedule/schedule_message.h
@@ -87,8 +87,24 @@
   uint32_t free_slots = 0;  // Free slots at servers of usual speed, minus queued requests.
 };
 
+// What the sender knows about the limits that the servers of one cell name. A scheduler that shares
+// them out sends it to the cell's other schedulers all the time, and now and then to all entry VMs,
+// so that whichever takes over knows them.
+struct LimitUpdate {
+  struct Limit {
+    NameHash server = 0;
+    std::optional<double> per_second;  // nullopt: the server has withdrawn its limit.
+    std::chrono::milliseconds age{0};  // Time since the server stated this.
+  };
+  NameHash service = 0;
+  NameHash failure_domain = 0;
+  bool shares = false;  // The sender shares out the limits of the cell.
+  std::vector<Limit> limits;
+};
+inline constexpr size_t kMaxLimits = 1000;  // In one LimitUpdate.
+
 using ScheduleMessage =
-    std::variant<ScheduleRequest, ScheduleReply, ScheduleEnd, SlowHost, CellUpdate>;
+    std::variant<ScheduleRequest, ScheduleReply, ScheduleEnd, SlowHost, CellUpdate, LimitUpdate>;
 
 // Whether the first byte, which no other kind of datagram starts with, is that of a schedule
 // message.
--- a/src/schedule/schedule_message_test.cc
+++ b/src/schedule/schedule_message_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(Reply_OfEachKind_RoundTrips);
   CPPUNIT_TEST(End_Encoded_RoundTrips);
   CPPUNIT_TEST(CellUpdateAndSlowHost_Encoded_RoundTrip);
+  CPPUNIT_TEST(LimitUpdate_Encoded_RoundTrips);
   CPPUNIT_TEST(Decode_UnknownValues_ReturnsNullopt);
   CPPUNIT_TEST(Decode_CorruptedBytes_NeverThrows);
   CPPUNIT_TEST_SUITE_END();
@@ -106,6 +107,19 @@
     CPPUNIT_ASSERT_EQUAL(ScheduleRequestId{77}, RoundTrip(SlowHost{77}).id);
   }
 
+  void LimitUpdate_Encoded_RoundTrips() {
+    LimitUpdate update{1, 2, true, {{7, 1.3, milliseconds(900)}, {8, std::nullopt, {}}}};
+    const auto decoded = RoundTrip(update);
+    CPPUNIT_ASSERT(decoded.service == 1 && decoded.failure_domain == 2 && decoded.shares);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, decoded.limits.size());
+    CPPUNIT_ASSERT_EQUAL(NameHash{7}, decoded.limits[0].server);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.3, decoded.limits[0].per_second.value_or(0), 0.001);
+    CPPUNIT_ASSERT(decoded.limits[0].age == milliseconds(900));
+    CPPUNIT_ASSERT(!decoded.limits[1].per_second);
+    update.limits.resize(kMaxLimits + 1);
+    CPPUNIT_ASSERT_EQUAL(kMaxLimits, RoundTrip(update).limits.size());
+  }
+
   void Decode_UnknownValues_ReturnsNullopt() {
     std::string end = EncodeScheduleMessage(ScheduleEnd{});
     end[5] = 99;  // Not an AttemptEnd.
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -82,6 +82,8 @@
     planner_.OnSlowHost(*slow, now);
   } else if (const auto* update = std::get_if<CellUpdate>(&message)) {
     scheduler_.OnCellUpdate(*update, now);
+  } else if (const auto* limits = std::get_if<LimitUpdate>(&message)) {
+    scheduler_.OnLimitUpdate(from, *limits, now);
   }
 }
 
@@ -147,6 +149,10 @@
     reported_cells_ = scheduler_.CellsScheduled();
     listener_.on_event("schedules", std::to_string(reported_cells_) + " cells");
   }
+  if (scheduler_.CellsWithSharedLimits() != reported_limit_cells_) {
+    reported_limit_cells_ = scheduler_.CellsWithSharedLimits();
+    listener_.on_event("shares out limits", std::to_string(reported_limit_cells_) + " cells");
+  }
   if (planner_.SchedulerTimeouts() != reported_timeouts_) {
     const uint64_t new_timeouts = planner_.SchedulerTimeouts() - reported_timeouts_;
     reported_timeouts_ += new_timeouts;
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -52,6 +52,8 @@
 
   size_t Waiting() const { return scheduler_.Waiting(); }
   size_t LimitedServers() const { return scheduler_.LimitedServers(); }
+  uint64_t AssignedWithinLimits() const { return scheduler_.AssignedWithinLimits(); }
+  uint64_t DeclinedByLimits() const { return scheduler_.DeclinedByLimits(); }
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
@@ -75,8 +77,9 @@
   asio::steady_timer timer_;
   std::optional<MonotonicTime> timer_deadline_;  // When timer_ expires.
   bool flushing_ = false;
-  size_t reported_cells_ = 0;       // CellsScheduled() when on_event last reported it.
-  uint64_t reported_timeouts_ = 0;  // SchedulerTimeouts() when on_event last reported it.
+  size_t reported_cells_ = 0;        // CellsScheduled() when on_event last reported it.
+  size_t reported_limit_cells_ = 0;  // CellsWithSharedLimits() at the last report.
+  uint64_t reported_timeouts_ = 0;   // SchedulerTimeouts() when on_event last reported it.
 };
 
 }  // namespace cowsliphill
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -77,6 +77,8 @@
 void Scheduler::SetMembers(const std::vector<Member>& members, MonotonicTime now) {
   order_.SetMembers(members);
   alone_ = members.size() < 2;
+  entry_vms_.clear();
+  for (const Member& member : members) entry_vms_.push_back(member.peer);
   for (const Member& member : members) {
     failure_domains_[HashName(member.failure_domain.Text())] = member.failure_domain;
   }
@@ -89,6 +91,7 @@
     const std::vector<Endpoint>& order = order_.SchedulersFor(id);
     cell.is_primary = settled_ && !order.empty() && order.front() == self_;
   }
+  UpdateLimits(now);
 }
 
 size_t Scheduler::CellsScheduled() const {
@@ -215,6 +218,7 @@
   const AssignmentId id = it->second;
   balancer_.OnAttemptEnded(id, {end.end, end.latency, end.report, end.limit}, now);
   EraseRequest(id);
+  if (balancer_.LimitChangesSeen() != limit_changes_sent_) UpdateLimits(now);
   SendDecisions(now);
 }
 
@@ -311,6 +315,82 @@
   }
 }
 
+// ---- Limits of servers --------------------------------------------------------------------------
+
+// One scheduler at a time shares out the limits of a cell. The others assign no requests to servers
+// with a limit, whoever asks them.
+bool Scheduler::SharesLimits(const Cell& cell, MonotonicTime now) const {
+  const auto it = std::find(cell.schedulers.begin(), cell.schedulers.end(), self_);
+  if (it == cell.schedulers.end()) return false;
+  const auto position = it - cell.schedulers.begin();
+  if (position == 0) return settled_;
+  return now - cell.limits_shared_at > kLimitTakeoverTime * position;
+}
+
+// Finds out which cells' limits this scheduler shares out, and sends the LimitUpdates that are due.
+void Scheduler::UpdateLimits(MonotonicTime now) {
+  if (!balancer_.SawLimits()) return;
+  const bool changed = limit_changes_sent_ != balancer_.LimitChangesSeen();
+  limit_changes_sent_ = balancer_.LimitChangesSeen();
+  for (auto& [id, cell] : cells_) {
+    const std::vector<LimitStatement> limits = balancer_.LimitsOf(id, now);
+    const bool is_new = !limits.empty() && !cell.has_limits;
+    const bool reordered = cell.schedulers != order_.SchedulersFor(id);
+    cell.has_limits = !limits.empty();
+    cell.schedulers = order_.SchedulersFor(id);
+    if (is_new || reordered) cell.limits_shared_at = now;
+    cell.shares_limits = SharesLimits(cell, now);
+    balancer_.SetSharesLimits(id, cell.shares_limits, now);
+    const bool due = cell.shares_limits && now >= cell.next_limit_update;
+    if (limits.empty() || !(due || changed || reordered)) continue;
+    const bool to_all =
+        cell.shares_limits && (changed || cell.limit_updates % kLimitUpdatesPerBroadcast == 0);
+    SendLimitUpdate(id, cell, limits, to_all, now);
+    cell.next_limit_update = now + kLimitUpdateInterval;
+    ++cell.limit_updates;
+  }
+}
+
+void Scheduler::SendLimitUpdate(const CellId& id, const Cell& cell,
+                                const std::vector<LimitStatement>& limits, bool to_all,
+                                MonotonicTime now) {
+  LimitUpdate update;
+  update.service = HashName(id.service.Text());
+  update.failure_domain = HashName(id.failure_domain.Text());
+  update.shares = cell.shares_limits;
+  for (const LimitStatement& it : limits) {
+    update.limits.push_back({HashName(it.server.Text()), it.limit, AsMillis(now - it.stated_at)});
+  }
+  for (const Endpoint& to : to_all ? entry_vms_ : cell.schedulers) {
+    if (to != self_) outbox_.push_back({to, update});
+  }
+}
+
+void Scheduler::OnLimitUpdate(const Endpoint& from, const LimitUpdate& update, MonotonicTime now) {
+  for (const LimitUpdate::Limit& limit : update.limits) {
+    const auto server = servers_.find(limit.server);
+    if (server == servers_.end()) continue;
+    balancer_.OnLimitStatement({server->second, limit.per_second, now - limit.age});
+  }
+  for (auto& [id, cell] : cells_) {
+    if (HashName(id.service.Text()) != update.service ||
+        HashName(id.failure_domain.Text()) != update.failure_domain) {
+      continue;
+    }
+    const std::vector<Endpoint>& order = order_.SchedulersFor(id);
+    const auto sender = std::find(order.begin(), order.end(), from);
+    const bool precedes_self = sender < std::find(order.begin(), order.end(), self_);
+    if (update.shares && precedes_self) cell.limits_shared_at = now;
+  }
+  UpdateLimits(now);
+}
+
+size_t Scheduler::CellsWithSharedLimits() const {
+  return static_cast<size_t>(std::count_if(cells_.begin(), cells_.end(), [](const auto& item) {
+    return item.second.has_limits && item.second.shares_limits;
+  }));
+}
+
 // ---- Timers -------------------------------------------------------------------------------------
 
 void Scheduler::EraseExpired(MonotonicTime now) {
@@ -329,6 +409,7 @@
   if (!settled_ && now >= SettledAt()) UpdatePrimaries(now);
   if (now >= next_expiry_) EraseExpired(now);
   if (now >= next_cell_update_) SendCellUpdates(now);
+  UpdateLimits(now);
   SendDecisions(now);
 }
 
@@ -339,6 +420,7 @@
   bool any_primary = false;
   for (const auto& [id, cell] : cells_) {
     any_primary = any_primary || cell.is_primary;
+    if (cell.has_limits && cell.shares_limits) wake_by(cell.next_limit_update);
     for (const auto& [server, probe] : cell.probes) {
       const std::optional<MonotonicTime> when = ProbeDue(cell, server, probe, now);
       if (when) wake_by(*when);
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -52,6 +52,13 @@
   // kMaxCellUpdateAge.
   static constexpr std::chrono::milliseconds kCellUpdateInterval{100};
   static constexpr std::chrono::milliseconds kMaxCellUpdateAge{400};
+  // Interval between LimitUpdates of a scheduler that shares out the limits of a cell. Every
+  // kLimitUpdatesPerBroadcast-th goes to all entry VMs, the others to the cell's schedulers.
+  static constexpr std::chrono::milliseconds kLimitUpdateInterval{100};
+  static constexpr uint32_t kLimitUpdatesPerBroadcast = 10;
+  // A backup takes over the sharing of limits when it has received no LimitUpdate of a scheduler
+  // before it for this time, times its position in the order.
+  static constexpr std::chrono::milliseconds kLimitTakeoverTime{400};
   // An open request whose end message does not arrive is erased this long after its deadline.
   static constexpr std::chrono::milliseconds kLostEndGrace{1000};
   // A pending probe counts as lost after this time.
@@ -70,6 +77,7 @@
   void OnScheduleRequest(const Endpoint& from, const ScheduleRequest& message, MonotonicTime now);
   void OnEnd(const Endpoint& from, const ScheduleEnd& end, MonotonicTime now);
   void OnCellUpdate(const CellUpdate& update, MonotonicTime now);
+  void OnLimitUpdate(const Endpoint& from, const LimitUpdate& update, MonotonicTime now);
 
   // Whether queued requests wait for reports of servers that TakeServersToProbe has not returned
   // yet.
@@ -89,6 +97,10 @@
 
   std::vector<LimitChange> TakeLimitChanges() { return balancer_.TakeLimitChanges(); }
   size_t LimitedServers() const { return balancer_.LimitedServers(); }
+  uint64_t AssignedWithinLimits() const { return balancer_.AssignedWithinLimits(); }
+  uint64_t DeclinedByLimits() const { return balancer_.DeclinedByLimits(); }
+  // Number of cells with limits that this scheduler shares out.
+  size_t CellsWithSharedLimits() const;
   size_t Waiting() const { return balancer_.Waiting(); }
   size_t CellsScheduled() const;
 
@@ -108,7 +120,16 @@
     // This entry VM is the first of the cell's schedulers, and its settle time is over.
     bool is_primary = false;
     std::optional<MonotonicTime> last_request;
-    uint32_t requests = 0;                    // Assignment requests since the cell came into use.
+    uint32_t requests = 0;  // Assignment requests since the cell came into use.
+    // The cell's schedulers when UpdateLimits last ran.
+    std::vector<Endpoint> schedulers;
+    bool has_limits = false;     // A server of the cell names a limit, or has just withdrawn it.
+    bool shares_limits = false;  // This scheduler shares out the limits; they are as below.
+    // Time of the last LimitUpdate from a scheduler before this one that shares out the limits, or
+    // from which such updates are expected.
+    MonotonicTime limits_shared_at{};
+    MonotonicTime next_limit_update{};
+    uint32_t limit_updates = 0;               // Number of LimitUpdates sent.
     std::map<BackendServerId, Probe> probes;  // Probes of the servers that are not leaving.
   };
   // An assignment request that is queued or assigned.
@@ -139,6 +160,10 @@
   void SendDecisions(MonotonicTime now);
   void QueueServersToProbe(MonotonicTime now);
   void SendCellUpdates(MonotonicTime now);
+  void UpdateLimits(MonotonicTime now);
+  bool SharesLimits(const Cell& cell, MonotonicTime now) const;
+  void SendLimitUpdate(const CellId& id, const Cell& cell,
+                       const std::vector<LimitStatement>& limits, bool to_all, MonotonicTime now);
   void EraseExpired(MonotonicTime now);
   void EraseRequest(AssignmentId id);
   void UpdatePrimaries(MonotonicTime now);
@@ -157,6 +182,8 @@
   std::map<RequestKey, AssignmentId> assignment_ids_;
   std::unordered_map<AssignmentId, OpenRequest> requests_;
   std::map<CellId, RemoteCell> remote_cells_;
+  std::vector<Endpoint> entry_vms_;  // Peer addresses of the live entry VMs.
+  uint64_t limit_changes_sent_ = 0;  // Balancer::LimitChangesSeen() at the last LimitUpdate.
   AssignmentId next_id_ = 1;
   std::vector<BackendServerId> servers_to_probe_;  // Queued requests wait for their reports.
   MonotonicTime next_cell_update_{};
--- a/tests/server_limit_test.cc
+++ b/tests/server_limit_test.cc
@@ -31,8 +31,10 @@
 
 struct Call {
   int status = 0;
+  milliseconds at{0};  // Since the load began.
   milliseconds took{0};
   std::string retry_after;
+  std::string body;
 };
 
 // Callers that send one request after the other, each to the next entry VM.
@@ -63,11 +65,13 @@
       const std::string id = fmt::format("{}-{}", caller, n);
       const auto result = fleet_.Send(entry, "/a/" + id, id, milliseconds(2000));
       Call call;
+      call.at = std::chrono::duration_cast<milliseconds>(began - began_);
       call.took =
           std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - began);
       if (result) {
         call.status = result->status;
         call.retry_after = result->get_header_value("Retry-After");
+        call.body = result->body;
       }
       {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -78,6 +82,7 @@
   }
 
   const Fleet& fleet_;
+  const std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
   std::atomic<bool> stopped_ = false;
   std::atomic<size_t> avoided_ = SIZE_MAX;
   std::mutex mutex_;  // Guards calls_.
@@ -99,6 +104,7 @@
   // Regression: entry VMs did not read the limit and sent as many requests as before.
   void Server_ThatNamesALimit_GetsNearlyThatManyRequests() {
     Fleet fleet(kEntries, kServers);
+    Primary(fleet);  // Waits until the cell has a scheduler.
     SetWork(fleet);
     SetLimit(fleet, "s-0", "4");
     Load load(fleet, 8);
@@ -107,11 +113,12 @@
     ExpectWithinLimit(fleet, "s-0", 4);
     ExpectUsed(fleet, {"s-0"}, 4);
     // The other servers have room for all other requests.
-    CPPUNIT_ASSERT_EQUAL(calls.size(), CountStatus(calls, 200));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Others(calls, 200), calls.size(), CountStatus(calls, 200));
   }
 
   void Servers_AllLimited_RefuseTheExcessAtOnce() {
     Fleet fleet(kEntries, kServers);
+    Primary(fleet);  // Waits until the cell has a scheduler.
     for (const char* server : {"s-0", "s-1", "s-2"}) SetLimit(fleet, server, "5.5");
     Load load(fleet, 30);
     std::this_thread::sleep_for(kSettleTime + kWindow * 2);
@@ -124,12 +131,14 @@
       return it.status == 503 && (it.took > kMaxRefusalTime || it.retry_after.empty());
     });
     // Some requests are queued first, because a slot was expected to come free in time.
-    CPPUNIT_ASSERT_MESSAGE(fmt::format("{} of {} refusals were late", late, refused),
-                           static_cast<size_t>(late) * 10 < refused);
+    CPPUNIT_ASSERT_MESSAGE(
+        fmt::format("{} of {} refusals were late", late, refused) + Others(calls, 200),
+        static_cast<size_t>(late) * 10 < refused);
   }
 
   void Limit_Withdrawn_IsForgotten() {
     Fleet fleet(kEntries, kServers);
+    Primary(fleet);  // Waits until the cell has a scheduler.
     SetWork(fleet);
     SetLimit(fleet, "s-0", "2");
     Load load(fleet, 8);
@@ -146,6 +155,7 @@
 
   void Limit_SchedulerKilled_HoldsAndIsUsed() {
     Fleet fleet(kEntries, kServers);
+    Primary(fleet);  // Waits until the cell has a scheduler.
     for (const char* server : {"s-0", "s-1", "s-2"}) SetLimit(fleet, server, "4");
     Load load(fleet, 16);
     std::this_thread::sleep_for(kSettleTime);
@@ -160,6 +170,7 @@
 
   void Limit_SchedulerFrozen_HoldsAndIsUsed() {
     Fleet fleet(kEntries, kServers);
+    Primary(fleet);  // Waits until the cell has a scheduler.
     for (const char* server : {"s-0", "s-1", "s-2"}) SetLimit(fleet, server, "4");
     Load load(fleet, 16);
     std::this_thread::sleep_for(kSettleTime);
@@ -177,6 +188,7 @@
   // A process that has just started knows no limits, but may be the next scheduler.
   void Limit_SchedulerRestartedRepeatedly_Holds() {
     Fleet fleet(kEntries, kServers);
+    Primary(fleet);  // Waits until the cell has a scheduler.
     for (const char* server : {"s-0", "s-1", "s-2"}) SetLimit(fleet, server, "4");
     Load load(fleet, 16);
     std::this_thread::sleep_for(kSettleTime);
@@ -204,6 +216,16 @@
     return static_cast<size_t>(std::count_if(
         calls.begin(), calls.end(), [status](const Call& it) { return it.status == status; }));
   }
+  // Lists the calls with another status.
+  static std::string Others(const std::vector<Call>& calls, int status) {
+    std::string text;
+    for (const Call& it : calls) {
+      if (it.status == status) continue;
+      text += fmt::format("{} ms: {} after {} ms: {}", it.at.count(), it.status, it.took.count(),
+                          it.body);
+    }
+    return text;
+  }
   // The entry VM that schedules the only cell.
   static size_t Primary(const Fleet& fleet) {
     size_t primary = 0;
