"request ended" names the caller and a hash that repeated requests share

Change: "request ended" has the fields `caller` (IP address) and `request_hash` (of caller, host, method, target and body).

--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -459,6 +459,8 @@
               {"service", end.service.Text()},
               {"class", std::string(NameOf(end.request_class))},
               {"backend_server", end.server.Text()},
+              {"caller", end.caller},
+              {"request_hash", ToText(end.hash)},
               {"status", int64_t{end.status}},
               {"outcome", std::string(NameOf(end.outcome))},
               {"whole", end.whole},
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -165,6 +165,7 @@
     if (has_body) head_.content_length = body_.size();
     caller_stream_->WatchClose([self = shared_from_this()] { self->OnCallerGone(); });
   }
+  request_end_.hash = HashOfRequest();
   const bool keyed = !meta_.idempotent && !meta_.key.empty();
   if (keyed && context_.claims != nullptr) return BeginClaim();
   Choose();
@@ -195,6 +196,16 @@
   return std::string(buf.data(), static_cast<size_t>(n));
 }
 
+RequestHash Exchange::HashOfRequest() {
+  std::error_code ec;
+  const auto remote = caller_stream_->GetSocket().remote_endpoint(ec);
+  // Without an address the caller has disconnected.
+  if (!ec) request_end_.caller = remote.address().to_string();
+  const uint64_t body_size = body_complete_ ? body_.size() : head_.content_length.value_or(0);
+  return HashRequest(request_end_.caller, head_.Find("host").value_or(""), head_.method,
+                     head_.target, body_, body_size);
+}
+
 void Exchange::OnClaimAnswer(const ClaimAnswer& answer) {
   if (const auto* proceed = std::get_if<Proceed>(&answer)) {
     claim_ = proceed->claim;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -70,6 +70,7 @@
   void OnClaimAnswer(const ClaimAnswer& answer);
   void FinishClaim();
   std::string Fingerprint() const;
+  RequestHash HashOfRequest();
   void Choose();
   void OnChoice(const Choice& choice);
   std::shared_ptr<Attempt> StartAttempt(const SendTo& target);
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -17,6 +17,7 @@
 #include "src/forward/dispatcher.h"
 #include "src/forward/request_headers.h"
 #include "src/manifest/manifest.h"
+#include "src/poison/request_hash.h"
 #include "src/settings/settings.h"
 #include "src/storage/any_platform.h"
 
@@ -43,6 +44,8 @@
   Duration waited{};      // Time from the request's head to the first choice of a backend server.
   std::chrono::milliseconds timeout{};  // RequestMeta::timeout; the route's limit is not included.
   WallTime started;
+  std::string caller;     // IP address of the caller's end of the connection.
+  RequestHash hash = 0;   // Equal for repeated requests; 0 if the request was not read whole.
   std::string detail;     // Readable cause of the end; may be empty.
   std::string placement;  // Readable reason for the choice of `server`; may be empty.
 };
