--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -190,8 +190,11 @@
 // One backend server of the fleet.
 class Server {
  public:
+  // Called when the server is back after a crash, with its previous name.
+  using OnRestart = std::function<void(const std::string& previous)>;
+
   Server(asio::io_context& loop, const Clock& clock, std::string name, const FleetOptions& options,
-         std::vector<JournalEntry>& journal, std::vector<Arrival>& arrivals)
+         std::vector<JournalEntry>& journal, std::vector<Arrival>& arrivals, OnRestart on_restart)
       : loop_(loop),
         clock_(clock),
         name_(std::move(name)),
@@ -199,9 +202,29 @@
         work_(options.work),
         journal_(journal),
         arrivals_(arrivals),
-        server_(loop, {"127.0.0.1", 0}, [this](const HttpExchange& it) { OnRequest(it); }) {}
-
-  Endpoint Address() const { return server_.Address(); }
+        base_name_(name_),
+        down_time_(options.down),
+        on_restart_(std::move(on_restart)),
+        server_(std::make_unique<HttpServer>(loop, Endpoint{"127.0.0.1", 0}, Handler())),
+        address_(server_->Address()) {}
+
+  Endpoint Address() const { return address_; }
+  const std::string& Name() const { return name_; }
+  void Crash() {
+    if (down_) return;
+    down_ = true;
+    server_->StopListening();
+    server_.reset();
+    for (const auto& [id, exchange] : std::exchange(open_, {})) exchange.Drop();
+    running_ = 0;
+    RunAfter(loop_, down_time_, [this] {
+      const std::string previous = name_;
+      name_ = base_name_ + "." + std::to_string(++generation_);
+      server_ = std::make_unique<HttpServer>(loop_, address_, Handler());
+      down_ = false;
+      on_restart_(previous);
+    });
+  }
   void ApplyControl(const HttpRequest& control) {
     mode_ = control.Query("mode").empty() ? mode_ : control.Query("mode");
     work_ = milliseconds(NumberOr(control.Query("work_ms"), static_cast<uint64_t>(work_.count())));
@@ -218,7 +241,11 @@
     if (limit_ != "0") headers.push_back({"Server-Limit", limit_});
     return headers;
   }
+  HttpServer::Handler Handler() {
+    return [this](const HttpExchange& it) { OnRequest(it); };
+  }
   void OnRequest(const HttpExchange& exchange) {
+    if (down_) return exchange.Drop();  // On a connection from before the crash.
     const HttpRequest& request = exchange.Request();
     if (request.path == "/health") return exchange.Answer({200, Headers(), "", {}});
     arrivals_.push_back({request.Header("x-request-id"), name_, Now()});
@@ -241,9 +268,15 @@
     const size_t entry = journal_.size();
     journal_.push_back({exchange.Request().Header("x-request-id"), name_, false});
     if (mode_ == "stream") exchange.Answer(StreamedAnswerOf(exchange.Request()));
+    open_.emplace(entry, exchange);
     RunAfter(loop_, work_ * slowdown_ / 100, [this, exchange, entry] {
+      if (open_.erase(entry) == 0) return;  // The server has crashed.
       --running_;
       journal_[entry].ended = true;
+      if (exchange.Request().path.find("poison") != std::string::npos) {
+        exchange.Drop();
+        return Crash();
+      }
       if (mode_ == "stream") return;
       if (mode_ == "cut") return exchange.Drop();
       exchange.Answer(AnswerOf(exchange.Request()));
@@ -281,7 +314,14 @@
   std::vector<JournalEntry>& journal_;
   std::vector<Arrival>& arrivals_;
   std::vector<HttpExchange> unanswered_;
-  HttpServer server_;
+  std::string base_name_;
+  milliseconds down_time_;
+  OnRestart on_restart_;
+  bool down_ = false;
+  size_t generation_ = 0;                // Number of restarts.
+  std::map<size_t, HttpExchange> open_;  // Running requests by their index in the journal.
+  std::unique_ptr<HttpServer> server_;   // Null while the server is down.
+  Endpoint address_;
 };
 
 }  // namespace
@@ -290,22 +330,32 @@
   State(asio::io_context& loop, const Clock& clock, const FleetOptions& options) : store(loop) {
     for (size_t i = 0; i < options.servers; ++i) {
       const std::string name = "s-" + std::to_string(i);
-      servers[name] = std::make_unique<Server>(loop, clock, name, options, journal, arrivals);
-      const Json row = {{"service", options.service},
-                        {"address", servers[name]->Address().ToString()},
-                        {"zone", options.failure_domain},
-                        {"version", "v1"},
-                        {"slots", options.slots},
-                        {"state", "ready"},
-                        {"warmup-left-ms", 0},
-                        {"seq-no", 1},
-                        {"born", clock.WallNow().time_since_epoch().count()}};
-      store.Put(kServersTable, name, row.dump());
+      servers[name] =
+          std::make_unique<Server>(loop, clock, name, options, journal, arrivals,
+                                   [this, name, &clock, options](const std::string& it) {
+                                     store.Erase(kServersTable, it);
+                                     Register(name, clock, options);
+                                   });
+      Register(name, clock, options);
     }
     http = std::make_unique<HttpServer>(loop, options.listen,
                                         [this](const HttpExchange& it) { OnRequest(it); });
   }
 
+  void Register(const std::string& name, const Clock& clock, const FleetOptions& options) {
+    const Server& server = *servers.at(name);
+    const Json row = {{"service", options.service},
+                      {"address", server.Address().ToString()},
+                      {"zone", options.failure_domain},
+                      {"version", "v1"},
+                      {"slots", options.slots},
+                      {"state", "ready"},
+                      {"warmup-left-ms", 0},
+                      {"seq-no", 1},
+                      {"born", clock.WallNow().time_since_epoch().count()}};
+    store.Put(kServersTable, server.Name(), row.dump());
+  }
+
   void OnRequest(const HttpExchange& exchange) {
     const HttpRequest& request = exchange.Request();
     if (request.path.rfind("/control/", 0) == 0) return exchange.Answer(Control(request));
@@ -326,6 +376,8 @@
                     NumberOr(request.Query("bytes_per_s"), 0));
     } else if (path == "/control/compact") {
       store.Compact();
+    } else if (path == "/control/crash" && servers.count(request.Query("name")) > 0) {
+      servers.at(request.Query("name"))->Crash();
     } else if (path == "/control/server" && servers.count(request.Query("name")) > 0) {
       servers.at(request.Query("name"))->ApplyControl(request);
     } else {
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -21,12 +21,17 @@
 //     stray: executes, then answers with an X-Request-Id that is not the request's
 //     stream: the answer starts at once and its body is sent over the execution time
 //     limit: the answers name a Server-Limit of N requests a second (a decimal number); 0: none
+//   PUT /control/crash?name=N          the server crashes at once
 //   GET /control/arrivals              [{"request","server","at_ms"}], also of refused requests,
 //   but
 //                                      not of probes
 //   GET /control/journal               [{"request","server","ended"}], in the order of their starts
 //   GET /control/counts                {"reads": N}
 //
+// A request whose path contains "poison" crashes the server that runs it, after its execution time.
+// A server that has crashed refuses connections for FleetOptions::down and is then back at its
+// address under a new id (s-0.1, s-0.2, ...). Its old row lapses at that time.
+//
 // Backend servers are named s-0, s-1, ... and registered in table `servers`.
 
 #ifndef COWSLIPHILL_STANDINS_FLEET_STANDIN_H_
@@ -51,6 +56,7 @@
   size_t servers = 3;
   uint32_t slots = 3;
   std::chrono::milliseconds work{5};
+  std::chrono::milliseconds down{1500};  // Time from a crash until the server is back.
   std::string service = "service-a";
   std::string failure_domain = "place-a";
 };
