--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -58,16 +58,28 @@
   return result ? result->status : 0;
 }
 
-httplib::Result Fleet::Send(size_t entry, const std::string& path, const std::string& id,
-                            std::chrono::milliseconds deadline) const {
+httplib::Result Fleet::Send(httplib::Client& client, const std::string& path, const std::string& id,
+                            std::chrono::milliseconds deadline) {
   const httplib::Headers headers = {{"Host", "fleet.example"},
                                     {"X-Request-Id", id},
                                     {"X-Deadline-Ms", std::to_string(deadline.count())}};
-  auto client = HttpClientFor(entries_[entry].edge);
   const bool is_unsafe = path.rfind("/u/", 0) == 0;
   return is_unsafe ? client.Post(path, headers, "body", "text/plain") : client.Get(path, headers);
 }
 
+httplib::Result Fleet::Send(size_t entry, const std::string& path, const std::string& id,
+                            std::chrono::milliseconds deadline) const {
+  auto client = HttpClientFor(entries_[entry].edge);
+  return Send(client, path, id, deadline);
+}
+
+httplib::Result Fleet::SendFrom(const std::string& caller, size_t entry, const std::string& path,
+                                const std::string& id) const {
+  auto client = HttpClientFor(entries_[entry].edge);
+  client.set_interface(caller);
+  return Send(client, path, id, std::chrono::seconds(3));
+}
+
 int Fleet::SendForStatus(size_t entry, const std::string& path, const std::string& id) const {
   const auto result = Send(entry, path, id);
   return result ? result->status : 0;
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -44,6 +44,9 @@
   // "/u/" is not (sent as POST).
   httplib::Result Send(size_t entry, const std::string& path, const std::string& id,
                        std::chrono::milliseconds deadline = std::chrono::seconds(3)) const;
+  // As Send, from another loopback address, such as 127.0.0.2.
+  httplib::Result SendFrom(const std::string& caller, size_t entry, const std::string& path,
+                           const std::string& id) const;
   // Returns the HTTP status, or 0 without an answer; GetStatus does the same.
   int SendForStatus(size_t entry, const std::string& path, const std::string& id) const;
 
@@ -63,6 +66,9 @@
   uint64_t StoreReadCount() const;
 
  private:
+  static httplib::Result Send(httplib::Client& client, const std::string& path,
+                              const std::string& id, std::chrono::milliseconds deadline);
+
   std::string folder_;
   std::unique_ptr<Process> standin_;
   Endpoint store_;
--- a/tests/poison_request_test.cc
+++ b/tests/poison_request_test.cc
@@ -92,6 +92,7 @@
   CPPUNIT_TEST_SUITE(PoisonRequestTest);
   CPPUNIT_TEST(PoisonRequest_RepeatedAtAllEntryVms_IsRefusedAfterThreeCrashes);
   CPPUNIT_TEST(PoisonRequest_Condemned_IsRefusedAtOnceAndOthersAreServed);
+  CPPUNIT_TEST(PoisonRequest_FromChangingAddresses_IsRefusedAfterThreeCrashes);
   CPPUNIT_TEST(PoisonRequest_EntryVmsRestarted_StaysCondemned);
   CPPUNIT_TEST(PoisonRequest_EntryVmFrozen_IsRefusedByTheOthersAndThenByIt);
   CPPUNIT_TEST(HarmlessRequest_ServersCrashForOtherReasons_IsNotCondemned);
@@ -129,6 +130,19 @@
     ExpectFewRetries(fleet, "bad-");
   }
 
+  // Regression: the caller's address was part of what makes requests the same, but a caller that
+  // comes again may do so from another address.
+  void PoisonRequest_FromChangingAddresses_IsRefusedAfterThreeCrashes() {
+    Fleet fleet(kEntries, kServers);
+    SetUpServers(fleet);
+    for (size_t n = 0; n < 45; ++n) {
+      const std::string id = fmt::format("bad-{}", n);
+      fleet.SendFrom(fmt::format("127.0.0.{}", 2 + n), n % kEntries, "/a/poison", id);
+      std::this_thread::sleep_for(milliseconds(150));
+    }
+    ExpectFewRetries(fleet, "bad-");
+  }
+
   void PoisonRequest_EntryVmsRestarted_StaysCondemned() {
     Fleet fleet(kEntries, kServers);
     SetUpServers(fleet);
