A request that crashes servers is recognized whatever address it comes from

Change: the hash is made of tenant, host, method, target and body. A harmless request with the same target from another caller is cleared by the first answer, as before. Suspicions last an hour instead of a minute, so that a request which comes once in a while is condemned too; answered requests are forgotten after a minute. "request suspected" is logged only by the entry VM that saw the crash.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -203,7 +203,7 @@
   // Without an address the caller has disconnected.
   if (!ec) request_end_.caller = remote.address().to_string();
   const uint64_t body_size = body_complete_ ? body_.size() : head_.content_length.value_or(0);
-  return HashRequest(request_end_.caller, head_.Find("host").value_or(""), head_.method,
+  return HashRequest(meta_.tenant.Text(), head_.Find("host").value_or(""), head_.method,
                      head_.target, body_, body_size);
 }
 
--- a/src/poison/poison_list.cc
+++ b/src/poison/poison_list.cc
@@ -76,7 +76,9 @@
   Entry& entry = FindOrCreate(hash);
   if (!AddCrash(entry, crash, now)) return;
   changed_.push_back(hash);
-  OnNewCrash(hash, entry, now);
+  if (entry.condemned_at) return BlameCrashes(hash, entry);
+  const size_t counted = Counted(hash, entry, now).size();
+  if (counted > 0) events_.push_back({PoisonEvent::Kind::kSuspected, hash, counted});
 }
 
 void PoisonList::OnAnswered(RequestHash hash, MonotonicTime now) {
@@ -104,7 +106,7 @@
     const MonotonicTime at = now - *record.condemned_age;
     if (!entry.answered_at || at > *entry.answered_at) Condemn(record.hash, entry, at);
   }
-  if (changed) OnNewCrash(record.hash, entry, now);
+  if (changed && entry.condemned_at) BlameCrashes(record.hash, entry);
 }
 
 // ---- Judgement ----------------------------------------------------------------------------------
@@ -121,17 +123,12 @@
 
 void PoisonList::Condemn(RequestHash hash, Entry& entry, MonotonicTime at) {
   entry.condemned_at = at;
-  for (const auto& [id, crashed_at] : entry.crashes) blamed_.emplace(id, hash);
+  BlameCrashes(hash, entry);
   events_.push_back({PoisonEvent::Kind::kCondemned, hash, entry.crashes.size()});
 }
 
-void PoisonList::OnNewCrash(RequestHash hash, Entry& entry, MonotonicTime now) {
-  if (entry.condemned_at) {
-    for (const auto& [id, at] : entry.crashes) blamed_.emplace(id, hash);
-    return;
-  }
-  const size_t counted = Counted(hash, entry, now).size();
-  if (counted > 0) events_.push_back({PoisonEvent::Kind::kSuspected, hash, counted});
+void PoisonList::BlameCrashes(RequestHash hash, const Entry& entry) {
+  for (const auto& [id, at] : entry.crashes) blamed_.emplace(id, hash);
 }
 
 void PoisonList::DecideIfDue(RequestHash hash, Entry& entry, MonotonicTime now) {
@@ -188,8 +185,12 @@
   for (auto& [hash, entry] : entries_) {
     if (entry.crashes.size() >= kCrashesUntilCondemned) DecideIfDue(hash, entry, now);
   }
-  std::erase_if(entries_, [now](const auto& it) {
-    return !it.second.condemned_at && now - LastCrash(it.second) > kSuspicionTime;
+  std::erase_if(entries_, [now](const auto& item) {
+    const Entry& entry = item.second;
+    if (entry.condemned_at) return false;
+    const MonotonicTime last = LastCrash(entry);
+    const bool is_answered = entry.answered_at && *entry.answered_at >= last;
+    return is_answered ? now - *entry.answered_at > kAnsweredTime : now - last > kSuspicionTime;
   });
 }
 
--- a/src/poison/poison_list.h
+++ b/src/poison/poison_list.h
@@ -69,7 +69,8 @@
   std::chrono::milliseconds retry_after{0};  // Set if condemned: the rest of the term.
 };
 
-// A change of what is held against a request, for logs.
+// A change of what is held against a request, for logs. Suspicions are reported only by the entry
+// VM that saw the crash.
 struct PoisonEvent {
   enum class Kind { kSuspected, kCondemned, kAcquitted };
   Kind kind = Kind::kSuspected;
@@ -84,7 +85,9 @@
   // about the same crash have arrived. Until then it is refused too.
   static constexpr std::chrono::milliseconds kDecisionTime{500};
   // Crashes that are older don't count towards a condemnation.
-  static constexpr std::chrono::seconds kSuspicionTime{60};
+  static constexpr std::chrono::minutes kSuspicionTime{60};
+  // An answered request is forgotten after this time.
+  static constexpr std::chrono::minutes kAnsweredTime{1};
   static constexpr std::chrono::minutes kFirstTerm{10};
   static constexpr size_t kMaxTrials = 2;
   // Crashes within this time after the condemnation come from attempts that were open then.
@@ -128,7 +131,7 @@
   bool AddCrash(Entry& entry, CrashId crash, MonotonicTime at);
   bool SetAnswered(RequestHash hash, Entry& entry, MonotonicTime at);
   void Condemn(RequestHash hash, Entry& entry, MonotonicTime at);
-  void OnNewCrash(RequestHash hash, Entry& entry, MonotonicTime now);
+  void BlameCrashes(RequestHash hash, const Entry& entry);
   void DecideIfDue(RequestHash hash, Entry& entry, MonotonicTime now);
   bool HasRival(RequestHash hash, const std::vector<CrashId>& crashes, MonotonicTime now) const;
   // Crashes that are held against the request.
