--- a/tests/fleet_soak.cc
+++ b/tests/fleet_soak.cc
@@ -24,6 +24,7 @@
 constexpr milliseconds kRecoveryTimeout{15000};  // Until all entry VMs serve after the last fault.
 constexpr milliseconds kMaxFaultDuration{2500};
 constexpr milliseconds kMinFaultDuration{300};
+constexpr milliseconds kRestartTime{500};  // From the end of an entry VM's fault until it runs.
 // Mean time between drawn faults. Faults on different targets overlap; a fault drawn for a target
 // that still has one is dropped.
 constexpr milliseconds kMeanFaultInterval{500};
@@ -32,7 +33,20 @@
 
 const std::vector<std::string> kEntryFaults = {"kill", "stop", "freeze"};
 const std::vector<std::string> kStoreFaults = {"silent", "busy", "reset", "compact", "manifest"};
-const std::vector<std::string> kServerFaults = {"shed", "hang", "error", "cut", "stray", "slow"};
+const std::vector<std::string> kServerFaults = {"shed",  "hang", "error", "cut",
+                                                "stray", "slow", "crash", "limit"};
+const std::vector<std::string> kRequestFaults = {"poison"};
+
+constexpr milliseconds kLimitFaultDuration{9000};
+constexpr double kLimit = 6;                // Requests a second that a limited server takes.
+constexpr milliseconds kSettleTime{3000};   // Until limits and condemnations hold.
+constexpr milliseconds kLimitWindow{4000};  // Any such time counts.
+constexpr double kLimitFactor = 1.5;        // Allowed in a window: the limit times this,
+constexpr double kLimitExcess = 5;          // and so many more.
+constexpr size_t kCrashesUntilCondemned = 3;
+constexpr size_t kMaxPoisonRetries = 3;
+constexpr milliseconds kPoisonInterval{100};
+constexpr size_t kPoisonRequests = 100;  // So that no request is drawn twice in a run, as a rule.
 
 struct SentRequest {
   std::string id;
@@ -62,7 +76,10 @@
     CheckRecovery(report);
     done_ = true;
     for (std::thread& caller : callers) caller.join();
+    for (std::thread& it : poisoners_) it.join();
     CheckRequests(report);
+    CheckLimits(report);
+    CheckPoison(report);
     return report;
   }
 
@@ -91,6 +108,15 @@
   }
 
   void Begin(const SoakFault& fault) {
+    begun_.push_back({fault, Now()});
+    if (fault.kind == "poison") {
+      poisoners_.emplace_back([this, fault] { SendPoison(fault); });
+      return;
+    }
+    if (fault.kind == "crash") {
+      return fleet_.Control("PUT", fmt::format("/control/crash?name=s-{}", fault.target));
+    }
+    if (fault.kind == "limit") return SetServer(fault.target, fmt::format("limit={}", kLimit));
     if (Contains(kEntryFaults, fault.kind)) {
       const int signal = fault.kind == "kill" ? SIGKILL : fault.kind == "stop" ? SIGTERM : SIGSTOP;
       return fleet_.Entry(fault.target).process->Signal(signal);
@@ -109,7 +135,10 @@
       if (fleet_.Entry(fault.target).process->Wait() == -2) violations_.push_back("stop timed out");
       return fleet_.Start(fault.target);
     }
-    if (fault.kind == "compact" || fault.kind == "manifest") return;
+    const bool ends_itself = fault.kind == "compact" || fault.kind == "manifest" ||
+                             fault.kind == "crash" || fault.kind == "poison";
+    if (ends_itself) return;
+    if (fault.kind == "limit") return SetServer(fault.target, "limit=0");
     if (Contains(kStoreFaults, fault.kind)) return SetStore("ok");
     SetServer(fault.target, "mode=ok&slowdown=100");
   }
@@ -129,8 +158,8 @@
     for (size_t n = 0; !done_; ++n) {
       SentRequest sent;
       sent.unsafe = std::bernoulli_distribution(kUnsafeShare)(random);
-      sent.id = fmt::format("{}-{}-{}", sent.unsafe ? "u" : "a", caller, n);
       const size_t entry = random() % options_.entries;
+      sent.id = fmt::format("{}-{}-{}-{}", sent.unsafe ? "u" : "a", entry, caller, n);
       const auto start = SteadyClock::now();
       const auto result =
           fleet_.Send(entry, (sent.unsafe ? "/u/" : "/a/") + sent.id, sent.id, kDeadline);
@@ -146,8 +175,102 @@
     }
   }
 
+  void SendPoison(const SoakFault& fault) {
+    const auto end = SteadyClock::now() + fault.duration + kSettleTime;
+    for (size_t n = 0; SteadyClock::now() < end; ++n) {
+      const size_t entry = n % options_.entries;
+      fleet_.Send(entry, fmt::format("/a/poison-{}", fault.target),
+                  fmt::format("p{}-{}-{}", fault.target, entry, n), kDeadline);
+      std::this_thread::sleep_for(kPoisonInterval);
+    }
+  }
+
   // ---- Checks ----
 
+  // On the clock of the stand-in's arrivals.
+  static milliseconds Now() {
+    return std::chrono::duration_cast<milliseconds>(SteadyClock::now().time_since_epoch());
+  }
+  // Whether the entry VM ran undisturbed for the settle time before `at`.
+  bool InTouch(size_t entry, milliseconds at) const {
+    return std::none_of(begun_.begin(), begun_.end(), [&](const BegunFault& it) {
+      return Contains(kEntryFaults, it.fault.kind) && it.fault.target == entry && at >= it.at &&
+             at < it.at + it.fault.duration + kRestartTime + kSettleTime;
+    });
+  }
+  // The entry VM to which a request was sent: its id is KIND-ENTRY-...
+  static size_t EntryOf(const std::string& id) { return std::stoul(id.substr(id.find('-') + 1)); }
+  // Times of the arrivals that `wanted` selects, of requests from entry VMs in touch.
+  template <typename Wanted>
+  std::vector<milliseconds> ArrivalsInTouch(Wanted wanted) const {
+    std::vector<milliseconds> times;
+    for (const json& it : fleet_.Arrivals()) {
+      const std::string id = it["request"];
+      const milliseconds at(it["at_ms"].get<int64_t>());
+      if (wanted(id, it["server"].get<std::string>()) && InTouch(EntryOf(id), at)) {
+        times.push_back(at);
+      }
+    }
+    return times;
+  }
+
+  void CheckLimits(SoakReport& report) const {
+    for (const BegunFault& begun : begun_) {
+      if (begun.fault.kind != "limit") continue;
+      // A server that restarts has another name and is told apart by it.
+      std::map<std::string, std::vector<milliseconds>> times;
+      const std::string name = fmt::format("s-{}", begun.fault.target);
+      const milliseconds end = begun.at + begun.fault.duration;
+      for (const json& it : fleet_.Arrivals()) {
+        const std::string server = it["server"];
+        const milliseconds at(it["at_ms"].get<int64_t>());
+        const bool is_target = server == name || server.find(name + ".") == 0;
+        if (is_target && at >= begun.at && at < end) times[server];
+      }
+      for (auto& [server, arrivals] : times) {
+        arrivals = ArrivalsInTouch(
+            [&server = server](const std::string&, const std::string& it) { return it == server; });
+        std::erase_if(arrivals, [&](milliseconds at) { return at < begun.at || at >= end; });
+        CheckWindows(report, server, arrivals);
+      }
+    }
+  }
+  static void CheckWindows(SoakReport& report, const std::string& server,
+                           const std::vector<milliseconds>& arrivals) {
+    const double allowed =
+        kLimitFactor * kLimit * std::chrono::duration<double>(kLimitWindow).count() + kLimitExcess;
+    for (auto it = arrivals.begin(); it != arrivals.end(); ++it) {
+      if (*it < arrivals.front() + kSettleTime) continue;
+      const auto end = std::lower_bound(it, arrivals.end(), *it + kLimitWindow);
+      const auto n = static_cast<double>(std::distance(it, end));
+      if (n <= allowed) continue;
+      report.violations.push_back(
+          fmt::format("{}: {} requests in a window, its limit allows {}", server, n, allowed));
+      return;
+    }
+  }
+
+  void CheckPoison(SoakReport& report) const {
+    for (const BegunFault& begun : begun_) {
+      if (begun.fault.kind != "poison") continue;
+      const std::string prefix = fmt::format("p{}-", begun.fault.target);
+      std::vector<milliseconds> all;
+      for (const json& it : fleet_.Arrivals()) {
+        if (it["request"].get<std::string>().find(prefix) == 0) {
+          all.emplace_back(it["at_ms"].get<int64_t>());
+        }
+      }
+      if (all.size() < kCrashesUntilCondemned) continue;
+      const milliseconds settled = all[kCrashesUntilCondemned - 1] + kSettleTime;
+      std::vector<milliseconds> late = ArrivalsInTouch(
+          [&prefix](const std::string& id, const std::string&) { return id.find(prefix) == 0; });
+      std::erase_if(late, [settled](milliseconds at) { return at <= settled; });
+      if (late.size() <= kMaxPoisonRetries) continue;
+      report.violations.push_back(fmt::format("poison request {}: {} of {} arrivals were too late",
+                                              begun.fault.target, late.size(), all.size()));
+    }
+  }
+
   void CheckRecovery(SoakReport& report) {
     for (size_t i = 0; i < options_.entries; ++i) {
       int n = 0;
@@ -186,6 +309,12 @@
   Fleet fleet_;
   uint64_t manifest_version_ = 1;        // Version of the manifest written last.
   std::vector<std::string> violations_;  // Found while injecting faults.
+  struct BegunFault {
+    SoakFault fault;
+    milliseconds at{0};  // On the clock of the stand-in's arrivals.
+  };
+  std::vector<BegunFault> begun_;
+  std::vector<std::thread> poisoners_;
   std::atomic<bool> done_ = false;
   std::mutex mutex_;  // Guards sent_.
   std::vector<SentRequest> sent_;
@@ -200,7 +329,8 @@
   };
   std::vector<SoakFault> plan;
   // Time at which the last planned fault on a target ends, by target type ('e': entry VM, 's':
-  // store, 'b': backend server) and index. Faults on one target do not overlap.
+  // store, 'b': backend server, 'p': poison request) and index. Faults on one target do not
+  // overlap.
   std::map<std::pair<char, size_t>, milliseconds> target_free_at;
   std::exponential_distribution<double> interval(1.0 /
                                                  static_cast<double>(kMeanFaultInterval.count()));
@@ -210,13 +340,16 @@
     fault.at = at;
     fault.duration = kMinFaultDuration +
                      milliseconds(random() % (kMaxFaultDuration - kMinFaultDuration).count());
-    const uint64_t target_type = random() % 3;
+    const uint64_t target_type = random() % 4;
     fault.kind = pick(target_type == 0   ? kEntryFaults
                       : target_type == 1 ? kStoreFaults
-                                         : kServerFaults);
+                      : target_type == 2 ? kServerFaults
+                                         : kRequestFaults);
     if (target_type == 0) fault.target = random() % options.entries;
     if (target_type == 2) fault.target = random() % options.servers;
-    milliseconds& free = target_free_at[{"esb"[target_type], fault.target}];
+    if (target_type == 3) fault.target = random() % kPoisonRequests;
+    if (fault.kind == "limit") fault.duration = kLimitFaultDuration;
+    milliseconds& free = target_free_at[{"esbp"[target_type], fault.target}];
     if (at < free) continue;
     free = at + fault.duration;
     plan.push_back(fault);
--- a/tests/fleet_soak.h
+++ b/tests/fleet_soak.h
@@ -2,8 +2,10 @@
 //   Entry VMs: killed, stopped gracefully or frozen, then restarted or resumed.
 //   Store: unresponsive, refusing with 503, resetting connections, history compacted.
 //   Backend servers: shedding load, hanging, answering 500, closing the connection without an
-//     answer, answering with the id of another request, slow.
+//     answer, answering with the id of another request, slow, crashed and restarted, naming a
+//     limit.
 //   Manifest: a new version is written.
+//   Callers: a request that crashes the servers that run it is sent again and again.
 //
 // The guarantees are checked after the run against what callers received and what the backend
 // servers logged in their journal.
@@ -34,7 +36,7 @@
 struct SoakFault {
   std::chrono::milliseconds at{0};
   std::string kind;
-  size_t target = 0;  // Index of the entry VM or backend server.
+  size_t target = 0;  // Index of the entry VM, backend server or poison request.
   std::chrono::milliseconds duration{0};
 };
 
