Failing tests: the store comes back from an older copy

A server that begins to leave after the restore still gets new work two seconds later, as answers with versions below the highest known are ignored; the same if the store has given out more versions than before; with servers that the copy lacks, or a server that has left and is in it, callers get 503.

--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -60,6 +60,18 @@
     compacted_version_ = version_;
     history_.clear();
   }
+  void Copy() { copy_ = {rows_, version_}; }
+  void Restore() {
+    rows_ = copy_.first;
+    version_ = copy_.second;
+    history_.clear();
+    compacted_version_ = version_;
+    ++era_;
+    // The store was away for a moment, so calls that it held open get no answer.
+    for (LongPoll& poll : long_polls_) {
+      if (!std::exchange(poll.answered, true)) poll.exchange.Drop();
+    }
+  }
   // `delay` is the delay of answers in mode "slow".
   void SetMode(const std::string& mode, milliseconds delay, uint64_t bytes_per_second) {
     mode_ = mode;
@@ -76,16 +88,18 @@
 
  private:
   void Respond(const HttpExchange& exchange) {
-    if (mode_ == "busy") return exchange.Answer({503, {}, "", {}});
+    if (mode_ == "busy") return exchange.Answer(WithEra({503, {}, "", {}}));
     if (mode_ == "reset") return exchange.Drop();
     if (mode_ == "silent") return unanswered_.push_back(exchange);
     const HttpRequest& request = exchange.Request();
-    if (request.path == "/-/rows-get") return exchange.Answer(RowsFrom(request));
-    if (request.path != "/-/rows-feed") return exchange.Answer({404, {}, "", {}});
+    if (request.path == "/-/rows-get") return exchange.Answer(WithEra(RowsFrom(request)));
+    if (request.path != "/-/rows-feed") return exchange.Answer(WithEra({404, {}, "", {}}));
     const uint64_t after = NumberOr(request.Query("after"), 0);
-    if (after < compacted_version_) return exchange.Answer({410, {}, "", {}});
+    if (after < compacted_version_ || after > version_) {
+      return exchange.Answer(WithEra({410, {}, "", {}}));
+    }
     const std::string table = request.Query("table");
-    if (HasChanges(table, after)) return exchange.Answer(ChangesAfter(table, after));
+    if (HasChanges(table, after)) return exchange.Answer(WithEra(ChangesAfter(table, after)));
     long_polls_.push_back({exchange, table, after});
     const auto it = std::prev(long_polls_.end());
     RunAfter(loop_, milliseconds(NumberOr(request.Query("wait-ms"), 0)),
@@ -115,6 +129,10 @@
     }
     return json;
   }
+  HttpAnswer WithEra(HttpAnswer answer) const {
+    answer.headers.push_back({"Store-Era", std::to_string(era_)});
+    return answer;
+  }
   HttpAnswer RowsAnswer(Json rows) const {
     HttpAnswer answer = JsonAnswer(
         200, {{"rows", std::move(rows)}, {"has-more", false}, {"ver", version_}, {"now-ms", 1}});
@@ -135,11 +153,12 @@
     for (LongPoll& poll : long_polls_) {
       if (poll.answered || poll.table != row.table) continue;
       poll.answered = true;
-      if (mode_ != "silent") poll.exchange.Answer(ChangesAfter(poll.table, poll.after));
+      if (mode_ != "silent") poll.exchange.Answer(WithEra(ChangesAfter(poll.table, poll.after)));
     }
   }
   void EndLongPoll(std::list<LongPoll>::iterator it) {
-    if (!it->answered && mode_ != "silent") it->exchange.Answer(ChangesAfter(it->table, it->after));
+    if (!it->answered && mode_ != "silent")
+      it->exchange.Answer(WithEra(ChangesAfter(it->table, it->after)));
     long_polls_.erase(it);
   }
   bool HasChanges(const std::string& table, uint64_t after) const {
@@ -164,6 +183,8 @@
 
   asio::io_context& loop_;
   std::map<std::pair<std::string, std::string>, Row> rows_;
+  std::pair<std::map<std::pair<std::string, std::string>, Row>, uint64_t> copy_;  // For Restore.
+  uint64_t era_ = 1;
   std::deque<Row> history_;  // Changes after compacted_version_, oldest first.
   std::list<LongPoll> long_polls_;
   std::vector<HttpExchange> unanswered_;  // Requests of mode "silent": kept open, never answered.
@@ -374,6 +395,10 @@
     } else if (path == "/control/store") {
       store.SetMode(request.Query("mode"), milliseconds(NumberOr(request.Query("slow_ms"), 100)),
                     NumberOr(request.Query("bytes_per_s"), 0));
+    } else if (path == "/control/copy") {
+      store.Copy();
+    } else if (path == "/control/restore") {
+      store.Restore();
     } else if (path == "/control/compact") {
       store.Compact();
     } else if (path == "/control/crash" && servers.count(request.Query("name")) > 0) {
--- a/standins/fleet_standin.h
+++ b/standins/fleet_standin.h
@@ -4,12 +4,16 @@
 //
 // The store answers GET /-/rows-get and GET /-/rows-feed. The feed is a long poll of up to wait-ms.
 // It lists a row that was written several times once for each write, and answers 410 if the
-// requested history has been compacted. Control requests go to the store's address and are not
+// requested history has been compacted or the version asked for does not exist. All answers have
+// the header Store-Era. Control requests go to the store's address and are not
 // subject to faults:
 //   PUT /control/row?table=T&key=K     the body is the row's value
 //   DELETE /control/row?table=T&key=K
 //   PUT /control/store?mode=ok|slow|busy|silent|reset&slow_ms=MS&bytes_per_s=N
 //     bytes_per_s: bandwidth of each answer; 0 or absent: unlimited
+//   POST /control/copy                 copies the rows and the version of the store
+//   POST /control/restore              the store is back from that copy: what was written since is
+//                                      gone, versions are given out again, Store-Era rises by one
 //   POST /control/compact              discards the history of changes
 //   PUT /control/server?name=N&mode=MODE&work_ms=MS&slowdown=PERCENT&limit=N
 //     ok: executes the request and answers 200; with all slots busy, refuses as in mode shed (so do
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -56,6 +56,7 @@
   void PutManifest(uint64_t version, const std::string& prefix, size_t further_routes = 0,
                    std::chrono::milliseconds route_timeout = std::chrono::milliseconds(2500));
   nlohmann::json Journal() const;
+  const Endpoint& StoreAddress() const { return store_; }
   // All requests that arrived at the backend servers, as GET /control/arrivals lists them.
   nlohmann::json Arrivals() const;
   // Value of a metric without labels at an entry VM; 0 if the entry VM does not answer.
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -10,6 +10,7 @@
 #include <set>
 #include <thread>
 
+#include "platform/rows.h"
 #include "tests/fleet_harness.h"
 
 namespace cowsliphill {
@@ -40,6 +41,10 @@
   CPPUNIT_TEST(Request_JustAfterAStart_IsHeldUntilTheCatalogIsKnown);
   CPPUNIT_TEST(Request_HeldAtStartup_IsStillAnsweredByItsDeadline);
   CPPUNIT_TEST(Store_WithCompactedHistory_IsReadInFull);
+  CPPUNIT_TEST(Store_BackFromAnOlderCopy_ChangesAreInForceInTime);
+  CPPUNIT_TEST(Store_BackFromAnOlderCopyThatSoonHasMoreVersions_ChangesAreInForceInTime);
+  CPPUNIT_TEST(Store_BackFromAnOlderCopy_ServersThatItLacksAreKeptForAWhile);
+  CPPUNIT_TEST(Store_BackFromAnOlderCopy_ServerThatHasLeftGetsNoWork);
   CPPUNIT_TEST(Store_WithoutChanges_IsReadByOneEntryVm);
   CPPUNIT_TEST(UnsafeRequest_AnswerCutOff_RunsOnceAndIsNotReportedNotRun);
   CPPUNIT_TEST(UnsafeRequest_RefusedByAllServers_IsReportedNotRun);
@@ -220,6 +225,57 @@
     }));
   }
 
+  // Regression: entry VMs ignored all answers with versions below the highest that they had seen.
+  void Store_BackFromAnOlderCopy_ChangesAreInForceInTime() { RestoreAndChange(0); }
+
+  // The store has given out more versions since than before: an entry VM that asks for the changes
+  // after its last version gets an answer that lacks the first ones.
+  void Store_BackFromAnOlderCopyThatSoonHasMoreVersions_ChangesAreInForceInTime() {
+    RestoreAndChange(60);
+  }
+
+  void Store_BackFromAnOlderCopy_ServersThatItLacksAreKeptForAWhile() {
+    Fleet fleet(2, 2);
+    const std::string rows = RowsOf(fleet);
+    fleet.Control("DELETE", "/control/row?table=servers&key=s-0");
+    fleet.Control("DELETE", "/control/row?table=servers&key=s-1");
+    fleet.Control("POST", "/control/copy");
+    for (const char* name : {"s-0", "s-1"}) {
+      fleet.Control("PUT", std::string("/control/row?table=servers&key=") + name,
+                    RowOf(rows, name));
+    }
+    CPPUNIT_ASSERT(WaitUntil([&] { return fleet.SendForStatus(0, "/a/x", "before") == 200; }));
+    std::this_thread::sleep_for(milliseconds(2500));
+    fleet.Control("POST", "/control/restore");
+    for (int n = 0; n < 15; ++n) {
+      CPPUNIT_ASSERT_EQUAL(200, fleet.SendForStatus(static_cast<size_t>(n) % 2, "/a/x",
+                                                    "kept-" + std::to_string(n)));
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+  }
+
+  void Store_BackFromAnOlderCopy_ServerThatHasLeftGetsNoWork() {
+    Fleet fleet(2, 2);
+    const std::string row = RowOf(RowsOf(fleet), "s-0");
+    fleet.Control("POST", "/control/copy");
+    json leaving = json::parse(row);
+    leaving["state"] = "draining";
+    fleet.Control("PUT", "/control/row?table=servers&key=s-0", leaving.dump());
+    std::this_thread::sleep_for(kMaxDrainDelay);
+    fleet.Control("DELETE", "/control/row?table=servers&key=s-0");
+    std::this_thread::sleep_for(milliseconds(1000));
+    fleet.Control("POST", "/control/restore");
+    for (int n = 0; n < 30; ++n) {
+      const std::string id = "after-" + std::to_string(n);
+      CPPUNIT_ASSERT_EQUAL(200, fleet.SendForStatus(static_cast<size_t>(n) % 2, "/a/x", id));
+      std::this_thread::sleep_for(milliseconds(60));
+    }
+    for (const json& it : fleet.Journal()) {
+      const bool is_after = it["request"].get<std::string>().find("after-") == 0;
+      CPPUNIT_ASSERT(!is_after || it["server"] == "s-1");
+    }
+  }
+
   void Store_WithoutChanges_IsReadByOneEntryVm() {
     const Fleet fleet(6);
     std::this_thread::sleep_for(std::chrono::seconds(3));  // The entry VMs discover each other.
@@ -380,6 +436,47 @@
   }
 
  private:
+  // The rows of the servers' table, as the store returns them.
+  static std::string RowsOf(const Fleet& fleet) {
+    return HttpClientFor(fleet.StoreAddress()).Get("/-/rows-get?table=servers&part=")->body;
+  }
+  static std::string RowOf(const std::string& rows, const std::string& key) {
+    const json table = json::parse(rows);
+    for (const json& row : table["rows"]) {
+      if (row["key"] == key) return platform::DecodeBase64(row["value"]).value_or("");
+    }
+    CPPUNIT_FAIL("no row " + key);
+    return "";
+  }
+  // The store comes back from a copy, `rows` other rows are written, and then a server begins to
+  // leave and a newer manifest is written.
+  static void RestoreAndChange(int rows) {
+    Fleet fleet(2, 3);
+    const std::string before = RowsOf(fleet);
+    fleet.Control("POST", "/control/copy");
+    for (int n = 0; n < 30; ++n) {
+      fleet.Control("PUT", "/control/row?table=op&key=other", std::to_string(n));
+    }
+    // By then both entry VMs have asked for changes and know the newest version.
+    std::this_thread::sleep_for(milliseconds(3000));
+    fleet.Control("POST", "/control/restore");
+    json leaving = json::parse(RowOf(before, "s-0"));
+    leaving["state"] = "draining";
+    fleet.Control("PUT", "/control/row?table=servers&key=s-0", leaving.dump());
+    fleet.PutManifest(6, "/b/");
+    for (int n = 0; n < rows; ++n) {
+      fleet.Control("PUT", "/control/row?table=op&key=other", std::to_string(n));
+    }
+    std::this_thread::sleep_for(kMaxDrainDelay);
+    for (int n = 0; n < 20; ++n) {
+      const std::string id = "after-" + std::to_string(n);
+      CPPUNIT_ASSERT_EQUAL(200, fleet.SendForStatus(static_cast<size_t>(n) % 2, "/b/x", id));
+    }
+    for (const json& it : fleet.Journal()) {
+      const bool is_after = it["request"].get<std::string>().find("after-") == 0;
+      CPPUNIT_ASSERT(!is_after || it["server"] != "s-0");
+    }
+  }
   static void AssertUnused(const Fleet& fleet, const std::string& server) {
     const size_t before = fleet.Journal().size();
     for (size_t n = 0; n < 20; ++n) {
