Entry VMs follow a store that comes back from an older copy

Cause: an answer is used only if its version is not below the highest known, and versions go back with the copy. Where the store has soon given out more versions than before, the changes since the known version lack the first ones. An entry VM that got 410 also counted as not ready until it had read the table.

Change: versions in the catalog are made of the store's era (Store-Era) and its version, so a later era is always newer; changes of another era than the one asked for are replaced by reading the table; an era that rises counts as the end of an outage, so servers that the copy lacks are kept for 2.2 s; a server that was leaving when it was removed is leaving if it reappears; a table that has to be read again is used until then. Entry VMs write nothing to this store.

Not covered: a server that was removed without having been leaving, and that is in the copy, is used until its row lapses.

--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -20,8 +20,8 @@
 enum class CatalogErrorKind {
   kUnavailable,  // The store did not answer, refused the call, or its answer was unreadable.
   kTooLarge,     // The answer was too large to be received within the limits of a call.
-  kHistoryGone,  // The store no longer keeps the changes since the requested version: read the
-                 // whole table.
+  kHistoryGone,  // The store does not have the changes since the requested version, or has come
+                 // back from an older copy since: read the whole table.
 };
 
 struct CatalogError {
@@ -29,6 +29,18 @@
   std::string detail;
 };
 
+// The store may come back from an older copy of itself and give out versions again; its era then
+// rises by one. The versions of the catalog are therefore made of both, so that a version of a
+// later era is always higher.
+inline constexpr int kEraShift = 40;
+inline constexpr uint64_t MakeVersion(uint64_t era, uint64_t version_in_era) {
+  return (era << kEraShift) | version_in_era;
+}
+inline constexpr uint64_t EraOf(uint64_t version) { return version >> kEraShift; }
+inline constexpr uint64_t VersionInEra(uint64_t version) {
+  return version & ((uint64_t{1} << kEraShift) - 1);
+}
+
 // An answer holds the content of a table, or its changes since a version. `version` is the table's
 // version in the store when it answered.
 struct ManifestAnswer {
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -184,6 +184,7 @@
     TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
     manifest.is_snapshot = same;
     manifest_watch_.OnTableUpdate(manifest, now);
+    servers_watch_.NoteVersion(update.servers_version, now);
     if (newer) {
       recent_changes_.clear();
       ApplyServers({update.servers_version, true, update.changed, {}}, now);
--- a/src/catalog/server_list.h
+++ b/src/catalog/server_list.h
@@ -3,6 +3,9 @@
 //
 // A server whose entry expired while the store was unreachable is not removed at once: it may have
 // been unable to renew the entry, and registers again soon after the store is back.
+//
+// A server that was leaving when it was removed is still leaving if its entry reappears, which
+// happens when the store comes back from an older copy. Only a restart makes it usable.
 
 #ifndef COWSLIPHILL_CATALOG_SERVER_LIST_H_
 #define COWSLIPHILL_CATALOG_SERVER_LIST_H_
@@ -20,6 +23,7 @@
  public:
   // Servers whose entries expired during an outage register again within 2 seconds of its end.
   static constexpr std::chrono::milliseconds kRejoinWindow{2200};
+  static constexpr size_t kMaxDeparted = 10000;  // Removed servers that are remembered as leaving.
 
   // `recent_outage`: the store is unreachable, or was so less than kRejoinWindow ago.
   void Apply(const ServersAnswer& answer, bool recent_outage, MonotonicTime now) {
@@ -42,7 +46,7 @@
   bool RemoveUnlisted(bool recent_outage, MonotonicTime now) {
     if (recent_outage) return false;
     const size_t before = servers_.size();
-    for (const auto& [id, since] : unlisted_) servers_.erase(id);
+    for (const auto& [id, since] : unlisted_) Erase(id);
     unlisted_.clear();
     return servers_.size() != before;
   }
@@ -67,7 +71,10 @@
     unlisted_.erase(server.id);
     const auto it = servers_.find(server.id);
     if (it == servers_.end()) {
-      servers_.emplace(server.id, server);
+      BackendServer& added = servers_.emplace(server.id, server).first->second;
+      const auto departed = departed_.find(server.id);
+      const bool has_left = departed != departed_.end() && departed->second == server.started;
+      if (has_left) added.state = BackendState::kLeaving;
       return;
     }
     const bool same_lifetime = it->second.started == server.started;
@@ -80,12 +87,23 @@
     if (recent_outage) {
       if (servers_.count(id) > 0) unlisted_.emplace(id, now);
     } else {
-      servers_.erase(id);
+      Erase(id);
       unlisted_.erase(id);
     }
   }
+  void Erase(const BackendServerId& id) {
+    const auto it = servers_.find(id);
+    if (it == servers_.end()) return;
+    if (it->second.state == BackendState::kLeaving) {
+      if (departed_.size() >= kMaxDeparted) departed_.clear();
+      departed_[id] = it->second.started;
+    }
+    servers_.erase(it);
+  }
 
   std::map<BackendServerId, BackendServer> servers_;
+  // Servers that were leaving when they were removed, with BackendServer::started.
+  std::map<BackendServerId, uint64_t> departed_;
   // Servers in servers_ that the store no longer lists, with the time at which this was learned.
   std::map<BackendServerId, MonotonicTime> unlisted_;
 };
--- a/src/catalog/server_list_test.cc
+++ b/src/catalog/server_list_test.cc
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(Apply_ServerRegisteredAgainAfterOutage_Stays);
   CPPUNIT_TEST(Apply_ActiveAfterLeavingWithoutRestart_StaysLeaving);
   CPPUNIT_TEST(Apply_RestartedUnderTheSameId_IsActive);
+  CPPUNIT_TEST(Apply_ReappearsAfterItHasLeft_IsStillLeaving);
   CPPUNIT_TEST(Registered_DuringOutage_OmitsUnlistedServers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -65,6 +66,21 @@
     CPPUNIT_ASSERT(list_.All()[0].state == BackendState::kActive);
   }
 
+  // The store has come back from a copy that was made before the server left.
+  void Apply_ReappearsAfterItHasLeft_IsStillLeaving() {
+    BackendServer leaving = MakeServer("a");
+    leaving.state = BackendState::kLeaving;
+    list_.Apply({2, false, {leaving}, {}}, false, now_);
+    list_.Apply({3, false, {}, {leaving.id}}, false, now_);
+    CPPUNIT_ASSERT_EQUAL(std::string("b "), Names());
+    list_.Apply({4, false, {MakeServer("a")}, {}}, false, now_);
+    CPPUNIT_ASSERT(list_.All()[0].state == BackendState::kLeaving);
+    BackendServer restarted = MakeServer("a");
+    restarted.started = 99;
+    list_.Apply({5, false, {restarted}, {}}, false, now_);
+    CPPUNIT_ASSERT(list_.All()[0].state == BackendState::kActive);
+  }
+
   void Registered_DuringOutage_OmitsUnlistedServers() {
     list_.Apply({2, false, {}, {BackendServerId("a")}}, true, now_);
     CPPUNIT_ASSERT_EQUAL(std::string("a b "), Names());
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -22,6 +22,7 @@
 #include <optional>
 
 #include "src/base/clock.h"
+#include "src/catalog/catalog.h"
 
 namespace cowsliphill {
 
@@ -103,6 +104,7 @@
 
   // The store answered with everything up to `version`.
   void OnAnswer(uint64_t version, MonotonicTime now) {
+    NoteVersion(version, now);
     call_open_ = false;
     backoff_ = Duration{};
     must_read_table_ = false;
@@ -137,7 +139,13 @@
   }
   void OnHistoryGone() {
     call_open_ = false;
-    is_loaded_ = false;
+    must_read_table_ = true;
+    not_before_ = MonotonicTime{};
+  }
+  // A store that has come back from an older copy has lost entries that will be written again, as
+  // after an outage. To be called before the content of a version is applied.
+  void NoteVersion(uint64_t version, MonotonicTime now) {
+    if (is_loaded_ && EraOf(version) > EraOf(version_)) outage_end_ = now;
   }
   // What a catalog update of another entry VM says about this table.
   struct TableUpdate {
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -23,6 +23,8 @@
   CPPUNIT_TEST(OnTableUpdate_FromPredecessorCutOffFromStore_KeepsTakeover);
   CPPUNIT_TEST(OnAnswer_CallOpenAtPredecessorsReport_DoesNotTakeOverAgain);
   CPPUNIT_TEST(OnHistoryGone_Always_ReadsTheTableAgain);
+  CPPUNIT_TEST(OnHistoryGone_Always_KeepsWhatIsLoaded);
+  CPPUNIT_TEST(OnAnswer_OfALaterEra_CountsAsOutage);
   CPPUNIT_TEST(OnTooLarge_Always_ReadsTheTableAfterABackoff);
   CPPUNIT_TEST(OnFailure_CutOffFromStoreAndPeers_RetriesSoon);
   CPPUNIT_TEST(OnFailure_WhilePredecessorSendsUpdates_BacksOffLonger);
@@ -170,6 +172,30 @@
     CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kReadTable);
   }
 
+  void OnHistoryGone_Always_KeepsWhatIsLoaded() {
+    ReadTable(0);
+    Advance(milliseconds(300));
+    watch_.Next(0, now_);
+    watch_.OnHistoryGone();
+    CPPUNIT_ASSERT(watch_.IsLoaded());
+    CPPUNIT_ASSERT(watch_.Next(0, now_) == Step::kReadTable);
+  }
+
+  void OnAnswer_OfALaterEra_CountsAsOutage() {
+    ReadTable(0);
+    Advance(milliseconds(300));
+    watch_.Next(0, now_);
+    CPPUNIT_ASSERT(!watch_.OutageWithin(milliseconds(2000), now_));
+    watch_.OnAnswer(MakeVersion(1, 1), now_);
+    CPPUNIT_ASSERT_EQUAL(MakeVersion(1, 1), watch_.Version());
+    CPPUNIT_ASSERT(watch_.OutageWithin(milliseconds(2000), now_));
+    Advance(milliseconds(300));
+    watch_.Next(0, now_);
+    watch_.OnAnswer(MakeVersion(1, 2), now_);
+    Advance(milliseconds(1900));
+    CPPUNIT_ASSERT(!watch_.OutageWithin(milliseconds(2000), now_));
+  }
+
   void OnTooLarge_Always_ReadsTheTableAfterABackoff() {
     ReadTable(0);
     Advance(milliseconds(300));
--- a/src/poison/poison_message.cc
+++ b/src/poison/poison_message.cc
@@ -48,7 +48,8 @@
 
 std::optional<std::vector<PoisonRecord>> DecodePoisonRecords(const std::string& bytes) {
   if (!IsPoisonMessage(bytes)) return std::nullopt;
-  PackedReader in(std::string_view(bytes).substr(1));
+  const std::string_view all(bytes);
+  PackedReader in(all.substr(1));
   const size_t n = in.Number(1);
   if (n > kMaxPoisonRecords) return std::nullopt;
   std::vector<PoisonRecord> records(n);
