--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -226,6 +226,11 @@
                      [](const Server* it) { return it->limit.Limit().has_value(); });
 }
 
+// Whether the limits of the cell's servers leave it less than one slot.
+bool Balancer::IsShortOfTokens(const Cell& cell, double effective_slots) const {
+  return effective_slots < 1 && HasLimits(cell);
+}
+
 // Whether a server could take a request now but for its limit.
 bool Balancer::IsHeldBackByLimits(const Cell& cell, MonotonicTime now) {
   return std::any_of(cell.servers.begin(), cell.servers.end(), [&](Server* it) {
@@ -275,19 +280,20 @@
 bool Balancer::MayQueue(Cell& cell, const Request& request, Duration service_time,
                         MonotonicTime now) {
   if (!CanMeetTarget(request, service_time, now) || cell.queue.size() >= kQueueLimit) return false;
-  const bool has_limits = HasLimits(cell);
   const uint32_t rank = request.spec.kind.rank;
-  // Late requests get no token before those that are on time.
-  const size_t ahead = has_limits ? CountOnTimeAhead(cell, rank) : CountQueuedAhead(cell, rank);
-  if (ahead == 0 && !has_limits) return true;
   const double effective_slots = EffectiveSlots(cell, true, service_time, now);
+  const Duration max_wait = request.spec.target - now - Times(service_time, kOnTimeMargin);
+  if (IsShortOfTokens(cell, effective_slots)) {
+    // Even the first request in the queue waits for a token. The rate of tokens is known, so the
+    // expected wait needs no slack, and late requests get none before those that are on time.
+    const auto turn = static_cast<double>(CountOnTimeAhead(cell, rank) + 1);
+    return effective_slots > 0 && Times(service_time, turn / effective_slots) <= max_wait;
+  }
+  const size_t ahead = CountQueuedAhead(cell, rank);
+  if (ahead == 0) return true;
   if (effective_slots <= 0) return false;
-  // With less than one slot, even the first request in the queue has to wait for a token.
-  const size_t turn = has_limits && effective_slots < 1 ? ahead + 1 : ahead;
-  const Duration wait = Times(service_time, static_cast<double>(turn) / effective_slots);
-  // The rate of tokens is known, so with limits the expected wait needs no slack.
-  const double slack = has_limits && effective_slots < 1 ? 1.0 : kQueueSlack;
-  return wait <= Times(request.spec.target - now - Times(service_time, kOnTimeMargin), slack);
+  const Duration wait = Times(service_time, static_cast<double>(ahead) / effective_slots);
+  return wait <= Times(max_wait, kQueueSlack);
 }
 
 void Balancer::AdjustTargetForRetry(AssignmentRequest& spec) {
@@ -393,7 +399,7 @@
   // stay queued below.
   size_t ahead = CountQueuedAhead(cell, requests_.at(late.front()).spec.kind.rank) - late.size();
   // Requests that are on time take every token of the limits, so none is left for late ones.
-  const bool no_tokens_left = ahead > 0 && HasLimits(cell) && effective_slots < 1;
+  const bool no_tokens_left = ahead > 0 && IsShortOfTokens(cell, effective_slots);
   for (const AssignmentId id : late) {
     Request& request = requests_.at(id);
     const Duration service_time = ServiceTimeOf(cell, request.spec, now).Mean();
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -191,6 +191,7 @@
   bool MayQueue(Cell& cell, const Request& request, Duration service_time, MonotonicTime now);
   static bool MayAssign(const Cell& cell, Server& server, MonotonicTime now);
   bool HasLimits(const Cell& cell) const;
+  bool IsShortOfTokens(const Cell& cell, double effective_slots) const;
   static bool IsHeldBackByLimits(const Cell& cell, MonotonicTime now);
   double EffectiveSlots(Cell& cell, bool fast_only, Duration service_time, MonotonicTime now) const;
   Declined Decline(const Request& request, RefusalCause cause, MonotonicTime now);
