A crash of all servers there are counts too

Change: a host that refuses a connection at once shows as well that this entry VM is not cut off. Only where probes time out must another server answer.

--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -72,7 +72,7 @@
               return response.Find(name);
             });
           },
-          [this](const ProbeTarget& target, const std::optional<Report>& report) {
+          [this](const ProbeTarget& target, const std::optional<Report>& report, bool) {
             OnProbed(target, report);
           }),
       prober_(id_, platform_, clock_,
--- a/src/forward/probe_client.cc
+++ b/src/forward/probe_client.cc
@@ -9,6 +9,8 @@
 constexpr size_t kMaxHeaderBytes = 8192;
 constexpr size_t kBufferBytes = 4096;
 constexpr size_t kMaxBodyBytes = 65536;
+// A connection that fails later has timed out.
+constexpr std::chrono::milliseconds kMaxRefusalTime{100};
 
 std::string ProbeRequest(const ProbeTarget& target) {
   return "GET " + target.path + " HTTP/1.1\r\nHost: " + target.endpoint.ToString() + "\r\n\r\n";
@@ -29,7 +31,10 @@
                  std::optional<Report> report;
                  if (Ok(result)) report = read_report_(ValueOf(result).head, target);
                  ++(report ? counts_.answered : counts_.failed);
-                 done_(target, report);
+                 const bool refused = !Ok(result) &&
+                                      ErrorOf(result).kind == HttpCallErrorKind::kNotSent &&
+                                      ErrorOf(result).took < kMaxRefusalTime;
+                 done_(target, report, refused);
                });
 }
 
--- a/src/forward/probe_client.h
+++ b/src/forward/probe_client.h
@@ -25,7 +25,8 @@
 
 class ProbeClient {
  public:
-  using Done = std::function<void(const ProbeTarget&, const std::optional<Report>&)>;
+  // `refused`: the server's host answered at once that nothing listens there.
+  using Done = std::function<void(const ProbeTarget&, const std::optional<Report>&, bool refused)>;
   // Returns the report in the response to a probe, or nullopt if the response has no report of the
   // probed server.
   using ReadReport = std::function<std::optional<Report>(const HttpHead&, const ProbeTarget&)>;
--- a/src/poison/poison_watch.cc
+++ b/src/poison/poison_watch.cc
@@ -26,8 +26,8 @@
       clock_(clock),
       listener_(std::move(listener)),
       probes_(io, clock, settings, std::move(read_report),
-              [this](const ProbeTarget& target, const std::optional<Report>& report) {
-                OnProbed(target, report);
+              [this](const ProbeTarget& target, const std::optional<Report>& report, bool refused) {
+                OnProbed(target, report, refused);
               }),
       random_(seed),
       exchange_timer_(io) {}
@@ -111,23 +111,25 @@
   if (!others.empty()) probes_.Send(*others[random_() % others.size()]);
 }
 
-void PoisonWatch::OnProbed(const ProbeTarget& target, const std::optional<Report>& report) {
+void PoisonWatch::OnProbed(const ProbeTarget& target, const std::optional<Report>& report,
+                           bool refused) {
   if (report) {
-    for (auto& [id, verification] : verifications_) verification.other_answered = true;
+    for (auto& [id, verification] : verifications_) verification.reaches_hosts = true;
   }
   const auto it = verifications_.find(target.server);
   if (it == verifications_.end()) return;
   if (report) return Finish(target.server, false, "the server answers probes");
   Verification& verification = it->second;
+  verification.reaches_hosts = verification.reaches_hosts || refused;
   if (++verification.failed_probes < kProbes) {
-    if (!verification.other_answered) ProbeAnotherServer(target.server);
+    if (!verification.reaches_hosts) ProbeAnotherServer(target.server);
     const auto timer = std::make_shared<asio::steady_timer>(io_, kProbeInterval);
     timer->async_wait([this, timer, server = target.server](std::error_code ec) {
       if (!ec) SendProbe(server);
     });
     return;
   }
-  if (!verification.other_answered) {
+  if (!verification.reaches_hosts) {
     return Finish(target.server, false, "no other server answers probes either");
   }
   Finish(target.server, true, "the server answers no probes");
--- a/src/poison/poison_watch.h
+++ b/src/poison/poison_watch.h
@@ -1,10 +1,10 @@
 // Finds out which requests crash backend servers, and shares that with the other entry VMs.
 // Connects a PoisonList with probes and datagrams.
 //
-// When an attempt loses its connection, its server is probed. If kProbes probes fail in a row and
-// another server answers meanwhile, the server has crashed, and the crash is held against each of
-// this entry VM's requests that lost their connections with it. A server that answers, or that was
-// known to be leaving, has not crashed.
+// When an attempt loses its connection, its server is probed. If kProbes probes fail in a row, and
+// the host refuses the connection or another server answers meanwhile, the server has crashed, and
+// the crash is held against each of this entry VM's requests that lost their connections with it. A
+// server that answers, or that was known to be leaving, has not crashed.
 
 #ifndef COWSLIPHILL_POISON_POISON_WATCH_H_
 #define COWSLIPHILL_POISON_POISON_WATCH_H_
@@ -75,12 +75,14 @@
     CrashId crash = 0;
     std::vector<LostAttempt> lost;
     size_t failed_probes = 0;
-    bool other_answered = false;
+    // The server's host refused a connection, or another server answered: the connections were not
+    // lost because this entry VM is cut off.
+    bool reaches_hosts = false;
   };
 
   void SendProbe(const BackendServerId& server);
   void ProbeAnotherServer(const BackendServerId& server);
-  void OnProbed(const ProbeTarget& target, const std::optional<Report>& report);
+  void OnProbed(const ProbeTarget& target, const std::optional<Report>& report, bool refused);
   void Finish(const BackendServerId& server, bool crashed, const std::string& detail);
   bool MayTry(RequestHash hash) const;
   void Flush();
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -23,7 +23,7 @@
       planner_(settings.failure_domain, self_, seed, settings.retries),
       scheduler_(self_, seed, clock.Now()),
       probe_client_(io, clock, settings.backend, std::move(read_report),
-                    [this](const ProbeTarget& target, const std::optional<Report>& report) {
+                    [this](const ProbeTarget& target, const std::optional<Report>& report, bool) {
                       scheduler_.OnProbed(target.server, report, clock_.Now());
                       Flush();
                     }),
--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -157,8 +157,9 @@
     }
   }
   void EndLongPoll(std::list<LongPoll>::iterator it) {
-    if (!it->answered && mode_ != "silent")
+    if (!it->answered && mode_ != "silent") {
       it->exchange.Answer(WithEra(ChangesAfter(it->table, it->after)));
+    }
     long_polls_.erase(it);
   }
   bool HasChanges(const std::string& table, uint64_t after) const {
--- a/tests/poison_request_test.cc
+++ b/tests/poison_request_test.cc
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(PoisonRequest_RepeatedAtAllEntryVms_IsRefusedAfterThreeCrashes);
   CPPUNIT_TEST(PoisonRequest_Condemned_IsRefusedAtOnceAndOthersAreServed);
   CPPUNIT_TEST(PoisonRequest_FromChangingAddresses_IsRefusedAfterThreeCrashes);
+  CPPUNIT_TEST(PoisonRequest_ThatCrashesAllServersThereAre_IsRefusedAfterThreeCrashes);
   CPPUNIT_TEST(PoisonRequest_EntryVmsRestarted_StaysCondemned);
   CPPUNIT_TEST(PoisonRequest_EntryVmFrozen_IsRefusedByTheOthersAndThenByIt);
   CPPUNIT_TEST(HarmlessRequest_ServersCrashForOtherReasons_IsNotCondemned);
@@ -143,6 +144,17 @@
     ExpectFewRetries(fleet, "bad-");
   }
 
+  // Regression (soak seed 9414): a crash counted only if another server answered a probe.
+  void PoisonRequest_ThatCrashesAllServersThereAre_IsRefusedAfterThreeCrashes() {
+    Fleet fleet(kEntries, 1);
+    fleet.Control("PUT", fmt::format("/control/server?name=s-0&work_ms={}", kWorkMs));
+    Repeater poison(fleet, "bad", "/a/poison", milliseconds(150));
+    std::this_thread::sleep_for(milliseconds(14000));
+    poison.Stop();
+    ExpectFewRetries(fleet, "bad-");
+    CPPUNIT_ASSERT(CountArrivals(fleet, "bad-") < 6);
+  }
+
   void PoisonRequest_EntryVmsRestarted_StaysCondemned() {
     Fleet fleet(kEntries, kServers);
     SetUpServers(fleet);
