--- a/src/poison/poison_list.h
+++ b/src/poison/poison_list.h
@@ -11,8 +11,8 @@
 // with one that has already been condemned is not blamed for them, and while two requests share all
 // their crashes, neither is condemned.
 //
-// A condemned request comes again for one trial after kFirstTerm, at one entry VM (`may_try`). An
-// answer ends the sentence; a crash doubles its term, and kMaxTrials crashes make it final. Lists
+// A condemned request is sent once more after kFirstTerm, by one entry VM (`may_try`). An answer
+// clears it, a crash doubles the time, and after kMaxTrials crashes it is refused for good. Lists
 // are lost with the processes: when all entry VMs have restarted, nothing is condemned.
 
 #ifndef COWSLIPHILL_POISON_POISON_LIST_H_
@@ -33,8 +33,8 @@
 
 namespace cowsliphill {
 
-using CrashId =
-    uint32_t;  // Hash of a server's id and start, so one crash has the same id everywhere.
+// Hash of a server's id and start, so that one crash has the same id at all entry VMs.
+using CrashId = uint32_t;
 
 // One attempt that lost its connection after the request was sent.
 struct LostAttempt {
