A paused entry VM does not send requests on the strength of old assignments

A request was formatted, with the time it had left, before its connection was made, and an assignment was used however old it was. A process that was paused in between sent the request when its time was over, or to a server that had begun to leave meanwhile.

Now the bytes are made once connected, an assignment older than a second is given back, and an attempt that has sent nothing is repeated.

--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -23,24 +23,26 @@
 
 Attempt::~Attempt() { Close(); }
 
-void Attempt::Start(std::string head_and_body, ConnectionReuse reuse, bool head_request,
+void Attempt::Start(MakeRequest make_request, ConnectionReuse reuse, bool head_request,
                     Events events) {
   events_ = std::move(events);
   pool_.Acquire(target_.endpoint, request_class_, reuse,
-                [self = shared_from_this(), bytes = std::move(head_and_body),
-                 head_request](std::variant<PooledConnection, ConnectError> result) mutable {
+                [self = shared_from_this(), make_request = std::move(make_request),
+                 head_request](std::variant<PooledConnection, ConnectError> result) {
                   if (std::holds_alternative<ConnectError>(result)) {
                     return self->Fail(AttemptEnd::kConnectFailed, "no connection");
                   }
-                  self->OnConnected(std::get<PooledConnection>(std::move(result)), std::move(bytes),
+                  self->OnConnected(std::get<PooledConnection>(std::move(result)), make_request,
                                     head_request);
                 });
 }
 
-void Attempt::OnConnected(PooledConnection connection, std::string bytes, bool head_request) {
-  if (closed_) {
+void Attempt::OnConnected(PooledConnection connection, const MakeRequest& make_request,
+                          bool head_request) {
+  std::string bytes = closed_ ? "" : make_request();
+  if (bytes.empty()) {
     pool_.ReturnUnused(target_.endpoint, request_class_, std::move(connection));
-    return;
+    return Fail(AttemptEnd::kCancelled, "it had a connection too late");
   }
   connection_ = std::move(connection);
   if (head_request) connection_.stream->ExpectNoBody();
--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -22,7 +22,8 @@
     std::function<void(const HttpEvent&)> on_response;  // Called for each event of the response.
     // Called if the attempt fails before the response's head arrives. No event follows.
     std::function<void(AttemptEnd, std::string)> on_failed;
-    std::function<void()> on_sent;  // Called once `head_and_body` of Start was written.
+    std::function<void()>
+        on_sent;  // Called once what `make_request` of Start returned was written.
     // Whether a response belongs to this request; other responses are discarded. Null accepts every
     // response.
     std::function<bool(const HttpHead&)> matches_request;
@@ -31,9 +32,14 @@
   Attempt(BackendPool& pool, const Clock& clock, SendTo target, RequestClass request_class);
   ~Attempt();
 
-  // Connects and sends `head_and_body`. `head_request`: the method is HEAD, so the response has no
-  // body.
-  void Start(std::string head_and_body, ConnectionReuse reuse, bool head_request, Events events);
+  // Returns the request's head and the first part of its body, or "" if it must not be sent any
+  // more.
+  using MakeRequest = std::function<std::string()>;
+
+  // Connects and sends the request. `make_request` is called once connected, because what it
+  // returns may depend on the time: connecting may take long, and the process may have been paused
+  // meanwhile. `head_request`: the method is HEAD, so the response has no body.
+  void Start(MakeRequest make_request, ConnectionReuse reuse, bool head_request, Events events);
   // Sends a further part of the request's body.
   void Send(std::string bytes, std::function<void(bool ok)> done);
   // Requests the next event of the response. Call it only after the previous event was processed.
@@ -62,7 +68,7 @@
   bool HasResponse() const { return has_response_; }
 
  private:
-  void OnConnected(PooledConnection connection, std::string bytes, bool head_request);
+  void OnConnected(PooledConnection connection, const MakeRequest& make_request, bool head_request);
   void OnEvent(const HttpEvent& event);
   void Fail(AttemptEnd end, std::string detail);
   bool IsReusable() const;
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds kRetryAfterWhileStarting{150};
 // Time between two checks whether a waiting request can be admitted.
 constexpr milliseconds kReadyPollInterval{10};
+// A server that was assigned longer ago than this gets no request.
+constexpr milliseconds kMaxAssignmentAge{1000};
 
 // Returns the response to a request whose claim was not granted.
 ErrorResponse ErrorForClaim(const ClaimAnswer& answer) {
@@ -314,8 +316,11 @@
   if (!body_complete_) {
     events.on_sent = [self = shared_from_this()] { self->StreamRequestBody(); };
   }
-  attempt->Start(RequestBytesFor(target), ReuseForAttempt(), head_.method == "HEAD",
-                 std::move(events));
+  const auto make_request = [self = shared_from_this(), weak, target] {
+    const auto attempt = weak.lock();
+    return attempt && self->MaySend(*attempt) ? self->RequestBytesFor(target) : std::string();
+  };
+  attempt->Start(make_request, ReuseForAttempt(), head_.method == "HEAD", std::move(events));
   return attempt;
 }
 
@@ -345,7 +350,14 @@
   }
 }
 
-std::string Exchange::RequestBytesFor(const SendTo& target) const {
+// A connection normally takes milliseconds. It is there late if this process was paused meanwhile:
+// the server may have begun to leave, or the request's time may be over.
+bool Exchange::MaySend(const Attempt& attempt) const {
+  const bool in_time = response_started_ || context_.clock.Now() < deadline_;
+  return !ended_ && in_time && attempt.Age() < kMaxAssignmentAge;
+}
+
+std::string Exchange::RequestBytesFor(const SendTo& target) {
   const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - context_.clock.Now());
   if (resuming_) {
     return FormatResumeRequest(head_, meta_, context_.settings.backend.silence_timeout,
@@ -400,7 +412,7 @@
   if (attempt == attempt_) std::swap(attempt_, hedge_);
   hedge_.reset();
   if (attempt_) return;  // The other attempt goes on.
-  if (MayRetry(end)) return Retry();
+  if (!attempt->HasSentBytes() || MayRetry(end)) return Retry();
   if (!DeliverBufferedResponse()) RespondWithError(ErrorForFailure());
 }
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -77,7 +77,8 @@
   void Choose();
   void OnChoice(const Choice& choice);
   std::shared_ptr<Attempt> StartAttempt(const SendTo& target);
-  std::string RequestBytesFor(const SendTo& target) const;
+  bool MaySend(const Attempt& attempt) const;
+  std::string RequestBytesFor(const SendTo& target);
   ConnectionReuse ReuseForAttempt() const;
   void OnAttemptFailed(const std::shared_ptr<Attempt>& attempt, AttemptEnd end,
                        const std::string& detail);
--- a/src/forward/http_call.cc
+++ b/src/forward/http_call.cc
@@ -86,7 +86,8 @@
     ArmTimer(call, call->timeouts.silence);
     call->attempt->ReadNext();
   };
-  call->attempt->Start(std::move(request), ConnectionReuse::kAllowed, false, std::move(events));
+  call->attempt->Start([request = std::move(request)] { return request; },
+                       ConnectionReuse::kAllowed, false, std::move(events));
 }
 
 void HttpClient::Finish(const std::shared_ptr<OpenCall>& call,
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -104,6 +104,7 @@
     message.tried.erase(message.tried.begin(), message.tried.end() - kMaxTried);
   }
   outbox_.push_back({attempt.scheduler, message});
+  attempt.requested_at = now;
   SetTimer(attempt, now + (attempt.stage == Stage::kQueued ? kQueuedReplyTimeout : kReplyTimeout));
 }
 
@@ -148,6 +149,8 @@
   // A scheduler that still has the request queued replies kQueued again. One that has died
   // meanwhile does not reply, so it is found unresponsive.
   attempt->stage = Stage::kRequested;
+  const bool was_paused = now - attempt->requested_at > kMaxReplyAge;
+  if (was_paused) WithdrawRequest(*request, *attempt);
   RequestAssignment(*request, *attempt, now);
 }
 
@@ -186,7 +189,11 @@
       attempt->unanswered = 0;
       return SetTimer(*attempt, now + kQueuedReplyTimeout);
     case ScheduleReply::Kind::kAssigned:
-      return OnAssigned(from, *request, *attempt, reply, now);
+      if (now - attempt->requested_at <= kMaxReplyAge) {
+        return OnAssigned(from, *request, *attempt, reply, now);
+      }
+      WithdrawRequest(*request, *attempt);
+      return RequestAssignment(*request, *attempt, now);
     case ScheduleReply::Kind::kRefused:
       return GiveUp(*request, *attempt, {0, reply.cause, reply.retry_after}, now);
   }
@@ -204,10 +211,7 @@
     report.draining = known && server->second.leaving;
     outbox_.push_back({from, ScheduleEnd{attempt.request_id, AttemptEnd::kNotStarted, {}, report}});
     request.rejected_servers.push_back(reply.server);
-    tickets_by_request_id_.erase(attempt.request_id);
-    attempt.request_id = next_request_id_++;
-    tickets_by_request_id_[attempt.request_id] = request.params.ticket;
-    attempt.stage = Stage::kRequested;
+    ChangeRequestId(request, attempt);
     if (attempt.requests_sent >= kMaxRequestsPerAttempt) {
       return GiveUp(request, attempt, {0, RefusalCause::kNoBackendServer, kDefaultRetryAfter}, now);
     }
@@ -234,6 +238,20 @@
   ready_.emplace_back(std::move(send));
 }
 
+// The scheduler forgets the attempt, and its late replies are ignored.
+void RequestPlanner::WithdrawRequest(Request& request, Attempt& attempt) {
+  outbox_.push_back(
+      {attempt.scheduler, ScheduleEnd{attempt.request_id, AttemptEnd::kCancelled, {}, {}}});
+  ChangeRequestId(request, attempt);
+}
+
+void RequestPlanner::ChangeRequestId(Request& request, Attempt& attempt) {
+  tickets_by_request_id_.erase(attempt.request_id);
+  attempt.request_id = next_request_id_++;
+  tickets_by_request_id_[attempt.request_id] = request.params.ticket;
+  attempt.stage = Stage::kRequested;
+}
+
 void RequestPlanner::GiveUp(Request& request, Attempt& attempt, const Refuse& refuse,
                             MonotonicTime now) {
   tickets_by_request_id_.erase(attempt.request_id);
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -38,6 +38,9 @@
   // Interval after which the assignment request of a queued attempt is sent again, to find out
   // whether the scheduler still has it.
   static constexpr std::chrono::milliseconds kQueuedReplyTimeout{60};
+  // An assignment that arrives later than this after it was requested is given back: the server may
+  // have begun to leave. It is that late only if this process was paused, or the datagram delayed.
+  static constexpr std::chrono::milliseconds kMaxReplyAge{1000};
   // Time for which an unresponsive scheduler is skipped.
   static constexpr std::chrono::milliseconds kUnresponsiveBackoff{1000};
   // Assignment requests that are sent for one attempt before it is refused.
@@ -123,6 +126,7 @@
     // Receiver of the last assignment request; from kSent on, the scheduler that assigned the
     // server.
     Endpoint scheduler;
+    MonotonicTime requested_at;    // Time of the last assignment request.
     MonotonicTime reply_deadline;  // Time of the next OnTimeout while an assignment is awaited.
     BackendServerId server;
     bool AwaitsAssignment() const { return stage == Stage::kRequested || stage == Stage::kQueued; }
@@ -146,6 +150,8 @@
   void SetTimer(Attempt& attempt, MonotonicTime reply_deadline);
   void OnAssigned(const Endpoint& from, Request& request, Attempt& attempt,
                   const ScheduleReply& reply, MonotonicTime now);
+  void WithdrawRequest(Request& request, Attempt& attempt);
+  void ChangeRequestId(Request& request, Attempt& attempt);
   void EndAttempt(Attempt& attempt, const AttemptResult& result);
   void GiveUp(Request& request, Attempt& attempt, const Refuse& refuse, MonotonicTime now);
   Attempt* FindAttempt(ScheduleRequestId request_id, Request** request);
--- a/src/schedule/scheduling_test.cc
+++ b/src/schedule/scheduling_test.cc
@@ -211,6 +211,8 @@
   CPPUNIT_TEST(Request_WithoutFreeSlotsAtHome_GoesToTheOtherCell);
   CPPUNIT_TEST(Request_BulkAndInTime_StaysInItsFailureDomain);
   CPPUNIT_TEST(Request_AssignedToALeavingServer_IsAssignedAgain);
+  CPPUNIT_TEST(Assignment_ThatArrivesAfterAPause_IsGivenBack);
+  CPPUNIT_TEST(Assignment_ThatArrivesAfterAPauseAndATimeout_IsGivenBack);
   CPPUNIT_TEST(Request_Cancelled_FreesItsSlot);
   CPPUNIT_TEST(Request_OfAnUnknownService_IsRefused);
   CPPUNIT_TEST(Retry_BeyondMaxAttempts_IsRefused);
@@ -348,6 +350,13 @@
     CPPUNIT_ASSERT(vm.planner->IsLeavingOrUnknown(BackendServerId("a-s0")));
   }
 
+  // Regression: after a pause of some seconds, an entry VM sent requests to servers that had been
+  // assigned before it, and that may have begun to leave meanwhile.
+  void Assignment_ThatArrivesAfterAPause_IsGivenBack() { AssertGivenBackAfterAPause(false); }
+  void Assignment_ThatArrivesAfterAPauseAndATimeout_IsGivenBack() {
+    AssertGivenBackAfterAPause(true);
+  }
+
   void Request_Cancelled_FreesItsSlot() {
     auto& vm = fleet_->BackupIn("a");
     const std::vector<SendTo> sent = FillAllSlots(vm);
@@ -559,6 +568,31 @@
     retry_settings.slack = 10000;
     return retry_settings;
   }
+  // `timeout_first`: the timer runs before the reply is received.
+  void AssertGivenBackAfterAPause(bool timeout_first) {
+    auto& vm = fleet_->BackupIn("a");
+    Choose(vm);
+    const Outgoing sent = vm.planner->TakeOutbox().at(0);
+    const ScheduleRequestId id = std::get<ScheduleRequest>(sent.message).id;
+    const MonotonicTime resumed = fleet_->Now() + RequestPlanner::kMaxReplyAge + milliseconds(500);
+    if (timeout_first) vm.planner->TakeReady(resumed);
+    ScheduleReply reply;
+    reply.id = id;
+    reply.kind = ScheduleReply::Kind::kAssigned;
+    reply.server = HashName("a-s0");
+    vm.planner->OnReply(sent.to, reply, resumed);
+    CPPUNIT_ASSERT(vm.planner->TakeReady(resumed).empty());
+    size_t given_back = 0;
+    size_t requested_again = 0;
+    for (const Outgoing& out : vm.planner->TakeOutbox()) {
+      const auto* end = std::get_if<ScheduleEnd>(&out.message);
+      const auto* request = std::get_if<ScheduleRequest>(&out.message);
+      if (end != nullptr && end->id == id && out.to == sent.to) ++given_back;
+      if (request != nullptr && request->id != id) ++requested_again;
+    }
+    CPPUNIT_ASSERT(given_back > 0);
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, requested_again);
+  }
   void SetUpFleet(size_t per_failure_domain, size_t servers,
                   RetrySettings retry_settings = LargeRetryBudget()) {
     fleet_ = std::make_unique<TestFleet>(per_failure_domain, servers, retry_settings);
