A late second copy of a response never reaches the next caller

What callers could see: the answer to somebody else's request. A server that sends a response twice puts the second copy where the next response on that connection is expected. On the project's own interface each response was taken for the answer to the request, whatever X-Request-Id it named; on the users' platform a 503 "not run" without an id was accepted and its connection used again.

Now a response that names another request is discarded, and after a response that names none the connection is not used again. The backend stand-in returns the id, as docs/API.md asks. Tests: AttemptTest::Answer_AfterALateSecondCopy* (copy with an id and without).

--- a/src/forward/attempt.cc
+++ b/src/forward/attempt.cc
@@ -73,14 +73,15 @@
   connection_.last_active = clock_.Now();
   if (const auto* head = std::get_if<HttpHead>(&event)) {
     const bool is_interim = head->status < 200;  // Not forwarded.
-    const bool is_unmatched =
-        !is_interim && events_.matches_request && !events_.matches_request(*head);
+    const ResponseMatch match =
+        !is_interim && events_.match ? events_.match(*head) : ResponseMatch::kYes;
+    const bool is_unmatched = match == ResponseMatch::kNo;
+    saw_unmatched_response_ = saw_unmatched_response_ || match != ResponseMatch::kYes;
     if (is_interim || is_unmatched) {
       if (++skipped_responses_ > kMaxSkippedResponses) {
         return Fail(AttemptEnd::kConnectionLost, "too many responses that are not the answer");
       }
       discarding_response_ = is_unmatched;
-      saw_unmatched_response_ = saw_unmatched_response_ || is_unmatched;
       return ReadNext();
     }
     has_response_ = true;
--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -13,6 +13,7 @@
 
 #include "src/choose/chooser.h"
 #include "src/forward/backend_pool.h"
+#include "src/forward/request_headers.h"
 
 namespace cowsliphill {
 
@@ -24,9 +25,9 @@
     std::function<void(AttemptEnd, std::string)> on_failed;
     std::function<void()>
         on_sent;  // Called once what `make_request` of Start returned was written.
-    // Whether a response belongs to this request; other responses are discarded. Null accepts every
-    // response.
-    std::function<bool(const HttpHead&)> matches_request;
+    // Whether a response belongs to this request; other responses are discarded. Null: each does,
+    // and its server never sends another response.
+    std::function<ResponseMatch(const HttpHead&)> match;
   };
 
   Attempt(BackendPool& pool, const Clock& clock, SendTo target, RequestClass request_class);
@@ -82,17 +83,18 @@
   MonotonicTime start_time_;          // Creation of this attempt.
   MonotonicTime response_head_time_;  // Arrival of the response's head.
   std::optional<double> named_limit_;
-  bool write_started_ = false;           // The request's first write has begun.
-  bool request_body_complete_ = true;    // See SetRequestBodyComplete.
-  bool has_response_ = false;            // The response's head has arrived.
-  bool discarding_response_ = false;     // The response being read belongs to another request.
-  bool saw_unmatched_response_ = false;  // Another request's response arrived; more may follow.
-  uint32_t skipped_responses_ = 0;       // Interim responses and responses to other requests.
-  size_t skipped_bytes_ = 0;             // Bytes of the latter's bodies.
-  bool response_complete_ = false;       // The response's end has arrived.
-  bool keep_alive_ = false;              // The server keeps the connection open afterwards.
-  bool end_reported_ = false;            // MarkEndReported has been called.
-  bool closed_ = false;                  // Close was called or the attempt failed.
+  bool write_started_ = false;         // The request's first write has begun.
+  bool request_body_complete_ = true;  // See SetRequestBodyComplete.
+  bool has_response_ = false;          // The response's head has arrived.
+  bool discarding_response_ = false;   // The response being read belongs to another request.
+  // A response arrived that did not name this request; more may follow.
+  bool saw_unmatched_response_ = false;
+  uint32_t skipped_responses_ = 0;  // Interim responses and responses to other requests.
+  size_t skipped_bytes_ = 0;        // Bytes of the latter's bodies.
+  bool response_complete_ = false;  // The response's end has arrived.
+  bool keep_alive_ = false;         // The server keeps the connection open afterwards.
+  bool end_reported_ = false;       // MarkEndReported has been called.
+  bool closed_ = false;             // Close was called or the attempt failed.
 };
 
 }  // namespace cowsliphill
--- a/src/forward/attempt_test.cc
+++ b/src/forward/attempt_test.cc
@@ -67,10 +67,22 @@
 
 class AttemptTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AttemptTest);
+  CPPUNIT_TEST(Answer_AfterALateSecondCopyOfTheOneBefore_IsItsOwn);
+  CPPUNIT_TEST(Answer_AfterALateSecondCopyThatNamesNoRequest_IsItsOwn);
   CPPUNIT_TEST(Request_ThatMustNotBeSentOnceConnected_IsNotSent);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void Answer_AfterALateSecondCopyOfTheOneBefore_IsItsOwn() {
+    RepeatingServer server(io_, true);
+    AssertOwnAnswers(server);
+    CPPUNIT_ASSERT(server.Connections() < server.Requests());  // The connection was used again.
+  }
+  // A copy can't be told from the next answer, so there must be no next request on the connection.
+  void Answer_AfterALateSecondCopyThatNamesNoRequest_IsItsOwn() {
+    RepeatingServer server(io_, false);
+    AssertOwnAnswers(server);
+  }
   // Regression: the request was formatted, with the time that it had left, before the connection
   // was made. A process that was paused in between sent it when its time was over.
   void Request_ThatMustNotBeSentOnceConnected_IsNotSent() {
@@ -94,6 +106,13 @@
   }
 
  private:
+  void AssertOwnAnswers(const RepeatingServer& server) {
+    for (int n = 1; n <= 4; ++n) {
+      const std::string id = "r" + std::to_string(n);
+      CPPUNIT_ASSERT_EQUAL(id, BodyOfAnswer(server.Address(), id));
+    }
+  }
+
   // Sends a request in the project's own format and returns the body of the answer.
   std::string BodyOfAnswer(const Endpoint& server, const std::string& id) {
     SendTo target;
@@ -102,6 +121,9 @@
     std::string body;
     bool ended = false;
     Attempt::Events events;
+    events.match = [this, id](const HttpHead& head) {
+      return wire_.match_response(head, RequestId(id));
+    };
     events.on_failed = [&ended](AttemptEnd, const std::string&) { ended = true; };
     events.on_response = [&](const HttpEvent& event) {
       if (const auto* part = std::get_if<HttpBody>(&event)) body += part->bytes;
@@ -117,6 +139,7 @@
   asio::io_context io_;
   SystemClock clock_;
   BackendPool pool_{io_, clock_, BackendSettings(), 16384, kReadBufferBytes};
+  WireFormat wire_ = OwnWireFormat();
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptTest);
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -310,8 +310,8 @@
   events.on_failed = [self = shared_from_this(), weak](AttemptEnd end, const std::string& detail) {
     self->OnAttemptFailed(weak.lock(), end, detail);
   };
-  events.matches_request = [this](const HttpHead& response) {
-    return context_.wire.is_response_to(response, meta_.id);
+  events.match = [this](const HttpHead& response) {
+    return context_.wire.match_response(response, meta_.id);
   };
   if (!body_complete_) {
     events.on_sent = [self = shared_from_this()] { self->StreamRequestBody(); };
--- a/src/forward/request_headers.cc
+++ b/src/forward/request_headers.cc
@@ -296,7 +296,11 @@
     return ParseReport(format,
                        [&response](const std::string& name) { return response.Find(name); });
   };
-  wire_format.is_response_to = [](const HttpHead&, const RequestId&) { return true; };
+  wire_format.match_response = [](const HttpHead& response, const RequestId& id) {
+    const std::optional<std::string> named = response.Find("x-request-id");
+    if (!named) return ResponseMatch::kUnstated;
+    return *named == id.Text() ? ResponseMatch::kYes : ResponseMatch::kNo;
+  };
   return wire_format;
 }
 
--- a/src/forward/request_headers.h
+++ b/src/forward/request_headers.h
@@ -107,6 +107,14 @@
   Endpoint endpoint;
 };
 
+// Whether a response belongs to a request.
+enum class ResponseMatch {
+  kNo,        // It names another request.
+  kYes,       // It names the request.
+  kUnstated,  // It names no request. It is taken for the response to the request, but a second copy
+              // of it could not be told from the response to the next one.
+};
+
 // Functions that read and format HTTP messages, either with the project's own headers
 // (OwnWireFormat) or with a platform's. Chosen once at startup.
 struct WireFormat {
@@ -122,8 +130,8 @@
   // Returns whether the backend server states that it did not start the request.
   std::function<bool(const HttpHead& response)> says_not_started;
   std::function<std::optional<Report>(const HttpHead& response, ReportFormat)> report;
-  // Returns whether a response belongs to the request. Other responses are read and discarded.
-  std::function<bool(const HttpHead& response, const RequestId&)> is_response_to;
+  // Responses that don't belong to the request are read and discarded.
+  std::function<ResponseMatch(const HttpHead& response, const RequestId&)> match_response;
   // Whether a response is buffered completely before the caller gets its head, so that an
   // incomplete one can be replaced by another attempt's. Responses larger than
   // kMaxBufferedResponseBytes (in exchange_answer.cc) are streamed nevertheless.
--- a/standins/backend_standin.cc
+++ b/standins/backend_standin.cc
@@ -157,16 +157,24 @@
     Enqueue(exchange);
   }
 
+  // Adds the request's id to the answer.
+  static void Respond(const HttpExchange& exchange, HttpAnswer answer,
+                      std::function<void()> done = {}) {
+    const std::string id = exchange.Request().Header("x-request-id");
+    if (!id.empty()) answer.headers.push_back({"X-Request-Id", id});
+    exchange.Answer(std::move(answer), std::move(done));
+  }
+
   void FailFast(const HttpExchange& exchange) {
     ++failed_fast;
-    exchange.Answer({500, LoadHeaders(false), "internal error\n", {}});
+    Respond(exchange, {500, LoadHeaders(false), "internal error\n", {}});
   }
 
   void RefuseNotStarted(const HttpExchange& exchange, const std::string& reason) {
     ++refused;
     std::vector<HttpHeader> headers = LoadHeaders(false);
     headers.push_back({"X-Backend-Not-Started", "true"});
-    exchange.Answer({503, std::move(headers), reason + "\n", {}});
+    Respond(exchange, {503, std::move(headers), reason + "\n", {}});
   }
 
   void Enqueue(const HttpExchange& exchange) {
@@ -196,7 +204,7 @@
       work->exchange.OnDisconnect({});
       std::vector<HttpHeader> headers = LoadHeaders(false);
       headers.push_back({"X-Backend-Not-Started", "true"});
-      work->exchange.Answer({504, std::move(headers), "deadline exceeded while queued\n", {}});
+      Respond(work->exchange, {504, std::move(headers), "deadline exceeded while queued\n", {}});
     });
   }
 
@@ -252,7 +260,7 @@
   void FailOnDeadline(const WorkPtr& work) {
     work->exchange.OnDisconnect({});
     ReleaseSlot(work, true);
-    work->exchange.Answer({504, LoadHeaders(false), "deadline exceeded while executing\n", {}});
+    Respond(work->exchange, {504, LoadHeaders(false), "deadline exceeded while executing\n", {}});
   }
 
   void Complete(const WorkPtr& work) {
@@ -265,7 +273,7 @@
                        {"received_bytes", work->exchange.Request().body.size()}};
     std::vector<HttpHeader> headers = LoadHeaders(false);
     headers.push_back({"Content-Type", "application/json"});
-    work->exchange.Answer({200, std::move(headers), body.dump() + "\n", {}});
+    Respond(work->exchange, {200, std::move(headers), body.dump() + "\n", {}});
   }
 
   // Sends an archive and holds the slot until the last byte is written.
@@ -292,7 +300,7 @@
     answer.generated.bytes = [first = range.first](uint64_t at, size_t max_bytes) {
       return ArchiveBytes(first + at, max_bytes);
     };
-    work->exchange.Answer(std::move(answer), [this, work] { ReleaseSlot(work, false); });
+    Respond(work->exchange, std::move(answer), [this, work] { ReleaseSlot(work, false); });
   }
 
   void Cancel(const WorkPtr& work) {
