Requests that a caller sends behind one another are read and run meanwhile

Now up to eight idempotent requests without a body are in progress at once on a connection; others wait until the earlier ones are answered. Answers keep the order of the requests. Bytes of further requests are buffered while the caller is watched, so that its close is seen. Beyond eight requests they stay unread, which bounds memory.

--- a/src/forward/edge_server.h
+++ b/src/forward/edge_server.h
@@ -1,5 +1,4 @@
-// Server for the callers' connections. Accepts connections, reads the requests of a connection one
-// at a time, serves lookups itself and passes every other request to an Exchange.
+// Server for the callers' connections: accepts them and ends them when this entry VM stops.
 
 #ifndef COWSLIPHILL_FORWARD_EDGE_SERVER_H_
 #define COWSLIPHILL_FORWARD_EDGE_SERVER_H_
@@ -11,41 +10,11 @@
 #include <set>
 #include <string>
 
-#include "src/forward/exchange.h"
+#include "src/forward/caller_connection.h"
 #include "src/forward/forward_context.h"
-#include "src/forward/http_stream.h"
 
 namespace cowsliphill {
 
-// One caller's connection. Its pending operations and EdgeServer::connections_ share ownership.
-class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
- public:
-  CallerConnection(ForwardContext& context, HttpStream::Socket socket,
-                   std::function<void(CallerConnection&)> on_closed);
-
-  void Start();
-  void Abort();
-  // Closes the connection if no request is open on it. Otherwise the connection closes after that
-  // request, provided that ForwardContext::leaving is set.
-  void CloseWhenIdle();
-
- private:
-  void ReadRequest();
-  void OnHead(const HttpEvent& event);
-  void ServeLookup(const HttpHead& head);
-  void DiscardBody(std::function<void()> done);
-  void RejectMalformed(const HttpError& error);
-  void OnExchangeDone(ConnectionAction action);
-  void Finish(ConnectionAction action);
-
-  ForwardContext& context_;
-  std::shared_ptr<HttpStream> stream_;
-  std::string caller_ip_;  // Remote address of the socket; empty if unknown.
-  std::function<void(CallerConnection&)> on_closed_;  // Called once, when the connection ends.
-  std::shared_ptr<Exchange> exchange_;                // Request in progress; null between requests.
-  asio::steady_timer idle_timer_;                     // Limits the wait for the next request head.
-};
-
 class EdgeServer {
  public:
   explicit EdgeServer(ForwardContext& context);
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -67,12 +67,11 @@
 
 // ---- 1. Start ----------------------------------------------------------------------------------
 
-Exchange::Exchange(ForwardContext& context, std::shared_ptr<HttpStream> caller, HttpHead head,
-                   Done done)
+Exchange::Exchange(ForwardContext& context, Caller caller, HttpHead head)
     : context_(context),
-      caller_stream_(std::move(caller)),
+      caller_(std::move(caller)),
+      caller_stream_(caller_.stream),
       head_(std::move(head)),
-      done_(std::move(done)),
       timer_(context.io),
       started_(context.clock.Now()) {
   ++context_.open_requests;
@@ -113,6 +112,14 @@
     return RespondWithError({bad.status, Outcome::kNotRun, {}, "http_request_error", bad.detail});
   }
   meta_ = std::move(ValueOf(result));
+  // The caller repeats a request that is behind a response which closes the connection, so it may
+  // run before the earlier ones are answered only if it may run twice. Its body is behind theirs.
+  const bool has_body = head_.chunked || head_.content_length.value_or(0) > 0;
+  if (!caller_.slot->IsFirst() && (has_body || !meta_.idempotent)) {
+    return caller_.slot->WhenFirst([self = shared_from_this()] {
+      if (!self->ended_) self->Admit();
+    });
+  }
   const bool has_limit = meta_.route_timeout.count() > 0;
   deadline_ = started_ + (has_limit ? std::min(meta_.timeout, meta_.route_timeout) : meta_.timeout);
   if (head_.content_length.value_or(0) > manifest_->entry.max_body_bytes) {
@@ -165,7 +172,8 @@
     const bool has_body = head_.chunked || head_.content_length.has_value();
     head_.chunked = false;
     if (has_body) head_.content_length = body_.size();
-    caller_stream_->WatchClose([self = shared_from_this()] { self->OnCallerGone(); });
+    OnRequestRead();
+    if (ended_) return;
   }
   request_end_.hash = HashOfRequest();
   if (RefuseIfCondemned()) return;
@@ -174,6 +182,11 @@
   Choose();
 }
 
+void Exchange::OnRequestRead() {
+  request_read_ = true;
+  caller_.on_request_read();
+}
+
 // ---- 2. Claim, choice and attempts -------------------------------------------------------------
 
 void Exchange::BeginClaim() {
@@ -445,7 +458,8 @@
     return OnCallerGone();  // Closing the attempt shows the backend server that the body is cut.
   }
   if (std::holds_alternative<HttpEnd>(event)) {
-    caller_stream_->WatchClose([self = shared_from_this()] { self->OnCallerGone(); });
+    OnRequestRead();
+    if (ended_) return;
     if (!head_.chunked) return attempt_->SetRequestBodyComplete(true);
     return attempt_->Send(std::string(kLastChunk), [self = shared_from_this()](bool ok) {
       if (ok && !self->ended_) self->attempt_->SetRequestBodyComplete(true);
@@ -497,11 +511,15 @@
                     "connection_timeout", "the request was not answered within its deadline"});
 }
 
+void Exchange::SetCallerGone() {
+  request_end_.caller_gone = true;
+  last_failure_ = "the caller closed its connection, stalled or sent a broken body";
+}
+
 void Exchange::OnCallerGone() {
   if (ended_) return;
   CloseAttempts(AttemptEnd::kCancelled);
-  request_end_.caller_gone = true;
-  last_failure_ = "the caller closed its connection, stalled or sent a broken body";
+  SetCallerGone();
   End(ConnectionAction::kAbort);
 }
 
@@ -551,10 +569,11 @@
               " backend servers have crashed while they ran it"};
 }
 
+// Requests behind this one that were read are answered too, also if this entry VM is stopping.
 ConnectionAction Exchange::ActionAfterResponse() const {
-  const bool body_read = body_complete_ || caller_stream_->BetweenMessages();
-  return head_.keep_alive && body_read && !context_.leaving ? ConnectionAction::kKeepAlive
-                                                            : ConnectionAction::kClose;
+  const bool stays_open = !context_.leaving || !caller_.slot->IsLast();
+  return head_.keep_alive && request_read_ && stays_open ? ConnectionAction::kKeepAlive
+                                                         : ConnectionAction::kClose;
 }
 
 void Exchange::RespondWithError(ErrorResponse error_response) {
@@ -562,27 +581,34 @@
   sent_status_ = error_response.status;
   request_end_.detail = error_response.detail;
   request_end_.outcome = error_response.outcome;
-  const bool keep_alive = ActionAfterResponse() == ConnectionAction::kKeepAlive;
-  WriteCompleteResponse(context_.wire.error_response(error_response, meta_.id, keep_alive));
+  WriteCompleteResponse([this, error_response = std::move(error_response)](bool keep_alive) {
+    return context_.wire.error_response(error_response, meta_.id, keep_alive);
+  });
 }
 
 void Exchange::ReplayStoredResponse(const Repeat& repeat) {
   sent_status_ = repeat.answer.status;
   request_end_.detail = "replayed the stored response of request " + repeat.first.Text();
   request_end_.outcome = Outcome::kRan;
-  const bool keep_alive = ActionAfterResponse() == ConnectionAction::kKeepAlive;
-  WriteCompleteResponse(FormatReplayedResponse(repeat, meta_.id, keep_alive));
+  WriteCompleteResponse([this, repeat](bool keep_alive) {
+    return FormatReplayedResponse(repeat, meta_.id, keep_alive);
+  });
 }
 
-void Exchange::WriteCompleteResponse(std::string response) {
+void Exchange::WriteCompleteResponse(std::function<std::string(bool keep_alive)> format) {
   response_started_ = true;
-  request_end_.first_byte = context_.clock.Now() - started_;
-  const ConnectionAction action = ActionAfterResponse();
   FinishTicket();
-  ArmTimer(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
-  caller_stream_->Write(std::move(response), [self = shared_from_this(), action](bool ok) {
-    self->request_end_.whole = ok;
-    self->End(ok ? action : ConnectionAction::kAbort);
+  timer_.cancel();
+  caller_.slot->WhenFirst([self = shared_from_this(), format = std::move(format)] {
+    if (self->ended_) return;
+    self->request_end_.first_byte = self->context_.clock.Now() - self->started_;
+    const ConnectionAction action = self->ActionAfterResponse();
+    self->ArmTimer(TimerUse::kCallerSilence, self->context_.settings.edge.idle_timeout);
+    self->caller_stream_->Write(format(action == ConnectionAction::kKeepAlive),
+                                [self, action](bool ok) {
+                                  self->request_end_.whole = ok;
+                                  self->End(ok ? action : ConnectionAction::kAbort);
+                                });
   });
 }
 
@@ -626,7 +652,7 @@
   }
   FinishClaim();
   if (context_.observer.on_ended) context_.observer.on_ended(request_end_);
-  const Done done = std::move(done_);
+  const auto done = std::exchange(caller_.on_done, nullptr);
   done(action);
 }
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -27,6 +27,7 @@
 #include "src/forward/attempt.h"
 #include "src/forward/forward_context.h"
 #include "src/forward/http_stream.h"
+#include "src/forward/pipeline.h"
 
 namespace cowsliphill {
 
@@ -39,14 +40,22 @@
 
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  using Done = std::function<void(ConnectionAction)>;
+  // The caller's connection and the request's place among those sent on it.
+  struct Caller {
+    std::shared_ptr<HttpStream> stream;
+    std::shared_ptr<PipelineSlot> slot;
+    std::function<void()> on_request_read;          // Called once the body was read completely.
+    std::function<void(ConnectionAction)> on_done;  // Called once, at the end.
+  };
 
-  Exchange(ForwardContext& context, std::shared_ptr<HttpStream> caller, HttpHead head, Done done);
+  Exchange(ForwardContext& context, Caller caller, HttpHead head);
   ~Exchange();
 
   void Start();
   // Ends the request without a response, for example when the entry VM stops at once.
   void Abort();
+  // The caller has closed the connection. To be called before Abort.
+  void SetCallerGone();
   // Called when the request has waited so long that a hedge may help. Starts a second, concurrent
   // attempt if the policy allows one.
   void OnHedgeDue();
@@ -104,6 +113,7 @@
   bool DeliverBufferedResponse();
   // Sends the head and `first_bytes` of the body to the caller.
   void ForwardHead(const HttpHead& response, const std::string& first_bytes);
+  void SendHead(const HttpHead& response, const std::string& first_bytes);
   void ForwardBody(std::string_view bytes);
   void StoreResponseBody(std::string_view bytes);
   void OnResponseEnd();
@@ -121,7 +131,10 @@
   void FinishTicket();
   void CloseAttempts(AttemptEnd end);
   void ReplayStoredResponse(const Repeat& repeat);
-  void WriteCompleteResponse(std::string response);
+  void OnRequestRead();
+  // Sends the response once the request is the first on its connection. `format` returns the
+  // response's bytes.
+  void WriteCompleteResponse(std::function<std::string(bool keep_alive)> format);
   ErrorResponse ErrorForRefusal(const Refuse& refusal) const;
   ErrorResponse ErrorForFailure() const;
   static ErrorResponse ErrorForCondemned(const Judgement& judgement);
@@ -129,10 +142,10 @@
   ConnectionAction ActionAfterResponse() const;
 
   ForwardContext& context_;
-  std::shared_ptr<HttpStream> caller_stream_;
-  HttpHead head_;                             // Head of the request.
-  Done done_;                                 // Called once, at the end.
-  std::shared_ptr<const Manifest> manifest_;  // In force at admission; used to the end.
+  Caller caller_;
+  std::shared_ptr<HttpStream> caller_stream_;  // Same as caller_.stream.
+  HttpHead head_;                              // Head of the request.
+  std::shared_ptr<const Manifest> manifest_;   // In force at admission; used to the end.
   RequestMeta meta_;
   Ticket ticket_ = 0;
   asio::steady_timer timer_;  // Runs for one TimerUse at a time.
@@ -140,6 +153,7 @@
   MonotonicTime deadline_;            // Earlier one of the caller's and the route's.
   std::string body_;                  // Buffered part of the request's body.
   bool body_complete_ = false;        // body_ holds the whole body.
+  bool request_read_ = false;         // The whole request was read from the connection.
   bool streaming_body_ = false;       // Streaming of the rest has begun; it is not kept.
   std::optional<Claim> claim_;        // Held until FinishClaim.
   KeptAnswer stored_response_;        // Stored with the claim and replayed to repeats.
--- a/src/forward/exchange_answer.cc
+++ b/src/forward/exchange_answer.cc
@@ -152,9 +152,9 @@
   sent_status_ = response.head.status;
   request_end_.outcome = Outcome::kRan;
   request_end_.late = context_.clock.Now() > deadline_;
-  const bool keep_alive = ActionAfterResponse() == ConnectionAction::kKeepAlive;
-  WriteCompleteResponse(context_.wire.caller_response(response.head, meta_.id, keep_alive) +
-                        response.body);
+  WriteCompleteResponse([this, response = std::move(response)](bool keep_alive) {
+    return context_.wire.caller_response(response.head, meta_.id, keep_alive) + response.body;
+  });
   return true;
 }
 
@@ -163,6 +163,17 @@
   stored_response_.content_type = response.Find("content-type").value_or("");
   response_chunked_ = response.chunked;
   sent_status_ = response.status;
+  if (caller_.slot->IsFirst()) return SendHead(response, first_bytes);
+  // The answers to earlier requests come first. Nothing more is read from the server meanwhile.
+  if (context_.wire.buffer_responses) {
+    ArmTimer(TimerUse::kStreamDeadline, deadline_ - context_.clock.Now());
+  }
+  caller_.slot->WhenFirst([self = shared_from_this(), response, first_bytes] {
+    if (!self->ended_ && self->attempt_) self->SendHead(response, first_bytes);
+  });
+}
+
+void Exchange::SendHead(const HttpHead& response, const std::string& first_bytes) {
   request_end_.first_byte = context_.clock.Now() - started_;
   request_end_.late = context_.clock.Now() > deadline_;
   ArmStreamTimer(TimerUse::kCallerSilence, context_.settings.edge.idle_timeout);
--- a/src/forward/http_stream.cc
+++ b/src/forward/http_stream.cc
@@ -84,18 +84,33 @@
 
 void HttpStream::WatchClose(std::function<void()> closed) {
   on_close_ = std::move(closed);
+  Watch();
+}
+
+void HttpStream::Watch() {
   if (watching_ || !open_) return;
   watching_ = true;
-  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](std::error_code ec) {
-    self->watching_ = false;
-    if (!self->open_ || !self->on_close_) return;
-    std::error_code ignored;
-    const bool has_bytes = !ec && self->socket_.available(ignored) > 0;
-    // Bytes from a caller are a pipelined request.
-    if (has_bytes && self->message_type_ == HttpMessageType::kRequests) return;
-    const auto on_close = std::exchange(self->on_close_, nullptr);
-    on_close();
-  });
+  if (!HasUnread()) begin_ = end_ = 0;
+  const bool full = end_ == buffer_bytes_;
+  socket_.async_wait(full ? Socket::wait_error : Socket::wait_read,
+                     [self = shared_from_this()](std::error_code ec) {
+                       self->watching_ = false;
+                       if (self->open_ && self->on_close_) self->OnWatchedInput(ec);
+                     });
+}
+
+void HttpStream::OnWatchedInput(std::error_code ec) {
+  const bool keeps_bytes = message_type_ == HttpMessageType::kRequests;
+  if (!ec && keeps_bytes) {
+    EnsureBuffer();
+    if (end_ < buffer_bytes_) {
+      end_ += socket_.read_some(asio::buffer(buffer_.get() + end_, buffer_bytes_ - end_), ec);
+      if (ec == asio::error::would_block || ec == asio::error::try_again) ec.clear();
+      if (!ec) return Watch();
+    }
+  }
+  const auto on_close = std::exchange(on_close_, nullptr);
+  on_close();
 }
 
 void HttpStream::CloseGracefully(std::chrono::milliseconds max_wait) {
--- a/src/forward/http_stream.h
+++ b/src/forward/http_stream.h
@@ -31,7 +31,8 @@
   // Sends all bytes. Only one Write may be pending.
   void Write(std::string bytes, std::function<void(bool ok)> done);
   // Calls `closed` once if the other side closes while no Read is pending; for a backend server
-  // also if it sends unsolicited bytes. The next Read ends the watch.
+  // also if it sends unsolicited bytes. Bytes of a caller are kept for the next Read; while the
+  // buffer is full of them, only a reset is noticed. The next Read ends the watch.
   void WatchClose(std::function<void()> closed);
   // Closes the socket. Callbacks of pending operations are not called.
   void Close();
@@ -41,6 +42,7 @@
 
   bool IsOpen() const { return open_; }
   bool IsWriting() const { return writing_; }
+  bool IsReading() const { return on_event_ != nullptr; }  // A Read is pending.
   bool BetweenMessages() const { return reader_.BetweenMessages(); }
   bool HasUnread() const { return begin_ < end_; }  // Input is buffered after the last event.
   void ExpectNoBody() { reader_.ExpectNoBody(); }
@@ -48,6 +50,8 @@
 
  private:
   void ReadSome();
+  void Watch();
+  void OnWatchedInput(std::error_code ec);
   void DiscardSome();
   void EnsureBuffer();
   void Deliver(const HttpEvent& event);
@@ -64,7 +68,7 @@
   EventCallback on_event_;                    // Callback of the pending Read, or null.
   std::function<void()> on_close_;            // Callback of the active WatchClose, or null.
   std::optional<asio::steady_timer> linger_;  // Limits the wait in CloseGracefully.
-  bool watching_ = false;                     // WatchClose waits for the socket to become readable.
+  bool watching_ = false;                     // WatchClose waits for the socket.
   bool writing_ = false;                      // A Write is pending.
   bool open_ = true;
 };
--- a/tests/endless_response_test.cc
+++ b/tests/endless_response_test.cc
@@ -4,7 +4,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <vector>
@@ -214,7 +213,7 @@
   }
 
   static void AssertBoundedMemory(Fleet& fleet) {
-    const size_t peak = PeakMemoryKb(fleet.Entry(0).process->Pid());
+    const size_t peak = fleet.Entry(0).process->PeakMemoryKb();
     CPPUNIT_ASSERT_MESSAGE(std::to_string(peak) + " KB", peak <= kMaxMemoryKb);
     CPPUNIT_ASSERT_EQUAL(200, Fleet::GetStatus(fleet.Entry(0).readiness, "/-/readiness"));
   }
@@ -231,17 +230,6 @@
         });
     return result ? result->status : 0;
   }
-
-  static size_t PeakMemoryKb(pid_t pid) {
-    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
-    std::string word;
-    while (file >> word) {
-      size_t kb = 0;
-      if (word == "VmHWM:" && file >> kb) return kb;
-    }
-    CPPUNIT_FAIL("no VmHWM in the status of the process");
-    return 0;
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessResponseTest);
--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -110,10 +110,16 @@
   const json config = {{"version", version},
                        {"routes", std::move(routes)},
                        {"services", {{"service-a", {{"health-path", "/health"}}}}},
-                       {"limits", {{"max-body-bytes", 1000}}}};
+                       {"limits", {{"max-body-bytes", max_body_bytes_}}}};
+  manifest_version_ = version;
   Control("PUT", "/control/row?table=op&key=config", config.dump());
 }
 
+void Fleet::AllowBodies(uint64_t bytes) {
+  max_body_bytes_ = bytes;
+  PutManifest(manifest_version_ + 1, "/a/");
+}
+
 json Fleet::Journal() const {
   return json::parse(HttpClientFor(store_).Get("/control/journal")->body);
 }
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -55,6 +55,8 @@
   // make the manifest larger, by some 200 bytes each.
   void PutManifest(uint64_t version, const std::string& prefix, size_t further_routes = 0,
                    std::chrono::milliseconds route_timeout = std::chrono::milliseconds(2500));
+  // Raises the limit on request bodies, with the next revision of the manifest.
+  void AllowBodies(uint64_t bytes);
   nlohmann::json Journal() const;
   const Endpoint& StoreAddress() const { return store_; }
   // All requests that arrived at the backend servers, as GET /control/arrivals lists them.
@@ -71,6 +73,8 @@
                               const std::string& id, std::chrono::milliseconds deadline);
 
   std::string folder_;
+  uint64_t manifest_version_ = 0;
+  uint64_t max_body_bytes_ = 1000;
   std::unique_ptr<Process> standin_;
   Endpoint store_;
   std::vector<FleetEntry> entries_;
--- a/tests/process_harness.cc
+++ b/tests/process_harness.cc
@@ -136,6 +136,17 @@
 
 std::string Process::Output() const { return ReadFile(output_file_); }
 
+size_t Process::PeakMemoryKb() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  std::string word;
+  while (file >> word) {
+    size_t kb = 0;
+    if (word == "VmHWM:" && file >> kb) return kb;
+  }
+  CPPUNIT_FAIL("no VmHWM in the status of the process");
+  return 0;
+}
+
 Endpoint Process::AwaitAddress(const std::string& label) const {
   Endpoint found;
   const bool found_line = WaitUntil([&] {
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -46,6 +46,8 @@
   // Returns the exit code, -1 if a signal ended the process, or -2 if it still runs at the timeout.
   int Wait(std::chrono::milliseconds timeout = kWaitTimeout);
   std::string Output() const;
+  // Largest resident size so far. Fails the test if the process has ended.
+  size_t PeakMemoryKb() const;
   // Waits for an output line "LABEL IP:PORT" and returns the address. Fails the test on timeout.
   Endpoint AwaitAddress(const std::string& label) const;
 
