An upload that a server refuses is given to another server

What callers saw: an upload over 64 KiB failed with 503 when the first server refused it, though others had room: the part beyond the buffer was streamed and not kept, so it could be sent only once.

Now the rest is kept while it is sent, up to 1 MiB a request and 16 MiB in all. It is sent again only if the server did not run the request; uploads are never hedged.

--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -23,6 +23,10 @@
 constexpr milliseconds kReadyPollInterval{10};
 // A server that was assigned longer ago than this gets no request.
 constexpr milliseconds kMaxAssignmentAge{1000};
+// Limits on the parts of request bodies beyond EdgeSettings::buffer_bytes that are kept while they
+// are sent: of one request, and of all together.
+constexpr size_t kMaxKeptBodyBytes = 1 << 20;
+constexpr size_t kMaxKeptBodiesBytes = 16 << 20;
 
 // Returns the response to a request whose claim was not granted.
 ErrorResponse ErrorForClaim(const ClaimAnswer& answer) {
@@ -79,6 +83,7 @@
 
 Exchange::~Exchange() {
   ReleaseBufferedBytes();
+  SetKeptBytes(0);
   context_.exchanges.erase(ticket_);
   --context_.open_requests;
 }
@@ -174,6 +179,8 @@
     if (has_body) head_.content_length = body_.size();
     OnRequestRead();
     if (ended_) return;
+  } else {
+    WatchCaller();
   }
   request_end_.hash = HashOfRequest();
   if (RefuseIfCondemned()) return;
@@ -326,8 +333,12 @@
   events.match = [this](const HttpHead& response) {
     return context_.wire.match_response(response, meta_.id);
   };
+  attempt_takes_body_ = false;
   if (!body_complete_) {
-    events.on_sent = [self = shared_from_this()] { self->StreamRequestBody(); };
+    events.on_sent = [self = shared_from_this()] {
+      self->attempt_takes_body_ = true;
+      self->SendRequestBody();
+    };
   }
   const auto make_request = [self = shared_from_this(), weak, target] {
     const auto attempt = weak.lock();
@@ -378,6 +389,7 @@
   }
   std::string bytes =
       context_.wire.backend_request(head_, meta_, left, {target.server, target.endpoint});
+  body_sent_ = body_.size();
   if (body_.empty()) return bytes;
   return bytes += head_.chunked ? FormatChunk(body_) : body_;
 }
@@ -430,7 +442,7 @@
 }
 
 bool Exchange::MayRetry(AttemptEnd end) const {
-  if (!body_complete_ && streaming_body_) return false;  // The streamed part is not kept.
+  if (body_dropped_ > 0) return false;  // A part of the body can't be sent again.
   const bool did_not_run = end == AttemptEnd::kConnectFailed || end == AttemptEnd::kNotStarted ||
                            end == AttemptEnd::kShed;
   if (did_not_run) return true;
@@ -440,36 +452,80 @@
   return meta_.idempotent && body_complete_ && !held_against;
 }
 
-void Exchange::Retry() { context_.dispatcher.Retry(ticket_, ChoiceHandler()); }
+void Exchange::Retry() {
+  if (!request_read_ && !reading_body_) WatchCaller();
+  context_.dispatcher.Retry(ticket_, ChoiceHandler());
+}
 
 // ---- 3. The request's body beyond the buffered part --------------------------------------------
 
-void Exchange::StreamRequestBody() {
-  if (ended_) return;
-  streaming_body_ = true;
-  caller_stream_->Read(
-      [self = shared_from_this()](const HttpEvent& event) { self->OnStreamedBodyEvent(event); });
+void Exchange::SendRequestBody() {
+  if (ended_ || !attempt_ || !attempt_takes_body_) return;
+  const size_t at = body_sent_ - body_dropped_;
+  if (at < body_.size()) {
+    std::string bytes = body_.substr(at);
+    body_sent_ += bytes.size();
+    LimitKeptBody();
+    return attempt_->Send(head_.chunked ? FormatChunk(bytes) : std::move(bytes), BodySentHandler());
+  }
+  if (!request_read_) return ReadRequestBody();
+  attempt_takes_body_ = false;
+  if (!head_.chunked) return attempt_->SetRequestBodyComplete(true);
+  attempt_->Send(std::string(kLastChunk), [attempt = attempt_](bool ok) {
+    if (ok) attempt->SetRequestBodyComplete(true);
+  });
+}
+
+std::function<void(bool ok)> Exchange::BodySentHandler() {
+  return [self = shared_from_this(), attempt = attempt_](bool ok) {
+    if (ok && attempt == self->attempt_) self->SendRequestBody();
+  };
+}
+
+void Exchange::ReadRequestBody() {
+  if (reading_body_) return;
+  reading_body_ = true;
+  caller_stream_->Read([self = shared_from_this()](const HttpEvent& event) {
+    self->reading_body_ = false;
+    self->OnBodyEvent(event);
+  });
 }
 
-void Exchange::OnStreamedBodyEvent(const HttpEvent& event) {
-  if (ended_ || response_started_ || !attempt_) return;
+void Exchange::OnBodyEvent(const HttpEvent& event) {
+  if (ended_ || response_started_) return;
   if (const auto* error = std::get_if<HttpError>(&event)) {
     context_.observer.on_bad_input("body", error->detail);
     return OnCallerGone();  // Closing the attempt shows the backend server that the body is cut.
   }
   if (std::holds_alternative<HttpEnd>(event)) {
     OnRequestRead();
-    if (ended_) return;
-    if (!head_.chunked) return attempt_->SetRequestBodyComplete(true);
-    return attempt_->Send(std::string(kLastChunk), [self = shared_from_this()](bool ok) {
-      if (ok && !self->ended_) self->attempt_->SetRequestBodyComplete(true);
-    });
+  } else {
+    body_.append(std::get<HttpBody>(event).bytes);
   }
-  const std::string_view bytes = std::get<HttpBody>(event).bytes;
-  attempt_->Send(head_.chunked ? FormatChunk(bytes) : std::string(bytes),
-                 [self = shared_from_this()](bool ok) {
-                   if (ok) self->StreamRequestBody();
-                 });
+  if (!attempt_ && !request_read_) WatchCaller();
+  SendRequestBody();
+}
+
+// Keeps what was sent for another attempt, up to a limit for each request and one for all.
+void Exchange::LimitKeptBody() {
+  const size_t prefix = context_.settings.edge.buffer_bytes;
+  const size_t kept = body_.size() > prefix ? body_.size() - prefix : 0;
+  const size_t total = context_.kept_body_bytes - kept_bytes_ + kept;
+  const bool drops = body_dropped_ > 0 || kept > kMaxKeptBodyBytes || total > kMaxKeptBodiesBytes;
+  SetKeptBytes(drops ? 0 : kept);
+  if (!drops) return;
+  body_.clear();
+  body_dropped_ = body_sent_;
+}
+
+void Exchange::SetKeptBytes(size_t bytes) {
+  context_.kept_body_bytes -= kept_bytes_;
+  kept_bytes_ = bytes;
+  context_.kept_body_bytes += bytes;
+}
+
+void Exchange::WatchCaller() {
+  caller_stream_->WatchClose([self = shared_from_this()] { self->OnCallerGone(); });
 }
 
 // ---- 4. Ends -----------------------------------------------------------------------------------
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -11,8 +11,12 @@
 // it, so that an incomplete response or a server error can be replaced by the response of another
 // attempt.
 //
-// Limits: a request whose body exceeds EdgeSettings::buffer_bytes is sent at most once, because
-// the part beyond the buffer is streamed and not kept.
+// A request is sent on as soon as EdgeSettings::buffer_bytes of its body have arrived. The rest is
+// kept while it is sent, so that a server which did not run the request can be replaced.
+//
+// Limits: a request whose body is larger than what is kept (1 MiB, 16 MiB for all requests) is sent
+// at most once. Requests with a body beyond EdgeSettings::buffer_bytes are not hedged, and are not
+// sent again after an attempt that may have run.
 
 #ifndef COWSLIPHILL_FORWARD_EXCHANGE_H_
 #define COWSLIPHILL_FORWARD_EXCHANGE_H_
@@ -99,8 +103,15 @@
   Dispatcher::ChoiceCallback ChoiceHandler();
 
   // 3. The request's body beyond the buffered part
-  void StreamRequestBody();
-  void OnStreamedBodyEvent(const HttpEvent& event);
+  // Sends the attempt what it lacks of the body, and reads on once it has everything read so far.
+  void SendRequestBody();
+  std::function<void(bool ok)> BodySentHandler();
+  void ReadRequestBody();
+  void OnBodyEvent(const HttpEvent& event);
+  void LimitKeptBody();
+  void SetKeptBytes(size_t bytes);
+  // Watches whether the caller leaves while nothing is read from it.
+  void WatchCaller();
 
   // exchange_answer.cc
   void OnResponse(const std::shared_ptr<Attempt>& attempt, const HttpEvent& event);
@@ -151,10 +162,14 @@
   asio::steady_timer timer_;  // Runs for one TimerUse at a time.
   MonotonicTime started_;
   MonotonicTime deadline_;            // Earlier one of the caller's and the route's.
-  std::string body_;                  // Buffered part of the request's body.
-  bool body_complete_ = false;        // body_ holds the whole body.
+  std::string body_;                  // The request's body as far as it was read and is kept.
+  bool body_complete_ = false;        // The whole body was read before the first attempt.
   bool request_read_ = false;         // The whole request was read from the connection.
-  bool streaming_body_ = false;       // Streaming of the rest has begun; it is not kept.
+  size_t body_dropped_ = 0;           // Bytes of the body before body_; they were sent.
+  size_t body_sent_ = 0;              // Bytes of the body that attempt_ has got.
+  bool attempt_takes_body_ = false;   // attempt_ has got what was read when it started.
+  bool reading_body_ = false;         // A read of the rest of the body is pending.
+  size_t kept_bytes_ = 0;             // Part of context_.kept_body_bytes.
   std::optional<Claim> claim_;        // Held until FinishClaim.
   KeptAnswer stored_response_;        // Stored with the claim and replayed to repeats.
   std::shared_ptr<Attempt> attempt_;  // Main attempt.
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -95,7 +95,8 @@
   Ticket next_ticket = 1;
   bool leaving = false;                // Shutting down: callers' connections close after responses.
   size_t open_requests = 0;            // Requests in flight in this entry VM.
-  size_t buffered_response_bytes = 0;  // Bodies held by all exchanges.
+  size_t buffered_response_bytes = 0;  // Bodies of responses held by all exchanges.
+  size_t kept_body_bytes = 0;          // Bodies of requests beyond EdgeSettings::buffer_bytes.
 };
 
 }  // namespace cowsliphill
