An idle entry VM wakes up when something is due

Each of 473 entry VMs woke up every 25, 50 and 100 ms to look whether there was anything to do.

Timers now run at the next time that something is due (WakeTimer); members, peers, catalog and poisoned requests name it.

--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -34,6 +34,8 @@
   // Called when calls to the store for `table` begin to fail (`error` says why) or succeed again
   // (`error` is empty).
   std::function<void(const std::string& table, const std::string& error)> on_store_availability;
+  // Called after each call to the store, so that the owner asks for NextTick again.
+  std::function<void()> on_store_call_ended;
   // Called for each failed call to the store. `call` is "table" if it read a whole table and
   // "changes" if it read the changes since a version.
   std::function<void(const std::string& table, const std::string& call, const std::string& error)>
@@ -43,8 +45,10 @@
 template <CatalogStore Store>
 class CatalogFollower {
  public:
-  // Tick must be called about this often.
-  static constexpr std::chrono::milliseconds kTickInterval{50};
+  // Shortest interval between two requests to peers.
+  static constexpr std::chrono::milliseconds kMinRequestInterval{50};
+  // Interval at which servers that the store no longer lists are looked at during an outage.
+  static constexpr std::chrono::milliseconds kUnlistedInterval{100};
 
   // `store` must outlive the follower and must not run callbacks after the follower's destruction.
   CatalogFollower(EntryVmId self, Store& store, const Clock& clock, CatalogListener listener,
@@ -62,15 +66,24 @@
 
   void Tick() {
     const MonotonicTime now = clock_.Now();
-    // Until it has a manifest, an entry VM that reads the store at startup watches the store
-    // whatever its rank: if all entry VMs start at once, those that don't read the store request
-    // the manifest from it.
-    const bool watches_for_first_manifest = manifest_ == nullptr && reads_store_at_start_;
-    RunManifestStep(manifest_watch_.Next(watches_for_first_manifest ? 0 : rank_, now));
+    RunManifestStep(manifest_watch_.Next(ManifestRank(), now));
     RunServersStep(servers_watch_.Next(rank_, now));
     if (servers_.RemoveUnlisted(RecentOutage(now), now)) listener_.on_servers(servers_.All());
   }
 
+  // When Tick must be called next, unless a call to the store ends or an update arrives before.
+  std::optional<MonotonicTime> NextTick() const {
+    const MonotonicTime now = clock_.Now();
+    std::optional<MonotonicTime> next;
+    const auto by = [&next](std::optional<MonotonicTime> time) {
+      if (time) next = next ? std::min(*next, *time) : *time;
+    };
+    by(manifest_watch_.NextWake(ManifestRank(), now));
+    by(servers_watch_.NextWake(rank_, now));
+    if (servers_.HasUnlisted()) by(now + kUnlistedInterval);
+    return next;
+  }
+
   // `from_predecessor`: the sender precedes this entry VM in the election order.
   void OnUpdate(const CatalogUpdate& update, bool from_predecessor) {
     const MonotonicTime now = clock_.Now();
@@ -122,6 +135,12 @@
 
  private:
   using Step = TableWatch::Step;
+  // Until it has a manifest, an entry VM that reads the store at startup watches the store whatever
+  // its rank: if all entry VMs start at once, those that don't read the store request the manifest
+  // from it.
+  uint32_t ManifestRank() const {
+    return manifest_ == nullptr && reads_store_at_start_ ? 0 : rank_;
+  }
   // Number of ranks, from 0, whose entry VMs send updates after failed calls too, so that the
   // others leave the retries to them.
   static constexpr uint32_t kRanksThatReportFailures = 2;
@@ -198,7 +217,7 @@
   // The watches of both tables may need a request at the same time; one answer serves both.
   void SendRequest() {
     const MonotonicTime now = clock_.Now();
-    if (last_request_ && now - *last_request_ < kTickInterval) return;
+    if (last_request_ && now - *last_request_ < kMinRequestInterval) return;
     last_request_ = now;
     listener_.send_request({{},
                             manifest_ ? manifest_->revision : 0,
@@ -240,7 +259,11 @@
       ApplyManifest(answer.manifest, "");
     }
     if (IsStoreReader()) SendUpdate(true, now);
+    OnStoreCallEnded();
+  }
+  void OnStoreCallEnded() {
     Tick();
+    listener_.on_store_call_ended();
   }
 
   // `bytes`: the encoded manifest, or empty if the caller does not have it.
@@ -292,7 +315,7 @@
         }
       }
       if (IsStoreReader()) SendUpdate(true, now);
-      Tick();
+      OnStoreCallEnded();
     };
     if (reads_table) return store_.ReadServers(done);
     store_.WatchServers(servers_watch_.Version(), LongPollTimeout(step), done);
@@ -314,7 +337,7 @@
     listener_.on_store_call_failed(table, call, error.detail);
     if (error.kind == CatalogErrorKind::kHistoryGone) {
       watch.OnHistoryGone();
-      return Tick();
+      return OnStoreCallEnded();
     }
     if (error.kind == CatalogErrorKind::kTooLarge) {
       watch.OnTooLarge(now);
@@ -325,6 +348,7 @@
     bool& calls_fail = &watch == &manifest_watch_ ? manifest_calls_fail_ : servers_calls_fail_;
     if (!calls_fail) listener_.on_store_availability(table, error.detail);
     calls_fail = true;
+    listener_.on_store_call_ended();
   }
 
   void OnStoreReached(const char* table, bool& calls_fail) {
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -72,6 +72,7 @@
     listener.on_servers = [this](const auto& servers) { servers_ = servers; };
     listener.send_update = [this](const CatalogUpdate& update) { sent_updates_.push_back(update); };
     listener.send_request = [this](const CatalogRequest&) { ++peer_requests_; };
+    listener.on_store_call_ended = [] {};
     listener.on_store_availability = [](const std::string&, const std::string&) {};
     listener.on_store_call_failed = [this](const std::string& table, const std::string& call,
                                            const std::string& error) {
@@ -359,6 +360,7 @@
     listener.on_servers = [](const auto&) {};
     listener.send_update = [](const CatalogUpdate&) {};
     listener.send_request = [](const CatalogRequest&) {};
+    listener.on_store_call_ended = [] {};
     listener.on_store_availability = [](const std::string&, const std::string&) {};
     listener.on_store_call_failed = [](const std::string&, const std::string&, const std::string&) {
     };
--- a/src/catalog/server_list.h
+++ b/src/catalog/server_list.h
@@ -65,6 +65,8 @@
     return registered;
   }
   size_t Size() const { return servers_.size(); }
+  // Whether any servers are kept though the store no longer lists them.
+  bool HasUnlisted() const { return !unlisted_.empty(); }
 
  private:
   void Put(const BackendServer& server) {
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -95,13 +95,28 @@
                  : BeginCall(Step::kCheck, now);
     }
     if (rank == 0 || has_taken_over_) return BeginCall(Step::kWatch, now);
-    if (now - confirmed_ > StalenessTimeout(rank, now)) {
+    if (now - confirmed_ >= StalenessTimeout(rank, now)) {
       taking_over_ = true;
       return BeginCall(Step::kCheck, now);
     }
     return Step::kNone;
   }
 
+  // When Next will return a step, if neither a call ends nor an update arrives before; nullopt
+  // while a call is open.
+  std::optional<MonotonicTime> NextWake(uint32_t rank, MonotonicTime now) const {
+    if (call_open_) return std::nullopt;
+    const bool relies_on_others = is_loaded_ && !behind_ && rank != 0 && !has_taken_over_;
+    if (!relies_on_others) return not_before_;
+    MonotonicTime stale = confirmed_ + OwnStalenessTimeout(rank);
+    if (rank > options_.max_rank_steps && HasActivePredecessor(now)) {
+      // The longer timeout applies until the predecessor falls silent.
+      const MonotonicTime silent = last_predecessor_update_ + options_.predecessor_timeout;
+      stale = std::max(stale, std::min(silent, confirmed_ + HighRankStalenessTimeout(rank)));
+    }
+    return std::max(not_before_, stale);
+  }
+
   // The store answered with everything up to `version`.
   void OnAnswer(uint64_t version, MonotonicTime now) {
     NoteVersion(version, now);
@@ -207,13 +222,17 @@
   }
 
   Duration StalenessTimeout(uint32_t rank, MonotonicTime now) const {
-    if (is_high_rank_ && HasActivePredecessor(now)) {
-      return options_.high_rank_staleness_timeout +
-             options_.high_rank_staleness_step * (rank - options_.max_rank_steps);
-    }
+    const bool leaves_calls_to_others = is_high_rank_ && HasActivePredecessor(now);
+    return leaves_calls_to_others ? HighRankStalenessTimeout(rank) : OwnStalenessTimeout(rank);
+  }
+  Duration OwnStalenessTimeout(uint32_t rank) const {
     return options_.staleness_timeout +
            options_.staleness_step * std::min(rank, options_.max_rank_steps);
   }
+  Duration HighRankStalenessTimeout(uint32_t rank) const {
+    return options_.high_rank_staleness_timeout +
+           options_.high_rank_staleness_step * (rank - options_.max_rank_steps);
+  }
 
   Step RequestFromPeer(Duration wait, MonotonicTime now) {
     ++peer_requests_;
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <random>
+
 namespace cowsliphill {
 namespace {
 
@@ -36,6 +38,8 @@
   CPPUNIT_TEST(OnTableUpdate_SnapshotFromPeerThatIsBehindToo_CallsTheStore);
   CPPUNIT_TEST(OnTableUpdate_OnlyInStore_CallsTheStoreAtOnce);
   CPPUNIT_TEST(OnFailure_HighRankInLongOutage_CallsTwiceInTenSeconds);
+  CPPUNIT_TEST(NextWake_InRandomStates_IsTheTimeOfTheNextStep);
+  CPPUNIT_TEST(NextWake_RelyingOnOthers_IsSeldom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -349,7 +353,63 @@
     CPPUNIT_ASSERT(watch_.Next(5, now_) == Step::kCheck);
   }
 
+  // Compares NextWake with what Next returns in small steps of time, while nothing else happens.
+  void NextWake_InRandomStates_IsTheTimeOfTheNextStep() {
+    constexpr milliseconds resolution{5};
+    std::mt19937_64 random(1);
+    for (const uint32_t rank : {0U, 3U, 8U, 9U, 100U}) {
+      TableWatchOptions options;
+      options.startup_peer_timeout = milliseconds(rank % 2 == 0 ? 0 : 400);
+      watch_ = TableWatch(options);
+      for (int i = 0; i < 400; ++i) {
+        TableWatch copy = watch_;
+        const std::optional<MonotonicTime> wake = copy.NextWake(rank, now_);
+        for (MonotonicTime at = now_; wake && at <= now_ + std::chrono::seconds(10);
+             at += resolution) {
+          const bool due = at >= *wake;
+          // A wake-up may be too early if an update is awaited from a predecessor, never too late.
+          const bool step = copy.Next(rank, at) != Step::kNone;
+          CPPUNIT_ASSERT(due || !step);
+          if (step) break;
+          if (due) CPPUNIT_ASSERT(*copy.NextWake(rank, at) > at);
+        }
+        ApplyRandomEvent(random, rank);
+      }
+    }
+  }
+
+  void NextWake_RelyingOnOthers_IsSeldom() {
+    ReadTable(20);
+    size_t wakes = 0;
+    MonotonicTime wake = *watch_.NextWake(20, now_);
+    for (int i = 0; i < 2000; ++i) {  // 20 s, with two updates a second.
+      Advance(milliseconds(10));
+      if (i % 50 == 0) watch_.OnTableUpdate({10, true, true, true, now_}, now_);
+      if (now_ < wake) continue;
+      ++wakes;
+      CPPUNIT_ASSERT(watch_.Next(20, now_) == Step::kNone);
+      wake = *watch_.NextWake(20, now_);
+    }
+    CPPUNIT_ASSERT(wakes <= 20);
+  }
+
  private:
+  void ApplyRandomEvent(std::mt19937_64& random, uint32_t rank) {
+    Advance(milliseconds(random() % 700));
+    const Step step = watch_.Next(rank, now_);
+    const bool calls = step == Step::kReadTable || step == Step::kWatch || step == Step::kCheck;
+    if (calls && random() % 2 == 0) watch_.OnAnswer(watch_.Version() + random() % 2, now_);
+    if (calls && random() % 2 == 0) watch_.OnFailure(now_);
+    if (random() % 3 != 0) return;
+    TableWatch::TableUpdate update;
+    update.version = watch_.Version() + random() % 2;
+    update.is_caught_up = random() % 2 == 0;
+    update.from_predecessor = random() % 2 == 0;
+    update.reaches_store = random() % 2 == 0;
+    update.is_snapshot = random() % 4 == 0;
+    update.confirmed = now_ - milliseconds(random() % 1000);
+    watch_.OnTableUpdate(update, now_);
+  }
   // Peers' answers are awaited for at most 500 ms, a quarter of the bound of 2 seconds.
   void AssertRequestsFromPeerThenCallsTheStore(uint32_t rank) {
     CPPUNIT_ASSERT(watch_.Next(rank, now_) == Step::kRequestFromPeer);
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -16,7 +16,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kCatalogTickInterval{25};
+constexpr milliseconds kMinCatalogInterval{5};  // Shortest time between two catalog steps.
 // Time after the start until members have found each other.
 constexpr milliseconds kUnstableTime{5000};
 // For this long after the start, requests wait for the catalog instead of getting status 503. A
@@ -88,7 +88,7 @@
       event_log_budget_(kEventLinesPerSecond, kEventLinesPerSecond * kLogBurstSeconds),
       success_log_budget_(kSuccessLinesPerSecond, kSuccessLinesPerSecond * kLogBurstSeconds),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      tick_timer_(io_),
+      catalog_timer_(io_, clock_, [this] { RunCatalogStep(); }),
       second_timer_(io_),
       stop_(io_, clock_, kDepartureTime) {
   context_.ids.prefix = seed;
@@ -153,6 +153,7 @@
   listener.send_request = [this](CatalogRequest request) {
     SendCatalogRequest(std::move(request));
   };
+  listener.on_store_call_ended = [this] { AfterCatalogStep(); };
   listener.on_store_availability = [this](const std::string& table, const std::string& error) {
     log_.Write(error.empty() ? LogLevel::kInfo : LogLevel::kWarning,
                error.empty() ? "store regained" : "store lost",
@@ -217,10 +218,9 @@
              {{"entry_vm", id_.Text()}, {"edge", settings_.edge.listen.ToString()}});
   started_ = clock_.Now();
   AwaitSignal();
-  EveryTick();
+  RunCatalogStep();
   EverySecond();
   scheduling_.Start();
-  poison_.Start();
   io_.run();
   DrainLoop();
   log_.Write(LogLevel::kInfo, "stopped", {{"entry_vm", id_.Text()}});
@@ -340,7 +340,7 @@
   if (update.relay) relayed_update_sender_ = from;
   follower_.OnUpdate(update, ElectionRank(update.sender) < ElectionRank(id_));
   relayed_update_sender_.reset();
-  AnswerPendingCatalogRequests();
+  AfterCatalogStep();
 }
 
 void RoutedEntry::LogMemberChange(const MemberChange& change) {
@@ -382,6 +382,7 @@
   }
   rank_ = rank;
   UpdateRank();
+  AfterCatalogStep();
   scheduling_.SetMembers(schedulers);
   poison_.SetMembers(id_, schedulers);
 }
@@ -521,15 +522,22 @@
 
 // ---- 5. Timers ---------------------------------------------------------------------------------
 
-void RoutedEntry::EveryTick() {
+void RoutedEntry::RunCatalogStep() {
   UpdateRank();
   follower_.Tick();
+  AfterCatalogStep();
+}
+
+// To be called after whatever may have changed the catalog, or what the follower waits for.
+void RoutedEntry::AfterCatalogStep() {
   LogStoreReaderChange();
   AnswerPendingCatalogRequests();
-  tick_timer_.expires_after(kCatalogTickInterval);
-  tick_timer_.async_wait([this](std::error_code ec) {
-    if (!ec) EveryTick();
-  });
+  const MonotonicTime now = clock_.Now();
+  const MonotonicTime stable = started_ + kUnstableTime;
+  if (now < stable) catalog_timer_.WakeBy(stable);
+  if (const auto next = follower_.NextTick()) {
+    catalog_timer_.WakeBy(std::max(*next, now + kMinCatalogInterval));
+  }
 }
 
 void RoutedEntry::EverySecond() {
@@ -651,6 +659,7 @@
 void RoutedEntry::DrainLoop() {
   // Queued handlers hold connections that use the members of this object, so they are run before
   // its destruction.
+  catalog_timer_.Cancel();
   edge_.AbortAll();
   pool_.CloseAll();
   scheduling_.Close();
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -28,6 +28,7 @@
 #include "src/admin/log_budget.h"
 #include "src/admin/metrics.h"
 #include "src/base/clock.h"
+#include "src/base/wake_timer.h"
 #include "src/catalog/catalog_follower.h"
 #include "src/cli/graceful_stop.h"
 #include "src/cli/platform_adapter.h"
@@ -95,7 +96,8 @@
   void OnRequestEnded(const RequestEnd& end);
 
   // 5. Timers
-  void EveryTick();
+  void RunCatalogStep();
+  void AfterCatalogStep();
   void EverySecond();
   void SetGauges();
 
@@ -149,7 +151,7 @@
   LogBudget event_log_budget_;    // Limits log lines on faults, failed requests and changes.
   LogBudget success_log_budget_;  // Limits log lines on requests that ended without a fault.
   asio::signal_set signals_;
-  asio::steady_timer tick_timer_;
+  WakeTimer catalog_timer_;
   asio::steady_timer second_timer_;
   GracefulStop stop_;
   bool was_store_reader_ = false;  // Whether the last log line reported it as the store reader.
--- a/src/forward/pipeline.h
+++ b/src/forward/pipeline.h
@@ -49,7 +49,7 @@
   static constexpr size_t kMaxRequests = 8;
 
   std::shared_ptr<PipelineSlot> Add() {
-    const auto slot = std::make_shared<PipelineSlot>();
+    auto slot = std::make_shared<PipelineSlot>();
     slot->first_ = slots_.empty();
     if (!slots_.empty()) slots_.back()->last_ = false;
     slots_.push_back(slot);
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -22,16 +22,15 @@
 
 #include "src/base/clock.h"
 #include "src/base/result.h"
+#include "src/base/wake_timer.h"
 #include "src/members/lookup.h"
 #include "src/members/membership.h"
 #include "src/members/peer.h"
-#include "src/members/ticker.h"
 #include "src/storage/platform.h"
 
 namespace cowsliphill {
 
 struct MembersOptions {
-  std::chrono::milliseconds tick_interval{100};      // Resolution of the protocol's timers.
   std::chrono::milliseconds vm_list_interval{5000};  // Interval between reads of the VM list.
   uint64_t seed = 1;  // Seeds the random choices; must differ per process.
 };
@@ -58,8 +57,9 @@
         vm_list_source_(vm_list_source),
         options_(options),
         membership_(std::move(config), self, options.seed, clock.Now()),
-        ticker_(loop, options.tick_interval, [this] { Tick(); }) {
+        timer_(loop, clock, [this] { Tick(); }) {
     live_and_self_.push_back(self);
+    timer_.WakeBy(clock_.Now());
     transport_.Handle(
         MessageKind::kMembership,
         [this, alive = LifetimeToken()](const EntryVmId& from, const std::string& payload) {
@@ -114,6 +114,7 @@
       ReadVmList();
     }
     membership_.Tick(now);
+    timer_.WakeBy(next_vm_list_);
     RunActions();
   }
 
@@ -139,6 +140,7 @@
         for (const auto& listener : listeners_) listener(std::get<MemberChange>(action));
       }
     }
+    timer_.WakeBy(membership_.NextTick(clock_.Now()));
   }
 
   void SendRequest(SendGossip send) {
@@ -172,7 +174,7 @@
   MonotonicTime next_vm_list_;  // When the VM list is read next; at once on the first tick.
   bool reading_vm_list_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Expires with this object.
-  Ticker ticker_;
+  WakeTimer timer_;
 };
 
 }  // namespace cowsliphill
--- a/src/members/membership.cc
+++ b/src/members/membership.cc
@@ -58,6 +58,16 @@
   PushChanges();
 }
 
+MonotonicTime Membership::NextTick(MonotonicTime now) const {
+  MonotonicTime next = next_period_;
+  if (probe_ && !probe_->indirect_pings_requested) {
+    next = std::min(next, probe_->started + config_.direct_timeout);
+  }
+  if (table_.SuspectCount() > 0) next = std::min(next, now + config_.suspect_check_interval);
+  if (table_.LiveCount() == 0) next = std::min(next, next_alone_retry_);
+  return next;
+}
+
 // After a stall of this process, missing answers say nothing about the other members: drops the
 // current probe and extends the deadlines of suspects by the length of the stall.
 void Membership::DetectStall(MonotonicTime now) {
--- a/src/members/membership.h
+++ b/src/members/membership.h
@@ -41,6 +41,8 @@
   std::chrono::milliseconds seed_retry_interval{30000};  // One unknown seed is pinged per interval.
   // Interval at which seeds are pinged while no other member is live.
   std::chrono::milliseconds alone_retry_interval{100};
+  // Interval at which suspects are looked at, while there are any.
+  std::chrono::milliseconds suspect_check_interval{100};
   std::chrono::minutes dead_lifetime{30};       // Dead members are erased after this.
   std::chrono::milliseconds stall_limit{2000};  // A longer gap between ticks is a stall.
   uint32_t indirect_ping_count = 3;             // Members asked to ping an unresponsive target.
@@ -83,8 +85,9 @@
   // `self.id` must be new at each process start. `seed` seeds the random choices.
   Membership(MembershipConfig config, const Member& self, uint64_t seed, MonotonicTime now);
 
-  // Must be called several times per direct_timeout.
   void Tick(MonotonicTime now);
+  // When Tick must be called next. Any other call may make it earlier.
+  MonotonicTime NextTick(MonotonicTime now) const;
   // Processes a message from another member and returns the reply. The reply is empty if the
   // message is rejected or this member has departed.
   std::string Receive(MonotonicTime now, const EntryVmId& from, const std::string& payload);
--- a/src/members/peer_client.cc
+++ b/src/members/peer_client.cc
@@ -47,17 +47,31 @@
   if (peer.handshake_done) SendQueued(peer);
 }
 
-void PeerClient::Tick() {
+MonotonicTime PeerClient::Tick() {
   const MonotonicTime now = clock_.Now();
+  MonotonicTime next = now + limits_.idle_timeout;
   for (auto it = peers_.begin(); it != peers_.end();) {
     ExpireRequests(it->second, now);
     if (IsRemovable(it->second, now)) {
       Disconnect(it->second, PeerError::kTimeout);
       it = peers_.erase(it);
     } else {
+      next = std::min(next, NextTimeout(it->second));
       ++it;
     }
   }
+  return std::max(next, now + limits_.timeout_resolution);
+}
+
+MonotonicTime PeerClient::NextTimeout(const Peer& peer) const {
+  const bool opening = (peer.connecting || peer.connection) && !peer.handshake_done;
+  if (opening) return peer.connect_start + limits_.connect_timeout;
+  MonotonicTime next = peer.last_used + limits_.idle_timeout;
+  if (!peer.queue.empty()) next = peer.queue.front().requested_at + limits_.request_timeout;
+  for (const auto& [stream, pending] : peer.in_flight) {
+    next = std::min(next, pending.requested_at + limits_.request_timeout);
+  }
+  return next;
 }
 
 size_t PeerClient::OpenConnections() const {
--- a/src/members/peer_client.h
+++ b/src/members/peer_client.h
@@ -26,8 +26,10 @@
   ~PeerClient();
 
   void Request(const Endpoint& to, MessageKind kind, std::string payload, PeerNode::Done done);
-  // Ends requests that timed out, and closes unresponsive and idle connections.
-  void Tick();
+  // Ends requests that timed out, and closes unresponsive and idle connections. Returns when it
+  // must be called next; Request may make that earlier, but not sooner than a timeout after its
+  // call.
+  MonotonicTime Tick();
   size_t OpenConnections() const;
 
  private:
@@ -67,6 +69,7 @@
   void Disconnect(Peer& peer, PeerError in_flight_error);
   void ExpireRequests(Peer& peer, MonotonicTime now);
   bool IsRemovable(const Peer& peer, MonotonicTime now) const;
+  MonotonicTime NextTimeout(const Peer& peer) const;
   void EvictLeastRecentlyUsed();
   void Finish(PeerNode::Done done, Result<std::string, PeerError> result);
   Peer* FindPeer(const Endpoint& to, uint64_t generation);
--- a/src/members/peer_server.h
+++ b/src/members/peer_server.h
@@ -27,7 +27,8 @@
 
   Result<Endpoint, PeerListenError> Listen(const Endpoint& endpoint);
   void Handle(MessageKind kind, PeerNode::Handler handler);
-  // Closes idle connections, and resumes accepting after an error of accept.
+  // Closes idle connections, and resumes accepting after an error of accept. To be called about
+  // every second.
   void Tick();
   size_t OpenConnections() const { return clients_.size(); }
 
--- a/src/members/peer_transport.cc
+++ b/src/members/peer_transport.cc
@@ -1,39 +1,48 @@
 #include "src/members/peer_transport.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <utility>
 
+#include "src/base/wake_timer.h"
 #include "src/members/peer_auth.h"
 #include "src/members/peer_client.h"
 #include "src/members/peer_server.h"
-#include "src/members/ticker.h"
 
 namespace cowsliphill {
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval{100};
+constexpr std::chrono::milliseconds kMaxTickInterval{1000};
 
 }  // namespace
 
 struct PeerNode::Parts {
   Parts(asio::io_context& loop, const Clock& clock, EntryVmId self, PeerSettings settings,
         const PeerLimits& limits)
-      : settings(std::move(settings)),
+      : clock(clock),
+        limits(limits),
+        settings(std::move(settings)),
         authenticator(this->settings.key),
         server(loop, clock, self, authenticator, limits, stats, traffic),
         client(loop, clock, self, authenticator, limits, stats, traffic),
-        ticker(loop, kTickInterval, [this] {
-          client.Tick();
-          server.Tick();
-        }) {}
+        timer(loop, clock, [this] { Tick(); }) {
+    Tick();
+  }
+  void Tick() {
+    server.Tick();
+    const MonotonicTime next = client.Tick();
+    timer.WakeBy(std::min(next, clock.Now() + kMaxTickInterval));
+  }
 
+  const Clock& clock;
+  PeerLimits limits;
   PeerSettings settings;
   PeerAuthenticator authenticator;
   PeerStats stats;
   TrafficStats traffic;
   PeerServer server;
   PeerClient client;
-  Ticker ticker;
+  WakeTimer timer;
 };
 
 PeerNode::PeerNode(asio::io_context& loop, const Clock& clock, EntryVmId self,
@@ -47,6 +56,9 @@
 }
 
 void PeerNode::Request(Endpoint to, MessageKind kind, std::string payload, Done done) {
+  const PeerLimits& limits = parts_->limits;
+  parts_->timer.WakeBy(parts_->clock.Now() +
+                       std::min(limits.connect_timeout, limits.request_timeout));
   parts_->client.Request(to, kind, std::move(payload), std::move(done));
 }
 
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -30,11 +30,12 @@
 namespace cowsliphill {
 
 struct PeerLimits {
-  std::chrono::milliseconds request_timeout{1000};  // From the call of Request to the response.
-  std::chrono::milliseconds connect_timeout{300};   // For the TCP connect and the hello response.
-                                                    // Shorter than the second after which TCP
-                                                    // retransmits the first packet to a machine
-                                                    // that is off.
+  std::chrono::milliseconds request_timeout{1000};   // From the call of Request to the response.
+  std::chrono::milliseconds connect_timeout{300};    // For the TCP connect and the hello response.
+                                                     // Shorter than the second after which TCP
+                                                     // retransmits the first packet to a machine
+                                                     // that is off.
+  std::chrono::milliseconds timeout_resolution{50};  // A timeout may be noticed this much later.
   std::chrono::milliseconds idle_timeout{180000};  // Unused connections are closed after this time.
   std::chrono::milliseconds initial_backoff{100};  // After a failed connect; doubles each time.
   std::chrono::milliseconds max_backoff{1000};     // Upper bound of the backoff.
--- a/src/members/peer_transport_test.cc
+++ b/src/members/peer_transport_test.cc
@@ -311,7 +311,6 @@
       self.peer = ValueOf(nodes.back()->Listen());
       if (i == 0) config.seeds = {self.peer};
       MembersOptions options;
-      options.tick_interval = milliseconds(10);
       options.seed = static_cast<uint64_t>(i);
       members.push_back(std::make_unique<Members<PeerNode, MemoryPlatform>>(
           loop_, system_clock_, *nodes.back(), platform, config, self, options));
--- a/src/poison/poison_watch.cc
+++ b/src/poison/poison_watch.cc
@@ -30,7 +30,7 @@
                 OnProbed(target, report, refused);
               }),
       random_(seed),
-      exchange_timer_(io) {}
+      exchange_timer_(io, clock, [this] { Exchange(); }) {}
 
 void PoisonWatch::ApplyServers(const std::vector<BackendServer>& servers,
                                const std::map<BackendServerId, ProbeTarget>& probe_targets) {
@@ -164,29 +164,21 @@
     changes.erase(changes.begin(), changes.begin() + static_cast<std::ptrdiff_t>(std::min(
                                                          changes.size(), kMaxPoisonRecords)));
   }
+  if (!list_.Empty()) exchange_timer_.WakeBy(clock_.Now() + kExchangeInterval);
 }
 
-void PoisonWatch::Start() { ArmExchange(); }
-
-void PoisonWatch::ArmExchange() {
-  exchange_timer_.expires_after(kExchangeInterval);
-  exchange_timer_.async_wait([this](std::error_code ec) {
-    if (ec) return;
-    if (!list_.Empty()) {
-      const MonotonicTime now = clock_.Now();
-      list_.Tick(now);
-      Flush();
-      const std::vector<PoisonRecord> records = list_.NextRecords(kMaxPoisonRecords, now);
-      if (!records.empty() && !others_.empty()) {
-        listener_.send({others_[random_() % others_.size()]}, EncodePoisonRecords(records));
-      }
-    }
-    ArmExchange();
-  });
+void PoisonWatch::Exchange() {
+  const MonotonicTime now = clock_.Now();
+  list_.Tick(now);
+  Flush();
+  const std::vector<PoisonRecord> records = list_.NextRecords(kMaxPoisonRecords, now);
+  if (!records.empty() && !others_.empty()) {
+    listener_.send({others_[random_() % others_.size()]}, EncodePoisonRecords(records));
+  }
 }
 
 void PoisonWatch::Close() {
-  exchange_timer_.cancel();
+  exchange_timer_.Cancel();
   probes_.CloseAll();
 }
 
--- a/src/poison/poison_watch.h
+++ b/src/poison/poison_watch.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "src/base/clock.h"
+#include "src/base/wake_timer.h"
 #include "src/forward/probe_client.h"
 #include "src/members/peer.h"
 #include "src/poison/poison_list.h"
@@ -64,7 +65,6 @@
   size_t Condemned() const { return list_.Condemned(); }
   uint64_t Crashes() const { return crashes_; }    // Number of crashes that this entry VM saw.
   uint64_t Refusals() const { return refusals_; }  // Requests refused because they are condemned.
-  void Start();
   void CloseIdle() { probes_.CloseIdle(); }
   void Close();
 
@@ -86,7 +86,7 @@
   void Finish(const BackendServerId& server, bool crashed, const std::string& detail);
   bool MayTry(RequestHash hash) const;
   void Flush();
-  void ArmExchange();
+  void Exchange();
 
   asio::io_context& io_;
   const Clock& clock_;
@@ -100,7 +100,7 @@
   std::vector<EntryVmId> members_;
   std::vector<Endpoint> others_;  // Peer addresses of the other entry VMs.
   std::mt19937_64 random_;
-  asio::steady_timer exchange_timer_;
+  WakeTimer exchange_timer_;  // Not armed while the list is empty.
   uint64_t crashes_ = 0;
   uint64_t refusals_ = 0;
 };
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -9,8 +9,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kProbeTimeout{300};   // Servers answer probes at once.
-constexpr milliseconds kMaxTimerDelay{250};  // The longest time between two runs of the timer.
+constexpr milliseconds kProbeTimeout{300};  // Servers answer probes at once.
+// The longest time between two runs of the timer while there is work, and while there is none.
+constexpr milliseconds kMaxTimerDelay{250};
+constexpr milliseconds kMaxIdleTimerDelay{1000};
 
 }  // namespace
 
@@ -110,9 +112,10 @@
   if (dispatcher_ != nullptr && planner_.HasReady()) dispatcher_->PollSoon();
   // The timer may be set to the next probe, but a queue that has just formed must be processed
   // earlier.
-  const bool rearm =
-      scheduler_.Waiting() > 0 &&
-      (!timer_deadline_ || *timer_deadline_ > clock_.Now() + Balancer::kQueuePollInterval);
+  const Duration max_delay = scheduler_.Waiting() > 0   ? Balancer::kQueuePollInterval
+                             : scheduler_.HasRequests() ? kMaxTimerDelay
+                                                        : kMaxIdleTimerDelay;
+  const bool rearm = !timer_deadline_ || *timer_deadline_ > clock_.Now() + max_delay;
   if (rearm) ArmTimer();
 }
 
@@ -136,8 +139,9 @@
 
 void ScheduleNode::ArmTimer() {
   const MonotonicTime now = clock_.Now();
-  timer_deadline_ =
-      std::min(scheduler_.NextWake(now).value_or(now + kMaxTimerDelay), now + kMaxTimerDelay);
+  const MonotonicTime latest =
+      now + (scheduler_.HasRequests() ? kMaxTimerDelay : kMaxIdleTimerDelay);
+  timer_deadline_ = std::min(scheduler_.NextWake(now).value_or(latest), latest);
   timer_.expires_after(std::max<Duration>(*timer_deadline_ - now, Duration{}));
   timer_.async_wait([this](std::error_code ec) {
     if (!ec) Run();
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -102,6 +102,7 @@
   // Number of cells with limits that this scheduler shares out.
   size_t CellsWithSharedLimits() const;
   size_t Waiting() const { return balancer_.Waiting(); }
+  bool HasRequests() const { return !requests_.empty(); }  // Queued or assigned ones.
   size_t CellsScheduled() const;
 
  private:
