Schedulers, the store reader and relays are the largest entry VMs

Entry VMs of the large deployment have 0.5 or 0.1 of a core and 200 or 20 Mbit/s. Rendezvous hashing gave the work for others to any of them, mostly to small ones, which then answered late.

Members tell their processor share (`capacity`); the largest come first in each order, and among equals hashing decides. Without the setting all are equal, as before. The format of messages between members has another version.

--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -46,6 +46,10 @@
 // Key of the datagrams' checksums, which reject damaged datagrams and those of other systems.
 std::string DatagramKey(const Settings& settings) { return settings.peer.key + " datagram"; }
 
+uint32_t MillicoresOf(const Settings& settings) {
+  return static_cast<uint32_t>(settings.capacity * 1000);
+}
+
 double Millis(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -60,6 +64,7 @@
       adapter_(std::move(adapter)),
       clock_(clock),
       id_(settings_.failure_domain.Text() + "-" + fmt::format("{:016x}", seed)),
+      election_rank_(ElectionRank(id_, MillicoresOf(settings_))),
       log_(clock_, settings_.log),
       store_(adapter_.open_store(
           io_, clock_, settings_.platform.endpoint,
@@ -194,7 +199,8 @@
                     settings_.peer.advertise,
                     settings_.failure_domain,
                     settings_.region,
-                    MemberState::kAlive};
+                    MemberState::kAlive,
+                    MillicoresOf(settings_)};
   MembershipConfig membership;
   membership.seeds = settings_.peer.seeds;
   MembersOptions options;
@@ -273,17 +279,33 @@
   dispatcher_.PollSoon();
 }
 
-// Returns one entry VM of each other failure domain, by round robin.
-std::vector<Endpoint> RoutedEntry::NextRelays() {
+void RoutedEntry::PeerGroup::Add(const Member& member) {
+  all.push_back(member.peer);
+  if (member.millicores < largest_millicores) return;
+  if (member.millicores > largest_millicores) largest.clear();
+  largest_millicores = member.millicores;
+  largest.push_back(member.peer);
+}
+
+// Alternates between the largest entry VMs and all, because all of the largest may be gone before
+// the members know.
+const Endpoint& RoutedEntry::PeerGroup::Pick(size_t n) const {
+  const std::vector<Endpoint>& peers = n % 2 == 0 ? largest : all;
+  return peers[n / 2 % peers.size()];
+}
+
+// Returns one entry VM of each other failure domain.
+std::vector<Endpoint> RoutedEntry::NextRelays(const CatalogUpdate& update) {
+  // A manifest would occupy the link of a small entry VM for a second.
+  if (!update.manifest.empty()) next_relay_ += next_relay_ % 2;
   std::vector<Endpoint> relays;
-  for (const auto& [id, peers] : other_domain_peers_) {
-    relays.push_back(peers[next_relay_ % peers.size()]);
-  }
+  for (const auto& [id, peers] : other_domain_peers_) relays.push_back(peers.Pick(next_relay_));
   ++next_relay_;
   return relays;
 }
 
-void RoutedEntry::SendCatalogUpdate(const CatalogUpdate& update) {
+void RoutedEntry::SendCatalogUpdate(CatalogUpdate update) {
+  update.sender_rank = election_rank_;
   if (all_peers_.size() <= kMaxDirectPeers) {
     return datagrams_.Send(all_peers_, EncodeCatalogMessage(update));
   }
@@ -291,27 +313,31 @@
   relayed.relay = true;
   // Relays come first: if a datagram to a relay is lost on a full link, the relay's whole failure
   // domain misses the update.
-  datagrams_.Send(NextRelays(), EncodeCatalogMessage(relayed));
-  datagrams_.Send(same_domain_peers_, EncodeCatalogMessage(update));
+  datagrams_.Send(NextRelays(update), EncodeCatalogMessage(relayed));
+  datagrams_.Send(same_domain_peers_.all, EncodeCatalogMessage(update));
 }
 
 void RoutedEntry::SendCatalogRequest(CatalogRequest request) {
   // A different peer each time, because the requests of all entry VMs would saturate the link of
   // the store reader.
-  const std::vector<Endpoint>& others =
-      same_domain_peers_.empty() ? settings_.peer.seeds : same_domain_peers_;
-  if (others.empty()) return;
+  const std::vector<Endpoint>& seeds = settings_.peer.seeds;
+  const bool has_peers = !same_domain_peers_.all.empty();
+  if (!has_peers && seeds.empty()) return;
   request.reply_to = settings_.peer.advertise;
   if (relayed_update_sender_) {
     return datagrams_.Send({*relayed_update_sender_}, EncodeCatalogMessage(request));
   }
-  datagrams_.Send({others[next_catalog_request_peer_++ % others.size()]},
-                  EncodeCatalogMessage(request));
+  const size_t n = next_catalog_request_peer_++;
+  const Endpoint& to = has_peers ? same_domain_peers_.Pick(n) : seeds[n % seeds.size()];
+  datagrams_.Send({to}, EncodeCatalogMessage(request));
 }
 
 void RoutedEntry::OnCatalogRequest(const CatalogRequest& request) {
-  const std::optional<CatalogUpdate> answer = follower_.AnswerRequest(request);
-  if (answer) return datagrams_.Send({request.reply_to}, EncodeCatalogMessage(*answer));
+  std::optional<CatalogUpdate> answer = follower_.AnswerRequest(request);
+  if (answer) {
+    answer->sender_rank = election_rank_;
+    return datagrams_.Send({request.reply_to}, EncodeCatalogMessage(*answer));
+  }
   std::erase_if(pending_catalog_requests_,
                 [&request](const CatalogRequest& it) { return it.reply_to == request.reply_to; });
   if (pending_catalog_requests_.size() < kMaxPendingCatalogRequests) {
@@ -333,12 +359,12 @@
   if (update.relay) {
     CatalogUpdate relayed = update;
     relayed.relay = false;
-    datagrams_.Send(same_domain_peers_, EncodeCatalogMessage(relayed));
+    datagrams_.Send(same_domain_peers_.all, EncodeCatalogMessage(relayed));
   }
   // Changes that a relay missed are missing in its whole failure domain, so the relay sends its
   // catalog requests to the sender of the update instead of to a peer in the domain.
   if (update.relay) relayed_update_sender_ = from;
-  follower_.OnUpdate(update, ElectionRank(update.sender) < ElectionRank(id_));
+  follower_.OnUpdate(update, update.sender_rank < election_rank_);
   relayed_update_sender_.reset();
   AfterCatalogStep();
 }
@@ -364,7 +390,7 @@
 
 void RoutedEntry::OnMembers() {
   all_peers_.clear();
-  same_domain_peers_.clear();
+  same_domain_peers_ = PeerGroup();
   other_domain_peers_.clear();
   std::vector<Member> schedulers;
   if (!stop_.Begun()) schedulers.push_back(members_->Self());
@@ -372,12 +398,12 @@
   for (const Member& member : members_->Live()) {
     if (member.state != MemberState::kAlive) continue;
     all_peers_.push_back(member.peer);
-    if (ElectionRank(member.id) < ElectionRank(id_)) ++rank;
+    if (ElectionRank(member.id, member.millicores) < election_rank_) ++rank;
     schedulers.push_back(member);
     if (member.failure_domain == settings_.failure_domain) {
-      same_domain_peers_.push_back(member.peer);
+      same_domain_peers_.Add(member);
     } else {
-      other_domain_peers_[member.failure_domain].push_back(member.peer);
+      other_domain_peers_[member.failure_domain].Add(member);
     }
   }
   rank_ = rank;
@@ -391,7 +417,7 @@
 // act as the store reader.
 void RoutedEntry::UpdateRank() {
   const bool stable = clock_.Now() - started_ > kUnstableTime;
-  const auto unstable_rank = static_cast<uint32_t>(1 + ElectionRank(id_) % kUnstableRanks);
+  const auto unstable_rank = static_cast<uint32_t>(1 + election_rank_ % kUnstableRanks);
   follower_.SetRank(stable ? rank_ : std::max(rank_, unstable_rank));
 }
 
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -73,8 +73,8 @@
   void LogMemberChange(const MemberChange& change);
   void LogStoreReaderChange();
   void ApplyCatalog();
-  std::vector<Endpoint> NextRelays();
-  void SendCatalogUpdate(const CatalogUpdate& update);
+  std::vector<Endpoint> NextRelays(const CatalogUpdate& update);
+  void SendCatalogUpdate(CatalogUpdate update);
   void OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update);
   void SendCatalogRequest(CatalogRequest request);
   void OnCatalogRequest(const CatalogRequest& request);
@@ -112,6 +112,7 @@
   const Clock& clock_;
   asio::io_context io_;
   EntryVmId id_;  // A new id at each start of the process.
+  uint64_t election_rank_;
   Log log_;
   Metrics metrics_;
   CatalogClient store_;
@@ -132,12 +133,22 @@
   NoVmList no_vm_list_;
   std::optional<EntryMembers> members_;
   DatagramLink datagrams_;
-  // Peer addresses of the other entry VMs that are alive: all of them, those in this failure
-  // domain, and those in each other failure domain.
+  // Peer addresses of entry VMs.
+  struct PeerGroup {
+    std::vector<Endpoint> all;
+    std::vector<Endpoint> largest;  // Those of them with the largest processor share.
+    uint32_t largest_millicores = 0;
+
+    void Add(const Member& member);
+    // The n-th choice of one of them.
+    const Endpoint& Pick(size_t n) const;
+  };
+  // The other entry VMs that are alive: all of them, those in this failure domain, and those in
+  // each other failure domain.
   std::vector<Endpoint> all_peers_;
-  std::vector<Endpoint> same_domain_peers_;
-  std::map<FailureDomainId, std::vector<Endpoint>> other_domain_peers_;
-  size_t next_relay_ = 0;  // Round-robin position in each list of other_domain_peers_.
+  PeerGroup same_domain_peers_;
+  std::map<FailureDomainId, PeerGroup> other_domain_peers_;
+  size_t next_relay_ = 0;  // Round-robin position in each group of other_domain_peers_.
   // While this entry VM applies an update that it also relays: the address that sent the update.
   // Otherwise unset.
   std::optional<Endpoint> relayed_update_sender_;
--- a/src/datagram/catalog_message.cc
+++ b/src/datagram/catalog_message.cc
@@ -17,7 +17,7 @@
 
 // A message is a MessagePack array whose first item is its kind. The numbers are part of the wire
 // format; don't reuse those of removed kinds.
-constexpr int kUpdateKind = 2;
+constexpr int kUpdateKind = 5;
 constexpr int kRequestKind = 4;
 
 json Encode(const BackendServer& server) {
@@ -104,7 +104,8 @@
           update.reaches_store,
           json::binary(std::vector<uint8_t>(update.manifest.begin(), update.manifest.end())),
           update.is_snapshot,
-          update.manifest_too_large};
+          update.manifest_too_large,
+          update.sender_rank};
 }
 
 CatalogMessage DecodeFields(const json& message) {
@@ -133,6 +134,7 @@
   update.manifest.assign(manifest.begin(), manifest.end());
   update.is_snapshot = message.at(13).get<bool>();
   update.manifest_too_large = message.at(14).get<bool>();
+  update.sender_rank = message.at(15).get<uint64_t>();
   return update;
 }
 
--- a/src/datagram/catalog_message.h
+++ b/src/datagram/catalog_message.h
@@ -22,6 +22,7 @@
 // version than `servers_base_version` has to get the servers by a CatalogRequest or from the store.
 struct CatalogUpdate {
   EntryVmId sender;
+  uint64_t sender_rank = 0;       // ElectionRank of the sender.
   bool reaches_store = false;     // The store has just answered the sender.
   uint64_t manifest_version = 0;  // Version of the manifest's table in the store.
   uint64_t revision = 0;          // Revision of the manifest in force at the sender.
--- a/src/members/gossip_message.cc
+++ b/src/members/gossip_message.cc
@@ -10,15 +10,16 @@
 
 using nlohmann::json;
 
-constexpr int kGossipVersion = 1;
+constexpr int kGossipVersion = 2;
 constexpr size_t kMaxStringLength = 128;
 constexpr size_t kMessageFields = 13;
-constexpr size_t kRecordFields = 10;
+constexpr size_t kRecordFields = 11;
 
 json ToJson(const MemberRecord& record) {
   return json::array({record.id.Text(), record.edge.ip, record.edge.port, record.peer.ip,
                       record.peer.port, record.failure_domain.Text(), record.region.Text(),
-                      record.incarnation, record.leaving, static_cast<int>(record.health)});
+                      record.millicores, record.incarnation, record.leaving,
+                      static_cast<int>(record.health)});
 }
 
 // Reads the fields of an array in order. Valid() is false if the array has another number of fields
@@ -83,6 +84,7 @@
   record.peer = reader.ReadEndpoint();
   record.failure_domain = FailureDomainId(reader.Text());
   record.region = RegionId(reader.Text());
+  record.millicores = static_cast<uint32_t>(reader.Number(UINT32_MAX));
   record.incarnation = reader.Number(INT64_MAX);
   record.leaving = reader.Boolean();
   record.health =
--- a/src/members/gossip_message.h
+++ b/src/members/gossip_message.h
@@ -32,6 +32,7 @@
   Endpoint peer;  // Address where other entry VMs connect.
   FailureDomainId failure_domain;
   RegionId region;           // Region that contains the failure domain.
+  uint32_t millicores = 0;   // Processor share.
   uint64_t incarnation = 0;  // Version of the record.
   bool leaving = false;      // Set only by the member itself.
   MemberHealth health = MemberHealth::kAlive;
--- a/src/members/member_table.cc
+++ b/src/members/member_table.cc
@@ -24,7 +24,8 @@
   MemberState state = MemberState::kAlive;
   if (record.health == MemberHealth::kSuspect) state = MemberState::kSuspect;
   if (record.leaving) state = MemberState::kLeaving;
-  return {record.id, record.edge, record.peer, record.failure_domain, record.region, state};
+  return {record.id,     record.edge, record.peer,      record.failure_domain,
+          record.region, state,       record.millicores};
 }
 
 uint64_t MemberTable::DigestOf(const MemberRecord& record) {
--- a/src/members/membership.cc
+++ b/src/members/membership.cc
@@ -39,7 +39,7 @@
       next_dead_retry_(now),
       next_seed_retry_(now),
       last_change_(now) {
-  self_ = {self.id, self.edge, self.peer, self.failure_domain, self.region};
+  self_ = {self.id, self.edge, self.peer, self.failure_domain, self.region, self.millicores};
   self_.incarnation = 1;
 }
 
--- a/src/members/peer.h
+++ b/src/members/peer.h
@@ -27,6 +27,7 @@
   FailureDomainId failure_domain;
   RegionId region;
   MemberState state = MemberState::kAlive;
+  uint32_t millicores = 0;  // Processor share.
 };
 
 // Kinds of messages between entry VMs. The values are part of the wire format; never reuse one.
--- a/src/schedule/scheduler_order.h
+++ b/src/schedule/scheduler_order.h
@@ -1,7 +1,8 @@
-// Which entry VMs schedule a cell: those of the cell's failure domain, in an order by rendezvous
-// hashing that all entry VMs with the same members agree on. The first one, the primary, schedules
-// the cell; the others are backups for the time in which it is unresponsive. A cell whose failure
-// domain has no entry VMs is scheduled by entry VMs of any failure domain.
+// Which entry VMs schedule a cell: those of the cell's failure domain, the ones with the largest
+// processor share first and among equals by rendezvous hashing, so that all entry VMs with the same
+// members agree on the order. The first one, the primary, schedules the cell; the others are
+// backups for the time in which it is unresponsive. A cell whose failure domain has no entry VMs is
+// scheduled by entry VMs of any failure domain.
 
 #ifndef COWSLIPHILL_SCHEDULE_SCHEDULER_ORDER_H_
 #define COWSLIPHILL_SCHEDULE_SCHEDULER_ORDER_H_
@@ -11,6 +12,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -48,14 +50,14 @@
     const bool has_local = std::any_of(members_.begin(), members_.end(), [&cell](const Member& it) {
       return it.failure_domain == cell.failure_domain;
     });
-    std::vector<std::pair<uint64_t, Endpoint>> weighted;
+    std::vector<std::tuple<uint32_t, uint64_t, Endpoint>> weighted;
     for (const Member& member : members_) {
       if (has_local && member.failure_domain != cell.failure_domain) continue;
-      weighted.emplace_back(Weight(name, member), member.peer);
+      weighted.emplace_back(member.millicores, Weight(name, member), member.peer);
     }
     std::sort(weighted.begin(), weighted.end(), std::greater<>());
     std::vector<Endpoint> order;
-    for (const auto& [weight, peer] : weighted) {
+    for (const auto& [millicores, weight, peer] : weighted) {
       if (order.size() == kMaxSchedulers) break;
       order.push_back(peer);
     }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kMaxTimeout{86400000};
 constexpr size_t kMinTokenLength = 16;
 constexpr int64_t kMaxCount = 1000000;
+constexpr double kMinCapacity = 0.001;  // In cores.
+constexpr double kMaxCapacity = 60;
 
 bool IsLoopback(const Endpoint& endpoint) {
   return endpoint.ip.rfind("127.", 0) == 0 || endpoint.ip == "::1";
@@ -172,6 +174,7 @@
   Settings settings;
   settings.failure_domain = FailureDomainId(root.RequiredText("place"));
   settings.region = RegionId(root.Text("region", settings.failure_domain.Text()));
+  settings.capacity = root.Number("capacity", settings.capacity, kMinCapacity, kMaxCapacity);
   settings.manifest_file = root.Text("manifest_file", "");
   settings.stop_timeout = ReadTimeout(root, "stop_timeout_ms", settings.stop_timeout);
   settings.edge = ReadEdge(root.Table("edge"));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -103,6 +103,8 @@
 struct Settings {
   FailureDomainId failure_domain;  // Failure domain of this VM; required.
   RegionId region;            // Region of that failure domain; default: the failure domain's name.
+  double capacity = 1.0;      // Processor share of this VM, in cores. Duties for other entry VMs
+                              // go to those that have most.
   std::string manifest_file;  // Path of the initial manifest; only with platform kind "memory".
   std::chrono::milliseconds stop_timeout{3600000};  // Limit on the duration of a graceful stop.
   EdgeSettings edge;
