The order of schedulers is computed from the largest entry VMs only

With hundreds of members each order hashed and sorted all of them, for each cell and after each change. Now those that can't be among the first three are left out once for each change of members.

--- a/src/schedule/scheduler_order.h
+++ b/src/schedule/scheduler_order.h
@@ -27,9 +27,17 @@
   static constexpr size_t kMaxSchedulers = 3;
 
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
-  void SetMembers(std::vector<Member> members) {
-    members_ = std::move(members);
+  void SetMembers(const std::vector<Member>& members) {
     orders_.clear();
+    candidates_.clear();
+    std::vector<Candidate> all;
+    for (const Member& member : members) {
+      const Candidate candidate{member.millicores, member.id, member.peer};
+      candidates_[member.failure_domain].push_back(candidate);
+      all.push_back(candidate);
+    }
+    candidates_[FailureDomainId()] = std::move(all);
+    for (auto& [failure_domain, candidates] : candidates_) KeepLargest(candidates);
   }
 
   // Peer addresses of the cell's schedulers, the primary first; at most kMaxSchedulers.
@@ -40,31 +48,45 @@
   }
 
  private:
-  static uint64_t Weight(const std::string& cell, const Member& member) {
-    const uint64_t seed = XXH3_64bits(cell.data(), cell.size());
-    return XXH3_64bits_withSeed(member.id.Text().data(), member.id.Text().size(), seed);
+  struct Candidate {
+    uint32_t millicores = 0;
+    EntryVmId id;
+    Endpoint peer;
+  };
+
+  // Drops those that are smaller than kMaxSchedulers others.
+  static void KeepLargest(std::vector<Candidate>& candidates) {
+    if (candidates.size() <= kMaxSchedulers) return;
+    const auto last = candidates.begin() + (kMaxSchedulers - 1);
+    std::nth_element(
+        candidates.begin(), last, candidates.end(),
+        [](const Candidate& a, const Candidate& b) { return a.millicores > b.millicores; });
+    const uint32_t smallest = last->millicores;
+    std::erase_if(candidates, [smallest](const Candidate& it) { return it.millicores < smallest; });
   }
 
   std::vector<Endpoint> Order(const CellId& cell) const {
     const std::string name = cell.service.Text() + "/" + cell.failure_domain.Text();
-    const bool has_local = std::any_of(members_.begin(), members_.end(), [&cell](const Member& it) {
-      return it.failure_domain == cell.failure_domain;
-    });
+    const uint64_t seed = XXH3_64bits(name.data(), name.size());
+    auto local = candidates_.find(cell.failure_domain);
+    if (local == candidates_.end()) local = candidates_.find(FailureDomainId());
     std::vector<std::tuple<uint32_t, uint64_t, Endpoint>> weighted;
-    for (const Member& member : members_) {
-      if (has_local && member.failure_domain != cell.failure_domain) continue;
-      weighted.emplace_back(member.millicores, Weight(name, member), member.peer);
+    if (local == candidates_.end()) return {};
+    for (const Candidate& it : local->second) {
+      const std::string& id = it.id.Text();
+      weighted.emplace_back(it.millicores, XXH3_64bits_withSeed(id.data(), id.size(), seed),
+                            it.peer);
     }
-    std::sort(weighted.begin(), weighted.end(), std::greater<>());
+    const size_t n = std::min(weighted.size(), kMaxSchedulers);
+    std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(n),
+                      weighted.end(), std::greater<>());
     std::vector<Endpoint> order;
-    for (const auto& [millicores, weight, peer] : weighted) {
-      if (order.size() == kMaxSchedulers) break;
-      order.push_back(peer);
-    }
+    for (size_t i = 0; i < n; ++i) order.push_back(std::get<Endpoint>(weighted[i]));
     return order;
   }
 
-  std::vector<Member> members_;
+  // Those that may schedule the cells of a failure domain; under an empty one, of any.
+  std::map<FailureDomainId, std::vector<Candidate>> candidates_;
   std::map<CellId, std::vector<Endpoint>> orders_;  // Orders computed since SetMembers.
 };
 
