Changes of members are passed on in batches

When hundreds of entry VMs start at once, each learned of the others one by one, and each time rebuilt its lists of all members, the order of schedulers and the rank of the store reader: work that grows with the square of the fleet.

Room for 4,096 members in place of 1,024, and unused connections to others are closed after 30 s in place of 180: among hundreds a connection is seldom used twice, and each costs memory at both ends.

--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -191,7 +191,7 @@
   follower_->Subscribe([this](const ManifestPtr& manifest) { OnManifest(manifest); });
   keeper_.emplace(platform_, platform_, on_loop_, on_worker_, clock_, *follower_);
   records_.emplace(peers_, platform_, clock_, seed_, id_, settings_.failure_domain);
-  members_->Subscribe([this](const MemberChange&) { OnMembers(); });
+  members_->Subscribe([this](const std::vector<MemberChange>&) { OnMembers(); });
   OnMembers();
 }
 
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -206,8 +206,8 @@
   MembersOptions options;
   options.seed = context_.ids.prefix;
   members_.emplace(io_, clock_, peers_, no_vm_list_, membership, self, options);
-  members_->Subscribe([this](const MemberChange& change) {
-    LogMemberChange(change);
+  members_->Subscribe([this](const std::vector<MemberChange>& changes) {
+    for (const MemberChange& change : changes) LogMemberChange(change);
     OnMembers();
   });
   OnMembers();
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -2,7 +2,7 @@
 // transport, answers lookups, and notifies listeners when members join, change or leave.
 //
 //   Members members(loop, clock, peer_node, platform, membership_config, self, options);
-//   members.Subscribe([](const MemberChange& change) { ... });
+//   members.Subscribe([](const std::vector<MemberChange>& changes) { ... });
 //   LookupAnswer answer = members.Lookup({.caller = ip}, manifest.entry.lookup_lifetime);
 //
 // For a graceful stop, call SetLeaving(), keep serving for LeaveDelay(lookup_lifetime) and until
@@ -35,6 +35,9 @@
   uint64_t seed = 1;  // Seeds the random choices; must differ per process.
 };
 
+// Shortest time between two updates of the list of members.
+inline constexpr std::chrono::milliseconds kMinRefreshInterval{100};
+
 // Upper bound on the time until every entry VM knows that another one is leaving.
 inline constexpr std::chrono::milliseconds kLeavePropagationTime{2000};
 
@@ -57,7 +60,8 @@
         vm_list_source_(vm_list_source),
         options_(options),
         membership_(std::move(config), self, options.seed, clock.Now()),
-        timer_(loop, clock, [this] { Tick(); }) {
+        timer_(loop, clock, [this] { Tick(); }),
+        refresh_timer_(loop, clock, [this] { RefreshIfDue(); }) {
     live_and_self_.push_back(self);
     timer_.WakeBy(clock_.Now());
     transport_.Handle(
@@ -93,8 +97,10 @@
             LookupLifetime(manifest_lifetime, unstable)};
   }
 
-  // `listener` is called on each change, after Live() has been updated.
-  void Subscribe(std::function<void(const MemberChange&)> listener) {
+  // `listener` gets the changes since its last call, after Live() has been updated: at once, but at
+  // most once in kMinRefreshInterval. Hundreds of entry VMs that start together would otherwise
+  // cause as many updates of the whole list.
+  void Subscribe(std::function<void(const std::vector<MemberChange>&)> listener) {
     listeners_.push_back(std::move(listener));
   }
 
@@ -136,10 +142,10 @@
       if (auto* send = std::get_if<SendGossip>(&action)) {
         SendRequest(std::move(*send));
       } else {
-        Refresh();
-        for (const auto& listener : listeners_) listener(std::get<MemberChange>(action));
+        changes_.push_back(std::get<MemberChange>(std::move(action)));
       }
     }
+    RefreshIfDue();
     timer_.WakeBy(membership_.NextTick(clock_.Now()));
   }
 
@@ -157,6 +163,16 @@
                        });
   }
 
+  void RefreshIfDue() {
+    if (changes_.empty()) return;
+    const MonotonicTime now = clock_.Now();
+    if (now < next_refresh_) return refresh_timer_.WakeBy(next_refresh_);
+    next_refresh_ = now + kMinRefreshInterval;
+    Refresh();
+    const std::vector<MemberChange> changes = std::exchange(changes_, {});
+    for (const auto& listener : listeners_) listener(changes);
+  }
+
   void Refresh() {
     live_ = membership_.Live();
     live_and_self_ = live_;
@@ -170,11 +186,14 @@
   Membership membership_;
   std::vector<Member> live_;           // Other live members as of the last change.
   std::vector<Member> live_and_self_;  // live_ and this entry VM, for lookups.
-  std::vector<std::function<void(const MemberChange&)>> listeners_;
+  std::vector<MemberChange> changes_;  // Since the listeners were last called.
+  MonotonicTime next_refresh_{};       // Earliest time of the next call of the listeners.
+  std::vector<std::function<void(const std::vector<MemberChange>&)>> listeners_;
   MonotonicTime next_vm_list_;  // When the VM list is read next; at once on the first tick.
   bool reading_vm_list_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // Expires with this object.
   WakeTimer timer_;
+  WakeTimer refresh_timer_;
 };
 
 }  // namespace cowsliphill
--- a/src/members/membership.h
+++ b/src/members/membership.h
@@ -50,7 +50,7 @@
   uint32_t pushes_per_period = 6;               // Maximum number of pushes per period.
   uint32_t changes_per_message = 6;  // Maximum number of changes piggybacked on a message.
   uint32_t page_records = 8;    // Maximum number of records in a page besides the sender's own.
-  uint32_t max_members = 1024;  // Maximum number of records; more are refused and counted.
+  uint32_t max_members = 4096;  // Maximum number of records; more are refused and counted.
   std::vector<Endpoint> seeds;  // Peer addresses to ping to find the first members.
 };
 
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -36,7 +36,9 @@
                                                      // retransmits the first packet to a machine
                                                      // that is off.
   std::chrono::milliseconds timeout_resolution{50};  // A timeout may be noticed this much later.
-  std::chrono::milliseconds idle_timeout{180000};  // Unused connections are closed after this time.
+  // Unused connections are closed after this time. Among hundreds of entry VMs a connection is
+  // seldom used again, and each costs memory at both ends.
+  std::chrono::milliseconds idle_timeout{30000};
   std::chrono::milliseconds initial_backoff{100};  // After a failed connect; doubles each time.
   std::chrono::milliseconds max_backoff{1000};     // Upper bound of the backoff.
   uint32_t max_payload_bytes = 1 << 20;            // Maximum size of a request or reply.
