Changes of backend servers are applied in place of whole lists

Each change of one server made every entry VM rebuild what it keeps for each of 1,080 servers: balancer, scheduler, planner, probe targets, poisoned requests. The list changes several times a second.

ServerList now says what changed; the others apply that. A random test compares copies that follow the changes with the list (ServerListTest), and tests of the balancer and the scheduler go through it.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -71,32 +71,65 @@
   return *cell;
 }
 
-void Balancer::Apply(const std::vector<BackendServer>& servers, const CellMap& cells,
-                     MonotonicTime now) {
-  for (auto& [id, cell] : cells_) cell->servers.clear();
-  for (auto& [id, server] : servers_) server->listed = false;
-  for (const BackendServer& config : servers) {
-    auto& server = servers_[config.id];
-    const bool restarted = server && server->config.started != config.started;
-    if (!server) server = std::make_unique<Server>();
-    if (restarted) {
-      // The state of the previous process with this id does not apply to the new one.
-      server->load = ServerLoad();
-      server->health = ServerHealth();
-      UpdateLimit(*server, [](ServerLimit& limit) { limit = ServerLimit(); });
-      server->leaving = false;
-    }
-    const bool is_new = server->config.id.Empty() || restarted;
-    server->config = config;
-    server->listed = true;
-    if (is_new) server->warmup_end = now + config.warmup;
-    if (config.state == BackendState::kLeaving) server->leaving = true;
-    server->cell = &FindOrCreateCell(cells.CellOf(config.service, config.failure_domain));
-    if (!server->leaving) server->cell->servers.push_back(server.get());
+void Balancer::Apply(const ServerChanges& changes, const CellMap& cells, MonotonicTime now) {
+  for (const BackendServer& config : changes.removed) {
+    const auto it = servers_.find(config.id);
+    if (it == servers_.end()) continue;
+    it->second->listed = false;
+    RemoveFromCell(*it->second);
   }
-  std::erase_if(servers_, [](const auto& item) {
-    return !item.second->listed && item.second->open_requests.empty();
-  });
+  for (const ServerChange& change : changes.changed) Put(change.server, cells, now);
+  for (const BackendServer& config : changes.removed) {
+    const auto it = servers_.find(config.id);
+    if (it == servers_.end() || it->second->listed) continue;  // It has moved to another cell.
+    if (it->second->open_requests.empty()) servers_.erase(it);
+  }
+}
+
+void Balancer::Put(const BackendServer& config, const CellMap& cells, MonotonicTime now) {
+  auto& server = servers_[config.id];
+  const bool restarted = server && server->config.started != config.started;
+  const bool is_new = !server || restarted;
+  if (!server) server = std::make_unique<Server>();
+  if (restarted) {
+    // The state of the previous process with this id does not apply to the new one.
+    server->load = ServerLoad();
+    server->health = ServerHealth();
+    UpdateLimit(*server, [](ServerLimit& limit) { limit = ServerLimit(); });
+    server->leaving = false;
+  }
+  RemoveFromCell(*server);
+  server->config = config;
+  server->listed = true;
+  if (is_new) server->warmup_end = now + config.warmup;
+  if (config.state == BackendState::kLeaving) server->leaving = true;
+  AddToCell(*server, cells);
+}
+
+void Balancer::AddToCell(Server& server, const CellMap& cells) {
+  const BackendServer& config = server.config;
+  server.cell = &FindOrCreateCell(cells.CellOf(config.service, config.failure_domain));
+  if (!server.leaving) server.cell->servers.push_back(&server);
+}
+
+void Balancer::RemoveFromCell(Server& server) {
+  if (server.cell != nullptr) std::erase(server.cell->servers, &server);
+}
+
+void Balancer::Regroup(const CellMap& cells) {
+  for (auto& [id, server] : servers_) {
+    if (!server->listed) continue;
+    RemoveFromCell(*server);
+    AddToCell(*server, cells);
+  }
+}
+
+std::vector<BackendServer> Balancer::Servers() const {
+  std::vector<BackendServer> servers;
+  for (const auto& [id, server] : servers_) {
+    if (server->listed) servers.push_back(server->config);
+  }
+  return servers;
 }
 
 ServiceTimeEstimate& Balancer::ServiceTimeOf(Cell& cell, const AssignmentRequest& spec,
@@ -495,6 +528,7 @@
   if (Server* server = it->second.server) {
     server->load.OnAssignmentEnded(it->second.assigned_at);
     std::erase(server->open_requests, id);
+    if (!server->listed && server->open_requests.empty()) servers_.erase(server->config.id);
   }
   requests_.erase(it);
 }
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -95,8 +95,11 @@
   Balancer(const Balancer&) = delete;
   Balancer& operator=(const Balancer&) = delete;
 
-  // Replaces the list of servers; the state of servers that stay is kept.
-  void Apply(const std::vector<BackendServer>& servers, const CellMap& cells, MonotonicTime now);
+  void Apply(const ServerChanges& changes, const CellMap& cells, MonotonicTime now);
+  // Puts each server into its cell again, after CellMap::Apply has returned true.
+  void Regroup(const CellMap& cells);
+  // The servers that are in the list.
+  std::vector<BackendServer> Servers() const;
 
   // Moves the target of a request that its caller retries back to the target of the first try. To
   // be called once for each attempt, before any other call for it.
@@ -173,6 +176,9 @@
   };
   using Candidates = std::vector<Candidate>;
   Cell& FindOrCreateCell(const CellId& id);
+  void Put(const BackendServer& config, const CellMap& cells, MonotonicTime now);
+  void AddToCell(Server& server, const CellMap& cells);
+  static void RemoveFromCell(Server& server);
   Candidate Evaluate(Server& server, MonotonicTime now) const;
   Candidates FreeCandidates(const Cell& cell, MonotonicTime now) const;
   static uint32_t SlotsOf(const Server& server);
--- a/src/balance/balancer_test.cc
+++ b/src/balance/balancer_test.cc
@@ -10,6 +10,8 @@
 #include <memory>
 #include <set>
 
+#include "tests/listed_servers.h"
+
 namespace cowsliphill {
 namespace {
 
@@ -378,6 +380,7 @@
   // host.
   void Assign_NoReportsYet_WaitsForProbes() {
     balancer_ = std::make_unique<Balancer>(1);
+    listed_ = ListedServers();
     Apply();
     CPPUNIT_ASSERT(std::holds_alternative<Queued>(Assign()));
     const auto servers_to_probe = balancer_->TakeServersToProbe();
@@ -402,6 +405,7 @@
       std::vector<BackendServer> all;
       for (size_t i = 0; i < n; ++i) {
         BackendServer server;
+        server.id = BackendServerId("s" + std::to_string(i));
         server.service = ServiceId("service");
         server.failure_domain = FailureDomainId(i % 2 == 0 ? "here" : "there");
         all.push_back(server);
@@ -409,11 +413,11 @@
       return all;
     };
     const size_t few = 2 * CellMap::kMinPerFailureDomain;
-    CPPUNIT_ASSERT(CellMap(servers(few - 1))
+    CPPUNIT_ASSERT(CellsOf(servers(few - 1))
                        .CellOf(ServiceId("service"), FailureDomainId("here"))
                        .failure_domain.Empty());
     CPPUNIT_ASSERT_EQUAL(std::string("here"),
-                         CellMap(servers(few))
+                         CellsOf(servers(few))
                              .CellOf(ServiceId("service"), FailureDomainId("here"))
                              .failure_domain.Text());
   }
@@ -431,6 +435,7 @@
  private:
   void SetUpServers(size_t n) {
     balancer_ = std::make_unique<Balancer>(1);
+    listed_ = ListedServers();
     servers_.clear();
     for (size_t i = 0; i < n; ++i) {
       BackendServer server;
@@ -445,7 +450,7 @@
     for (const auto& server : servers_) SendReport(server.id.Text(), 0, 1.0);
   }
   // The servers are so few that they form one cell, whatever their failure domains.
-  void Apply() { balancer_->Apply(servers_, CellMap(servers_), now_); }
+  void Apply() { listed_.Apply(servers_, *balancer_, now_); }
   void SendReport(const std::string& server, uint32_t in_flight, double slowdown) {
     Report report;
     report.in_flight = in_flight;
@@ -491,7 +496,7 @@
     return request;
   }
   FailureDomainId CellFailureDomain() const {
-    return CellMap(servers_).CellOf(ServiceId("service"), FailureDomainId("here")).failure_domain;
+    return CellsOf(servers_).CellOf(ServiceId("service"), FailureDomainId("here")).failure_domain;
   }
   Assignment Assign() { return balancer_->Assign(Request(), now_); }
   static std::string ServerOf(const Assignment& assignment) {
@@ -504,6 +509,7 @@
 
   std::unique_ptr<Balancer> balancer_;
   std::vector<BackendServer> servers_;
+  ListedServers listed_;
   MonotonicTime now_;
   MonotonicTime first_step_;
   AssignmentId next_id_ = 1;
--- a/src/balance/cell_map.h
+++ b/src/balance/cell_map.h
@@ -7,10 +7,9 @@
 
 #include <map>
 #include <set>
-#include <vector>
 
 #include "src/balance/assignment.h"
-#include "src/manifest/manifest.h"
+#include "src/manifest/server_changes.h"
 
 namespace cowsliphill {
 
@@ -19,17 +18,30 @@
   // Mean number of servers per failure domain below which all servers of a service are one cell.
   static constexpr size_t kMinPerFailureDomain = 5;
 
-  CellMap() = default;
-  explicit CellMap(const std::vector<BackendServer>& servers) {
-    std::map<ServiceId, std::set<FailureDomainId>> failure_domains;
-    std::map<ServiceId, size_t> count;
-    for (const BackendServer& server : servers) {
-      failure_domains[server.service].insert(server.failure_domain);
-      ++count[server.service];
+  // Returns whether other servers than the changed ones are in another cell now.
+  bool Apply(const ServerChanges& changes) {
+    std::set<ServiceId> touched;
+    for (const BackendServer& server : changes.removed) {
+      auto& failure_domains = counts_[server.service];
+      const auto it = failure_domains.find(server.failure_domain);
+      if (it != failure_domains.end() && --it->second == 0) failure_domains.erase(it);
+      touched.insert(server.service);
     }
-    for (const auto& [service, n] : count) {
-      if (n < kMinPerFailureDomain * failure_domains[service].size()) single_cell_.insert(service);
+    for (const ServerChange& change : changes.changed) {
+      if (change.kind != ServerChange::Kind::kAdded) continue;
+      ++counts_[change.server.service][change.server.failure_domain];
+      touched.insert(change.server.service);
     }
+    bool regrouped = false;
+    for (const ServiceId& service : touched) {
+      const bool was_single = single_cell_.count(service) > 0;
+      const bool is_single = HasFewServers(service);
+      if (is_single == was_single) continue;
+      regrouped = true;
+      is_single ? static_cast<void>(single_cell_.insert(service))
+                : static_cast<void>(single_cell_.erase(service));
+    }
+    return regrouped;
   }
 
   // Returns the cell of the service's servers in the failure domain. The CellId has an empty
@@ -39,6 +51,15 @@
   }
 
  private:
+  bool HasFewServers(const ServiceId& service) const {
+    const auto it = counts_.find(service);
+    if (it == counts_.end()) return false;
+    size_t servers = 0;
+    for (const auto& [failure_domain, n] : it->second) servers += n;
+    return servers < kMinPerFailureDomain * it->second.size();
+  }
+
+  std::map<ServiceId, std::map<FailureDomainId, size_t>> counts_;  // Of servers.
   std::set<ServiceId> single_cell_;  // Services whose servers form one cell.
 };
 
--- a/src/balance/server_limit_test.cc
+++ b/src/balance/server_limit_test.cc
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "src/balance/balancer.h"
+#include "tests/listed_servers.h"
 
 namespace cowsliphill {
 namespace {
@@ -32,6 +33,7 @@
     limit_ = ServerLimit();
     balancer_ = std::make_unique<Balancer>(1);
     servers_.clear();
+    listed_ = ListedServers();
     for (const char* name : {"s0", "s1"}) {
       BackendServer server;
       server.id = BackendServerId(name);
@@ -39,7 +41,7 @@
       server.slots = 3;
       servers_.push_back(server);
     }
-    balancer_->Apply(servers_, CellMap(servers_), now_);
+    listed_.Apply(servers_, *balancer_, now_);
     for (const BackendServer& server : servers_) SendReport(server.id, std::nullopt);
   }
 
@@ -107,7 +109,7 @@
     SendReport(BackendServerId("s0"), 1);
     CPPUNIT_ASSERT_EQUAL(size_t{1}, balancer_->LimitsOf(kCell, now_).size());
     ++servers_[0].started;
-    balancer_->Apply(servers_, CellMap(servers_), now_);
+    listed_.Apply(servers_, *balancer_, now_);
     CPPUNIT_ASSERT_EQUAL(size_t{0}, balancer_->LimitedServers());
   }
 
@@ -159,6 +161,7 @@
   AssignmentId next_id_ = 1;
   ServerLimit limit_;
   std::unique_ptr<Balancer> balancer_;
+  ListedServers listed_;
   std::vector<BackendServer> servers_;
 };
 
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -25,7 +25,7 @@
 
 struct CatalogListener {
   std::function<void(const std::shared_ptr<const Manifest>&)> on_manifest;
-  std::function<void(const std::vector<BackendServer>&)> on_servers;
+  std::function<void(const ServerChanges&)> on_servers;
   // Sends the update to all other entry VMs.
   std::function<void(const CatalogUpdate&)> send_update;
   // Sends the request to one other entry VM, a different one each time. The callee fills in
@@ -68,7 +68,7 @@
     const MonotonicTime now = clock_.Now();
     RunManifestStep(manifest_watch_.Next(ManifestRank(), now));
     RunServersStep(servers_watch_.Next(rank_, now));
-    if (servers_.RemoveUnlisted(RecentOutage(now), now)) listener_.on_servers(servers_.All());
+    Report(servers_.RemoveUnlisted(RecentOutage(now)));
   }
 
   // When Tick must be called next, unless a call to the store ends or an update arrives before.
@@ -157,12 +157,12 @@
   static constexpr size_t kMaxManifestBytesInUpdate = 30000;
 
   // The changes of servers since `base_version` from one answer of the store or one update.
-  struct ServerChanges {
+  struct RetainedChanges {
     uint64_t base_version = 0;
     std::vector<BackendServer> changed;
     std::vector<BackendServerId> removed;
   };
-  void RetainChanges(ServerChanges changes) {
+  void RetainChanges(RetainedChanges changes) {
     recent_changes_.push_back(std::move(changes));
     if (recent_changes_.size() > kRetainedChanges) recent_changes_.pop_front();
   }
@@ -328,8 +328,10 @@
   void ApplyServers(const ServersAnswer& answer, MonotonicTime now) {
     const bool nothing = answer.changed.empty() && answer.removed.empty() && !answer.is_snapshot;
     if (nothing) return;
-    servers_.Apply(answer, RecentOutage(now), now);
-    listener_.on_servers(servers_.All());
+    Report(servers_.Apply(answer, RecentOutage(now), now));
+  }
+  void Report(const ServerChanges& changes) const {
+    if (!changes.Empty()) listener_.on_servers(changes);
   }
 
   void OnStoreFailure(const char* table, const char* call, TableWatch& watch,
@@ -373,7 +375,7 @@
   }
 
   // Adds the changes to the update. They replace earlier changes of the same servers in it.
-  static void MergeChanges(const ServerChanges& changes, CatalogUpdate& update) {
+  static void MergeChanges(const RetainedChanges& changes, CatalogUpdate& update) {
     for (const BackendServer& server : changes.changed) {
       std::erase(update.removed, server.id);
       std::erase_if(update.changed, [&](const BackendServer& it) { return it.id == server.id; });
@@ -393,7 +395,7 @@
     update.reaches_store = reaches_store;
     update.servers_base_version =
         recent_changes_.empty() ? update.servers_version : recent_changes_.front().base_version;
-    for (const ServerChanges& changes : recent_changes_) MergeChanges(changes, update);
+    for (const RetainedChanges& changes : recent_changes_) MergeChanges(changes, update);
     if (update.changed.size() + update.removed.size() > kMaxServersInUpdate) {
       update.changed.clear();
       update.removed.clear();
@@ -418,7 +420,7 @@
   std::string manifest_bytes_;                 // manifest_ encoded; empty until it is needed.
   size_t manifest_transmissions_left_ = 0;     // Number of updates that will still carry manifest_.
   std::optional<MonotonicTime> last_request_;  // When a request was last sent to a peer.
-  std::deque<ServerChanges> recent_changes_;   // The last kRetainedChanges changes, oldest first.
+  std::deque<RetainedChanges> recent_changes_;  // The last kRetainedChanges changes, oldest first.
   uint32_t rank_ = 0;
   bool manifest_calls_fail_ = false;
   bool servers_calls_fail_ = false;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -69,7 +69,7 @@
     listener.on_manifest = [this](const auto& manifest) {
       revisions_.push_back(manifest->revision);
     };
-    listener.on_servers = [this](const auto& servers) { servers_ = servers; };
+    listener.on_servers = [this](const ServerChanges& changes) { Apply(changes); };
     listener.send_update = [this](const CatalogUpdate& update) { sent_updates_.push_back(update); };
     listener.send_request = [this](const CatalogRequest&) { ++peer_requests_; };
     listener.on_store_call_ended = [] {};
@@ -387,6 +387,18 @@
     update.changed = std::move(servers);
     return update;
   }
+  void Apply(const ServerChanges& changes) {
+    const auto erase = [this](const BackendServerId& id) {
+      std::erase_if(servers_, [&id](const BackendServer& it) { return it.id == id; });
+    };
+    for (const BackendServer& server : changes.removed) erase(server.id);
+    for (const ServerChange& change : changes.changed) {
+      erase(change.server.id);
+      servers_.push_back(change.server);
+    }
+    std::sort(servers_.begin(), servers_.end(),
+              [](const BackendServer& a, const BackendServer& b) { return a.id < b.id; });
+  }
   static BackendServer MakeServer(const std::string& id) {
     BackendServer server;
     server.id = BackendServerId(id);
--- a/src/catalog/server_list.h
+++ b/src/catalog/server_list.h
@@ -10,12 +10,14 @@
 #ifndef COWSLIPHILL_CATALOG_SERVER_LIST_H_
 #define COWSLIPHILL_CATALOG_SERVER_LIST_H_
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <vector>
 
 #include "src/base/clock.h"
 #include "src/catalog/catalog.h"
+#include "src/manifest/server_changes.h"
 
 namespace cowsliphill {
 
@@ -25,30 +27,32 @@
   static constexpr std::chrono::milliseconds kRejoinWindow{2200};
   static constexpr size_t kMaxDeparted = 10000;  // Removed servers that are remembered as leaving.
 
-  // `recent_outage`: the store is unreachable, or was so less than kRejoinWindow ago.
-  void Apply(const ServersAnswer& answer, bool recent_outage, MonotonicTime now) {
+  // Returns what changed. `recent_outage`: the store is unreachable, or was so less than
+  // kRejoinWindow ago.
+  ServerChanges Apply(const ServersAnswer& answer, bool recent_outage, MonotonicTime now) {
+    ServerChanges changes;
     std::set<BackendServerId> listed;
     for (const BackendServer& server : answer.changed) {
-      listed.insert(server.id);
-      Put(server);
+      if (answer.is_snapshot) listed.insert(server.id);
+      Put(server, changes);
     }
-    for (const BackendServerId& id : answer.removed) Remove(id, recent_outage, now);
-    if (!answer.is_snapshot) return;
+    for (const BackendServerId& id : answer.removed) Remove(id, recent_outage, now, changes);
+    if (!answer.is_snapshot) return changes;
     std::vector<BackendServerId> missing;
     for (const auto& [id, server] : servers_) {
       if (listed.count(id) == 0) missing.push_back(id);
     }
-    for (const BackendServerId& id : missing) Remove(id, recent_outage, now);
+    for (const BackendServerId& id : missing) Remove(id, recent_outage, now, changes);
+    return changes;
   }
 
-  // Removes the servers that the store no longer lists, unless there was a recent outage. Returns
-  // whether any were removed.
-  bool RemoveUnlisted(bool recent_outage, MonotonicTime now) {
-    if (recent_outage) return false;
-    const size_t before = servers_.size();
-    for (const auto& [id, since] : unlisted_) Erase(id);
+  // Removes the servers that the store no longer lists, unless there was a recent outage.
+  ServerChanges RemoveUnlisted(bool recent_outage) {
+    ServerChanges changes;
+    if (recent_outage) return changes;
+    for (const auto& [id, since] : unlisted_) Erase(id, changes);
     unlisted_.clear();
-    return servers_.size() != before;
+    return changes;
   }
 
   std::vector<BackendServer> All() const {
@@ -69,37 +73,62 @@
   bool HasUnlisted() const { return !unlisted_.empty(); }
 
  private:
-  void Put(const BackendServer& server) {
+  void Put(const BackendServer& server, ServerChanges& changes) {
     unlisted_.erase(server.id);
-    const auto it = servers_.find(server.id);
+    auto it = servers_.find(server.id);
+    const bool moved = it != servers_.end() && (it->second.service != server.service ||
+                                                it->second.failure_domain != server.failure_domain);
+    if (moved) {
+      ReportRemoval(it->second, changes);
+      servers_.erase(it);
+      it = servers_.end();
+    }
     if (it == servers_.end()) {
       BackendServer& added = servers_.emplace(server.id, server).first->second;
       const auto departed = departed_.find(server.id);
       const bool has_left = departed != departed_.end() && departed->second == server.started;
       if (has_left) added.state = BackendState::kLeaving;
+      changes.changed.push_back({ServerChange::Kind::kAdded, added});
       return;
     }
-    const bool same_lifetime = it->second.started == server.started;
-    const bool was_leaving = it->second.state == BackendState::kLeaving;
+    const BackendServer before = it->second;
+    const bool was_leaving = before.state == BackendState::kLeaving;
     it->second = server;
     // A server that is leaving becomes active again only by a restart.
-    if (same_lifetime && was_leaving) it->second.state = BackendState::kLeaving;
+    const bool reborn = before.started != server.started;
+    if (!reborn && was_leaving) it->second.state = BackendState::kLeaving;
+    if (it->second == before) return;
+    const bool is_leaving = it->second.state == BackendState::kLeaving;
+    changes.changed.push_back({reborn                       ? ServerChange::Kind::kReborn
+                               : is_leaving && !was_leaving ? ServerChange::Kind::kLeaving
+                                                            : ServerChange::Kind::kOther,
+                               it->second});
   }
-  void Remove(const BackendServerId& id, bool recent_outage, MonotonicTime now) {
+  void Remove(const BackendServerId& id, bool recent_outage, MonotonicTime now,
+              ServerChanges& changes) {
     if (recent_outage) {
       if (servers_.count(id) > 0) unlisted_.emplace(id, now);
     } else {
-      Erase(id);
+      Erase(id, changes);
       unlisted_.erase(id);
     }
   }
-  void Erase(const BackendServerId& id) {
+  // The server may have been added or changed by the same answer.
+  static void ReportRemoval(const BackendServer& server, ServerChanges& changes) {
+    const auto is_same = [&server](const ServerChange& it) { return it.server.id == server.id; };
+    const auto first = std::find_if(changes.changed.begin(), changes.changed.end(), is_same);
+    const bool is_new = first != changes.changed.end() && first->kind == ServerChange::Kind::kAdded;
+    std::erase_if(changes.changed, is_same);
+    if (!is_new) changes.removed.push_back(server);
+  }
+  void Erase(const BackendServerId& id, ServerChanges& changes) {
     const auto it = servers_.find(id);
     if (it == servers_.end()) return;
     if (it->second.state == BackendState::kLeaving) {
       if (departed_.size() >= kMaxDeparted) departed_.clear();
       departed_[id] = it->second.started;
     }
+    ReportRemoval(it->second, changes);
     servers_.erase(it);
   }
 
--- a/src/catalog/server_list_test.cc
+++ b/src/catalog/server_list_test.cc
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <random>
+
 namespace cowsliphill {
 namespace {
 
@@ -15,6 +18,9 @@
   CPPUNIT_TEST(Apply_RestartedUnderTheSameId_IsActive);
   CPPUNIT_TEST(Apply_ReappearsAfterItHasLeft_IsStillLeaving);
   CPPUNIT_TEST(Registered_DuringOutage_OmitsUnlistedServers);
+  CPPUNIT_TEST(Apply_WhatIsKnown_ChangesNothing);
+  CPPUNIT_TEST(Apply_EachKindOfChange_IsReported);
+  CPPUNIT_TEST(Apply_RandomAnswers_ChangesLeadFromListToList);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -35,16 +41,16 @@
 
   void Apply_RemovalDuringOutage_TakesEffectAfterIt() {
     list_.Apply({2, false, {}, {BackendServerId("a")}}, true, now_);
-    CPPUNIT_ASSERT(!list_.RemoveUnlisted(true, now_));
+    CPPUNIT_ASSERT(list_.RemoveUnlisted(true).Empty());
     CPPUNIT_ASSERT_EQUAL(std::string("a b "), Names());
-    CPPUNIT_ASSERT(list_.RemoveUnlisted(false, now_));
+    CPPUNIT_ASSERT(!list_.RemoveUnlisted(false).Empty());
     CPPUNIT_ASSERT_EQUAL(std::string("b "), Names());
   }
 
   void Apply_ServerRegisteredAgainAfterOutage_Stays() {
     list_.Apply({2, false, {}, {BackendServerId("a")}}, true, now_);
     list_.Apply({3, false, {MakeServer("a")}, {}}, true, now_);
-    list_.RemoveUnlisted(false, now_);
+    list_.RemoveUnlisted(false);
     CPPUNIT_ASSERT_EQUAL(std::string("a b "), Names());
   }
 
@@ -88,7 +94,69 @@
     CPPUNIT_ASSERT_EQUAL(std::string("b"), list_.Registered()[0].id.Text());
   }
 
+  void Apply_WhatIsKnown_ChangesNothing() {
+    CPPUNIT_ASSERT(
+        list_.Apply({2, true, {MakeServer("a"), MakeServer("b")}, {}}, false, now_).Empty());
+    CPPUNIT_ASSERT(list_.Apply({3, false, {MakeServer("a")}, {}}, false, now_).Empty());
+    CPPUNIT_ASSERT(list_.Apply({4, false, {}, {BackendServerId("z")}}, false, now_).Empty());
+  }
+
+  void Apply_EachKindOfChange_IsReported() {
+    BackendServer reborn = MakeServer("a");
+    reborn.started = 2;
+    BackendServer leaving = MakeServer("b");
+    leaving.state = BackendState::kLeaving;
+    ServerChanges changes =
+        list_.Apply({2, false, {reborn, leaving, MakeServer("c")}, {}}, false, now_);
+    CPPUNIT_ASSERT_EQUAL(size_t{3}, changes.changed.size());
+    CPPUNIT_ASSERT(changes.changed[0].kind == ServerChange::Kind::kReborn);
+    CPPUNIT_ASSERT(changes.changed[1].kind == ServerChange::Kind::kLeaving);
+    CPPUNIT_ASSERT(changes.changed[2].kind == ServerChange::Kind::kAdded);
+    reborn.slots = 9;
+    changes = list_.Apply({3, false, {reborn}, {BackendServerId("c")}}, false, now_);
+    CPPUNIT_ASSERT(changes.changed[0].kind == ServerChange::Kind::kOther);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), changes.removed[0].id.Text());
+  }
+
+  // Whoever applies the changes has the same list as this one.
+  void Apply_RandomAnswers_ChangesLeadFromListToList() {
+    std::mt19937_64 random(1);
+    std::map<BackendServerId, BackendServer> copy;
+    for (const BackendServer& server : list_.All()) copy[server.id] = server;
+    for (uint64_t version = 2; version < 2000; ++version) {
+      ServersAnswer answer{version, random() % 10 == 0, {}, {}};
+      for (size_t n = random() % 4; n > 0; --n) answer.changed.push_back(RandomServer(random));
+      for (size_t n = random() % 3; n > 0; --n) {
+        answer.removed.push_back(RandomServer(random).id);
+      }
+      const bool outage = random() % 3 == 0;
+      Update(copy, list_.Apply(answer, outage, now_));
+      if (random() % 4 == 0) Update(copy, list_.RemoveUnlisted(outage));
+      std::vector<BackendServer> servers;
+      for (const auto& [id, server] : copy) servers.push_back(server);
+      CPPUNIT_ASSERT(servers == list_.All());
+    }
+  }
+
  private:
+  static BackendServer RandomServer(std::mt19937_64& random) {
+    BackendServer server = MakeServer(std::string(1, static_cast<char>('a' + random() % 6)));
+    server.service = ServiceId(random() % 20 == 0 ? "moved" : "service");
+    server.started = random() % 2;
+    server.slots = 1 + random() % 2;
+    if (random() % 3 == 0) server.state = BackendState::kLeaving;
+    return server;
+  }
+  static void Update(std::map<BackendServerId, BackendServer>& copy, const ServerChanges& changes) {
+    for (const BackendServer& server : changes.removed) {
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, copy.erase(server.id));
+    }
+    for (const ServerChange& change : changes.changed) {
+      const bool is_new = copy.count(change.server.id) == 0;
+      CPPUNIT_ASSERT_EQUAL(is_new, change.kind == ServerChange::Kind::kAdded);
+      copy[change.server.id] = change.server;
+    }
+  }
   static BackendServer MakeServer(const std::string& id) {
     BackendServer server;
     server.id = BackendServerId(id);
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -153,7 +153,7 @@
   listener.on_manifest = [this](const std::shared_ptr<const Manifest>& manifest) {
     OnManifest(manifest);
   };
-  listener.on_servers = [this](const std::vector<BackendServer>& servers) { OnServers(servers); };
+  listener.on_servers = [this](const ServerChanges& changes) { OnServers(changes); };
   listener.send_update = [this](const CatalogUpdate& update) { SendCatalogUpdate(update); };
   listener.send_request = [this](CatalogRequest request) {
     SendCatalogRequest(std::move(request));
@@ -237,21 +237,21 @@
 
 void RoutedEntry::OnManifest(const std::shared_ptr<const Manifest>& manifest) {
   manifest_ = manifest;
-  ApplyCatalog();
+  scheduling_.ApplyManifest(*manifest_);
+  dispatcher_.PollSoon();
   log_.Write(LogLevel::kInfo, "manifest in force",
              {{"revision", static_cast<int64_t>(manifest_->revision)},
               {"routes", static_cast<int64_t>(manifest_->routes.size())}});
 }
 
-void RoutedEntry::OnServers(const std::vector<BackendServer>& servers) {
-  LogServerChanges(servers);
-  servers_ = servers;
-  ApplyCatalog();
+void RoutedEntry::OnServers(const ServerChanges& changes) {
+  // Before it, there was no list.
+  if (follower_.Ready()) LogServerChanges(changes);
+  scheduling_.ApplyServers(changes);
+  dispatcher_.PollSoon();
 }
 
-void RoutedEntry::LogServerChanges(const std::vector<BackendServer>& servers) {
-  std::map<BackendServerId, const BackendServer*> before;
-  for (const BackendServer& server : servers_) before[server.id] = &server;
+void RoutedEntry::LogServerChanges(const ServerChanges& changes) {
   const auto write = [this](const BackendServerId& id, const char* change) {
     if (!event_log_budget_.Allow(clock_.Now())) return;
     log_.Write(LogLevel::kInfo, "backend server",
@@ -259,24 +259,22 @@
                 {"change", std::string(change)},
                 {"servers_age_ms", Millis(follower_.ServersAge())}});
   };
-  for (const BackendServer& server : servers) {
-    const auto it = before.find(server.id);
-    const bool leaving = server.state == BackendState::kLeaving;
-    if (it == before.end()) {
-      if (!servers_.empty()) write(server.id, "added");
-      continue;
+  for (const ServerChange& change : changes.changed) {
+    switch (change.kind) {
+      case ServerChange::Kind::kAdded:
+        write(change.server.id, "added");
+        break;
+      case ServerChange::Kind::kReborn:
+        write(change.server.id, "reborn");
+        break;
+      case ServerChange::Kind::kLeaving:
+        write(change.server.id, "leaving");
+        break;
+      case ServerChange::Kind::kOther:
+        break;
     }
-    if (it->second->started != server.started) write(server.id, "reborn");
-    if (leaving && it->second->state != BackendState::kLeaving) write(server.id, "leaving");
-    before.erase(it);
   }
-  for (const auto& [id, server] : before) write(id, "gone");
-}
-
-void RoutedEntry::ApplyCatalog() {
-  scheduling_.ApplyCatalog(*manifest_, servers_);
-  poison_.ApplyServers(servers_, scheduling_.ProbeTargets());
-  dispatcher_.PollSoon();
+  for (const BackendServer& server : changes.removed) write(server.id, "gone");
 }
 
 void RoutedEntry::PeerGroup::Add(const Member& member) {
@@ -479,6 +477,13 @@
   listener.send = [this](const std::vector<Endpoint>& to, const std::string& payload) {
     datagrams_.Send(to, payload);
   };
+  listener.find_server = [this](const BackendServerId& server) {
+    return scheduling_.Planner()->FindServer(server);
+  };
+  listener.server_ids = [this] { return scheduling_.Planner()->ServerIds(); };
+  listener.probe_target = [this](const BackendServerId& server) {
+    return scheduling_.ProbeTargetOf(server);
+  };
   listener.is_leaving = [this](const BackendServerId& server) {
     return scheduling_.Planner()->IsLeavingOrUnknown(server);
   };
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -68,11 +68,10 @@
 
   // 2. Catalog and members
   void OnManifest(const std::shared_ptr<const Manifest>& manifest);
-  void OnServers(const std::vector<BackendServer>& servers);
-  void LogServerChanges(const std::vector<BackendServer>& servers);
+  void OnServers(const ServerChanges& changes);
+  void LogServerChanges(const ServerChanges& changes);
   void LogMemberChange(const MemberChange& change);
   void LogStoreReaderChange();
-  void ApplyCatalog();
   std::vector<Endpoint> NextRelays(const CatalogUpdate& update);
   void SendCatalogUpdate(CatalogUpdate update);
   void OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update);
@@ -123,7 +122,6 @@
   BackendPool pool_;
   // The manifest in force. Never null; its revision is 0 until one is known.
   std::shared_ptr<const Manifest> manifest_;
-  std::vector<BackendServer> servers_;  // The catalog's backend servers.
   ForwardContext context_;
   EdgeServer edge_;
   PlainServer lookup_server_;
--- a/src/poison/poison_watch.cc
+++ b/src/poison/poison_watch.cc
@@ -32,13 +32,6 @@
       random_(seed),
       exchange_timer_(io, clock, [this] { Exchange(); }) {}
 
-void PoisonWatch::ApplyServers(const std::vector<BackendServer>& servers,
-                               const std::map<BackendServerId, ProbeTarget>& probe_targets) {
-  targets_ = probe_targets;
-  crash_ids_.clear();
-  for (const BackendServer& server : servers) crash_ids_[server.id] = CrashIdOf(server);
-}
-
 void PoisonWatch::SetMembers(const EntryVmId& self, const std::vector<Member>& members) {
   self_ = self;
   members_.clear();
@@ -82,14 +75,15 @@
   const BackendServerId server = attempt.server;
   const auto running = verifications_.find(server);
   if (running != verifications_.end()) return running->second.lost.push_back(std::move(attempt));
-  const auto target = targets_.find(server);
-  if (listener_.is_leaving(server) || target == targets_.end()) {
+  const BackendServer* config = listener_.find_server(server);
+  const std::optional<ProbeTarget> target = listener_.probe_target(server);
+  if (listener_.is_leaving(server) || config == nullptr || !target) {
     return listener_.on_verified(attempt, false, "the server is leaving");
   }
   Verification& verification = verifications_[server];
-  verification.target = target->second;
+  verification.target = *target;
   verification.target.timeout = kProbeTimeout;
-  verification.crash = crash_ids_[server];
+  verification.crash = CrashIdOf(*config);
   verification.lost.push_back(std::move(attempt));
   ProbeAnotherServer(server);
   SendProbe(server);
@@ -104,11 +98,13 @@
 
 // An entry VM that reaches no server at all has lost its own connections.
 void PoisonWatch::ProbeAnotherServer(const BackendServerId& server) {
-  std::vector<const ProbeTarget*> others;
-  for (const auto& [id, target] : targets_) {
-    if (id != server && verifications_.count(id) == 0) others.push_back(&target);
-  }
-  if (!others.empty()) probes_.Send(*others[random_() % others.size()]);
+  std::vector<BackendServerId> others = listener_.server_ids();
+  std::erase_if(others, [&](const BackendServerId& id) {
+    return id == server || verifications_.count(id) > 0;
+  });
+  if (others.empty()) return;
+  const auto target = listener_.probe_target(others[random_() % others.size()]);
+  if (target) probes_.Send(*target);
 }
 
 void PoisonWatch::OnProbed(const ProbeTarget& target, const std::optional<Report>& report,
--- a/src/poison/poison_watch.h
+++ b/src/poison/poison_watch.h
@@ -29,6 +29,10 @@
 
 struct PoisonListener {
   std::function<void(const std::vector<Endpoint>& to, const std::string& payload)> send;
+  // Null if the server is unknown.
+  std::function<const BackendServer*(const BackendServerId&)> find_server;
+  std::function<std::vector<BackendServerId>()> server_ids;
+  std::function<std::optional<ProbeTarget>(const BackendServerId&)> probe_target;
   // Whether this entry VM knows the server to be leaving, or no longer knows it.
   std::function<bool(const BackendServerId&)> is_leaving;
   std::function<void(const LostAttempt&, bool crashed, const std::string& detail)> on_verified;
@@ -48,8 +52,6 @@
   PoisonWatch(asio::io_context& io, const Clock& clock, const BackendSettings& settings,
               uint64_t seed, ProbeClient::ReadReport read_report, PoisonListener listener);
 
-  void ApplyServers(const std::vector<BackendServer>& servers,
-                    const std::map<BackendServerId, ProbeTarget>& probe_targets);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const EntryVmId& self, const std::vector<Member>& members);
   void OnDatagram(const std::vector<PoisonRecord>& records);
@@ -93,8 +95,6 @@
   PoisonListener listener_;
   PoisonList list_;
   ProbeClient probes_;
-  std::map<BackendServerId, ProbeTarget> targets_;
-  std::map<BackendServerId, CrashId> crash_ids_;
   std::map<BackendServerId, Verification> verifications_;
   EntryVmId self_;
   std::vector<EntryVmId> members_;
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -27,20 +27,23 @@
       retry_settings_(retry_settings),
       next_request_id_(static_cast<ScheduleRequestId>(seed)) {}
 
-void RequestPlanner::ApplyServers(const std::vector<Service>& services,
-                                  const std::vector<BackendServer>& servers) {
+void RequestPlanner::ApplyServices(const std::vector<Service>& services) {
   for (const Service& service : services) budgets_.try_emplace(service.id, retry_settings_);
-  cell_map_ = CellMap(servers);
-  auto previous = std::exchange(servers_, {});
-  server_ids_by_hash_.clear();
-  for (const BackendServer& config : servers) {
-    Server server;
+}
+
+void RequestPlanner::ApplyServers(const ServerChanges& changes) {
+  cell_map_.Apply(changes);
+  for (const BackendServer& config : changes.removed) {
+    servers_.erase(config.id);
+    server_ids_by_hash_.erase(HashName(config.id.Text()));
+  }
+  for (const ServerChange& change : changes.changed) {
+    const BackendServer& config = change.server;
+    Server& server = servers_[config.id];
+    const bool same_lifetime = server.config.started == config.started;
+    server.leaving = config.state == BackendState::kLeaving || (same_lifetime && server.leaving);
+    if (!same_lifetime) server.report.reset();
     server.config = config;
-    server.leaving = config.state == BackendState::kLeaving;
-    const auto it = previous.find(config.id);
-    const bool same_lifetime = it != previous.end() && it->second.config.started == config.started;
-    if (same_lifetime && it->second.leaving) server.leaving = true;
-    servers_[config.id] = std::move(server);
     server_ids_by_hash_[HashName(config.id.Text())] = config.id;
   }
 }
@@ -50,6 +53,17 @@
   entry_vms_ = std::max<size_t>(members.size(), 1);
 }
 
+const BackendServer* RequestPlanner::FindServer(const BackendServerId& server) const {
+  const auto it = servers_.find(server);
+  return it == servers_.end() ? nullptr : &it->second.config;
+}
+
+std::vector<BackendServerId> RequestPlanner::ServerIds() const {
+  std::vector<BackendServerId> ids;
+  for (const auto& [id, server] : servers_) ids.push_back(id);
+  return ids;
+}
+
 bool RequestPlanner::IsLeavingOrUnknown(const BackendServerId& server) const {
   const auto it = servers_.find(server);
   return it == servers_.end() || it->second.leaving;
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -66,8 +66,8 @@
   RequestPlanner(FailureDomainId failure_domain, Endpoint self, uint64_t seed,
                  RetrySettings retry_settings);
 
-  void ApplyServers(const std::vector<Service>& services,
-                    const std::vector<BackendServer>& servers);
+  void ApplyServices(const std::vector<Service>& services);
+  void ApplyServers(const ServerChanges& changes);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const std::vector<Member>& members);
 
@@ -96,6 +96,8 @@
   bool HasReady() const { return !ready_.empty(); }
   std::vector<Outgoing> TakeOutbox() { return std::exchange(outbox_, {}); }
 
+  const BackendServer* FindServer(const BackendServerId& server) const;
+  std::vector<BackendServerId> ServerIds() const;
   // Whether this entry VM sends the server no new work: it is known to be leaving, or is unknown.
   bool IsLeavingOrUnknown(const BackendServerId& server) const;
   // How many times a scheduler was found to be unresponsive.
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -36,23 +36,30 @@
   dispatcher.SetPolicyCalledCallback([this] { Flush(); });
 }
 
-void ScheduleNode::ApplyCatalog(const Manifest& manifest,
-                                const std::vector<BackendServer>& servers) {
-  planner_.ApplyServers(manifest.services, servers);
-  scheduler_.ApplyServers(servers, clock_.Now());
-  probe_targets_.clear();
-  for (const BackendServer& server : servers) {
-    ProbeTarget target;
-    target.server = server.id;
-    target.endpoint = server.endpoint;
-    target.timeout = kProbeTimeout;
-    const Service* service = FindService(manifest, server.service);
-    if (service != nullptr) target.path = service->probe_path;
-    probe_targets_[server.id] = std::move(target);
-  }
+void ScheduleNode::ApplyManifest(const Manifest& manifest) {
+  planner_.ApplyServices(manifest.services);
+  probe_paths_.clear();
+  for (const Service& service : manifest.services) probe_paths_[service.id] = service.probe_path;
+}
+
+void ScheduleNode::ApplyServers(const ServerChanges& changes) {
+  planner_.ApplyServers(changes);
+  scheduler_.ApplyServers(changes, clock_.Now());
   Flush();
 }
 
+std::optional<ProbeTarget> ScheduleNode::ProbeTargetOf(const BackendServerId& id) const {
+  const BackendServer* server = planner_.FindServer(id);
+  if (server == nullptr) return std::nullopt;
+  ProbeTarget target;
+  target.server = id;
+  target.endpoint = server->endpoint;
+  target.timeout = kProbeTimeout;
+  const auto path = probe_paths_.find(server->service);
+  if (path != probe_paths_.end()) target.path = path->second;
+  return target;
+}
+
 void ScheduleNode::SetMembers(const std::vector<Member>& members) {
   planner_.SetMembers(members);
   scheduler_.SetMembers(members, clock_.Now());
@@ -123,8 +130,7 @@
 
 void ScheduleNode::SendProbes() {
   for (const BackendServerId& server : scheduler_.TakeServersToProbe(clock_.Now())) {
-    const auto it = probe_targets_.find(server);
-    if (it != probe_targets_.end()) probe_client_.Send(it->second);
+    if (const auto target = ProbeTargetOf(server)) probe_client_.Send(*target);
   }
 }
 
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -39,7 +39,8 @@
   RequestPlanner* Planner() { return &planner_; }
   void Attach(Dispatcher& dispatcher);
 
-  void ApplyCatalog(const Manifest& manifest, const std::vector<BackendServer>& servers);
+  void ApplyManifest(const Manifest& manifest);
+  void ApplyServers(const ServerChanges& changes);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const std::vector<Member>& members);
   // Returns false if the datagram is not a valid message of schedule_message.h.
@@ -56,7 +57,8 @@
   uint64_t DeclinedByLimits() const { return scheduler_.DeclinedByLimits(); }
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
-  const std::map<BackendServerId, ProbeTarget>& ProbeTargets() const { return probe_targets_; }
+  // Where to probe a server; nullopt if it is unknown.
+  std::optional<ProbeTarget> ProbeTargetOf(const BackendServerId& server) const;
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
 
  private:
@@ -73,7 +75,7 @@
   RequestPlanner planner_;
   Scheduler scheduler_;
   ProbeClient probe_client_;
-  std::map<BackendServerId, ProbeTarget> probe_targets_;
+  std::map<ServiceId, std::string> probe_paths_;
   Dispatcher* dispatcher_ = nullptr;
   asio::steady_timer timer_;
   std::optional<MonotonicTime> timer_deadline_;  // When timer_ expires.
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -54,24 +54,42 @@
 
 // ---- Cells and members --------------------------------------------------------------------------
 
-void Scheduler::ApplyServers(const std::vector<BackendServer>& servers, MonotonicTime now) {
-  cell_map_ = CellMap(servers);
-  balancer_.Apply(servers, cell_map_, now);
-  std::map<CellId, std::map<BackendServerId, Probe>> previous;
-  for (auto& [id, cell] : cells_) previous[id] = std::exchange(cell.probes, {});
-  servers_.clear();
-  cells_by_server_.clear();
-  for (const BackendServer& server : servers) {
-    services_[HashName(server.service.Text())] = server.service;
-    failure_domains_[HashName(server.failure_domain.Text())] = server.failure_domain;
-    servers_[HashName(server.id.Text())] = server.id;
-    if (server.state == BackendState::kLeaving) continue;
-    const CellId id = cell_map_.CellOf(server.service, server.failure_domain);
-    Cell& cell = cells_[id];
-    cell.probes[server.id] = previous[id][server.id];
-    cells_by_server_[server.id] = &cell;
+void Scheduler::ApplyServers(const ServerChanges& changes, MonotonicTime now) {
+  const size_t cells_before = cells_.size();
+  const bool regrouped = cell_map_.Apply(changes);
+  balancer_.Apply(changes, cell_map_, now);
+  for (const BackendServer& server : changes.removed) {
+    servers_.erase(HashName(server.id.Text()));
+    RemoveServer(server.id);
   }
-  UpdatePrimaries(now);
+  for (const ServerChange& change : changes.changed) AddServer(change.server);
+  if (regrouped) {
+    balancer_.Regroup(cell_map_);
+    for (const BackendServer& server : balancer_.Servers()) AddServer(server);
+  }
+  if (regrouped || cells_.size() != cells_before) UpdatePrimaries(now);
+}
+
+void Scheduler::AddServer(const BackendServer& server) {
+  services_[HashName(server.service.Text())] = server.service;
+  failure_domains_[HashName(server.failure_domain.Text())] = server.failure_domain;
+  servers_[HashName(server.id.Text())] = server.id;
+  if (server.state == BackendState::kLeaving) return RemoveServer(server.id);
+  Cell& cell = cells_[cell_map_.CellOf(server.service, server.failure_domain)];
+  const auto it = cells_by_server_.find(server.id);
+  if (it != cells_by_server_.end() && it->second == &cell) return;
+  Probe probe;
+  if (it != cells_by_server_.end()) probe = it->second->probes[server.id];
+  RemoveServer(server.id);
+  cell.probes[server.id] = probe;
+  cells_by_server_[server.id] = &cell;
+}
+
+void Scheduler::RemoveServer(const BackendServerId& server) {
+  const auto it = cells_by_server_.find(server);
+  if (it == cells_by_server_.end()) return;
+  it->second->probes.erase(server);
+  cells_by_server_.erase(it);
 }
 
 void Scheduler::SetMembers(const std::vector<Member>& members, MonotonicTime now) {
@@ -320,11 +338,18 @@
 // One scheduler at a time shares out the limits of a cell. The others assign no requests to servers
 // with a limit, whoever asks them.
 bool Scheduler::SharesLimits(const Cell& cell, MonotonicTime now) const {
+  const std::optional<MonotonicTime> takeover = LimitTakeover(cell);
+  return takeover && settled_ && now >= *takeover;
+}
+
+// When this scheduler begins to share out the cell's limits, unless one before it does; nullopt if
+// it is none of the cell's schedulers.
+std::optional<MonotonicTime> Scheduler::LimitTakeover(const Cell& cell) const {
   const auto it = std::find(cell.schedulers.begin(), cell.schedulers.end(), self_);
-  if (it == cell.schedulers.end()) return false;
+  if (it == cell.schedulers.end()) return std::nullopt;
   const auto position = it - cell.schedulers.begin();
-  if (position == 0) return settled_;
-  return now - cell.limits_shared_at > kLimitTakeoverTime * position;
+  if (position == 0) return MonotonicTime{};
+  return cell.limits_shared_at + kLimitTakeoverTime * position;
 }
 
 // Finds out which cells' limits this scheduler shares out, and sends the LimitUpdates that are due.
@@ -421,6 +446,8 @@
   for (const auto& [id, cell] : cells_) {
     any_primary = any_primary || cell.is_primary;
     if (cell.has_limits && cell.shares_limits) wake_by(cell.next_limit_update);
+    const auto takeover = cell.has_limits ? LimitTakeover(cell) : std::nullopt;
+    if (takeover && settled_ && !cell.shares_limits) wake_by(*takeover);
     for (const auto& [server, probe] : cell.probes) {
       const std::optional<MonotonicTime> when = ProbeDue(cell, server, probe, now);
       if (when) wake_by(*when);
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -69,7 +69,7 @@
 
   Scheduler(Endpoint self, uint64_t seed, MonotonicTime now);
 
-  void ApplyServers(const std::vector<BackendServer>& servers, MonotonicTime now);
+  void ApplyServers(const ServerChanges& changes, MonotonicTime now);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const std::vector<Member>& members, MonotonicTime now);
 
@@ -163,10 +163,13 @@
   void SendCellUpdates(MonotonicTime now);
   void UpdateLimits(MonotonicTime now);
   bool SharesLimits(const Cell& cell, MonotonicTime now) const;
+  std::optional<MonotonicTime> LimitTakeover(const Cell& cell) const;
   void SendLimitUpdate(const CellId& id, const Cell& cell,
                        const std::vector<LimitStatement>& limits, bool to_all, MonotonicTime now);
   void EraseExpired(MonotonicTime now);
   void EraseRequest(AssignmentId id);
+  void AddServer(const BackendServer& server);
+  void RemoveServer(const BackendServerId& server);
   void UpdatePrimaries(MonotonicTime now);
   MonotonicTime SettledAt() const { return started_ + (alone_ ? kSettleTimeAlone : kSettleTime); }
 
--- a/src/schedule/scheduling_test.cc
+++ b/src/schedule/scheduling_test.cc
@@ -11,6 +11,7 @@
 
 #include "src/schedule/request_planner.h"
 #include "src/schedule/scheduler.h"
+#include "tests/listed_servers.h"
 
 namespace cowsliphill {
 namespace {
@@ -65,9 +66,11 @@
   void ApplyServers() {
     Service service;
     service.id = ServiceId("service");
+    const ServerChanges changes = listed_.ChangeTo(servers_);
     for (Vm& vm : vms_) {
-      vm.planner->ApplyServers({service}, servers_);
-      vm.scheduler->ApplyServers(servers_, now_);
+      vm.planner->ApplyServices({service});
+      vm.planner->ApplyServers(changes);
+      vm.scheduler->ApplyServers(changes, now_);
     }
   }
   // Passes the entry VMs that are alive to all of them.
@@ -130,7 +133,7 @@
     }
     order.SetMembers(alive);
     const CellId cell =
-        CellMap(servers_).CellOf(ServiceId("service"), FailureDomainId(failure_domain));
+        CellsOf(servers_).CellOf(ServiceId("service"), FailureDomainId(failure_domain));
     const Endpoint first = order.SchedulersFor(cell).front();
     return *std::find_if(vms_.begin(), vms_.end(),
                          [&first](const Vm& vm) { return vm.member.peer == first; });
@@ -194,6 +197,7 @@
   MonotonicTime now_{std::chrono::hours(1)};
   std::vector<Vm> vms_;
   std::vector<BackendServer> servers_;
+  ListedServers listed_;
   std::deque<PendingMessage> queue_;
   std::vector<ReadyChoice> ready_;
   std::map<BackendServerId, Report> reports_;
@@ -223,6 +227,7 @@
   CPPUNIT_TEST(Hedge_WithoutAFreeServer_KeepsTheRetryBudget);
   CPPUNIT_TEST(Hedge_WithoutAFreeServer_IsDueAgain);
   CPPUNIT_TEST(SlowHost_ReportedByTheScheduler_IsHedgedAtOnce);
+  CPPUNIT_TEST(NextWake_OfABackupWhileAnotherSharesLimits_IsTheTakeover);
   CPPUNIT_TEST(Probes_OfOneCell_ComeFromOneEntryVm);
   CPPUNIT_TEST(Probes_WithoutRequests_KeepTheIdleInterval);
   CPPUNIT_TEST_SUITE_END();
@@ -339,9 +344,9 @@
     for (BackendServer& server : servers) {
       if (server.id.Text() != "a-s3") server.state = BackendState::kLeaving;
     }
-    Service service;
-    service.id = ServiceId("service");
-    vm.planner->ApplyServers({service}, servers);
+    ListedServers listed;
+    listed.ChangeTo(fleet_->Servers());
+    vm.planner->ApplyServers(listed.ChangeTo(servers));
     for (int i = 0; i < 3; ++i) Choose(vm);
     fleet_->Advance(milliseconds(30));
     const std::vector<SendTo> sent = Sent();
@@ -530,6 +535,25 @@
     CPPUNIT_ASSERT_EQUAL(size_t{1}, vm.planner->HedgeDue(fleet_->Now()).size());
   }
 
+  // Regression: an idle backup took over late, because its timer was not set for the takeover.
+  void NextWake_OfABackupWhileAnotherSharesLimits_IsTheTakeover() {
+    const Endpoint primary = fleet_->PrimaryOf("a").member.peer;
+    LimitUpdate update;
+    update.service = HashName("service");
+    update.failure_domain = HashName("a");
+    update.shares = true;
+    update.limits.push_back({HashName("a-s0"), 2.0, milliseconds(0)});
+    size_t backups = 0;
+    for (size_t i = 0; i < 4; ++i) {
+      TestFleet::Vm& vm = fleet_->At(i);
+      if (vm.member.peer == primary) continue;
+      vm.scheduler->OnLimitUpdate(primary, update, fleet_->Now());
+      const auto wake = vm.scheduler->NextWake(fleet_->Now());
+      if (wake && *wake <= fleet_->Now() + 2 * Scheduler::kLimitTakeoverTime) ++backups;
+    }
+    CPPUNIT_ASSERT_EQUAL(SchedulerOrder::kMaxSchedulers - 1, backups);
+  }
+
   void Probes_OfOneCell_ComeFromOneEntryVm() {
     fleet_->answers_probes = false;
     for (int i = 0; i < 8; ++i) Choose(fleet_->At(static_cast<size_t>(i)));
