Catalog updates list large changes, and reach back to the last change

Two things made entry VMs read the store: an update left out a change of more than 100 servers, so that all were behind at once at each start of a thousand servers; and it listed the last four answers, also those without changes, so that one second without updates counted as missed. Now an update lists each change four times, large ones twice, up to 2,500 servers (45 KB of a datagram). Tests: CatalogFollowerTest::SendUpdate_* (4), one of them random with half of the datagrams lost.

--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -98,7 +98,7 @@
     const bool is_caught_up = update.servers_base_version <= before;
     if (is_caught_up && update.servers_version > before) {
       // The receivers of the next update from here may lack these changes too.
-      RetainChanges({before, update.changed, update.removed});
+      RetainChanges(update.servers_version, update.changed, update.removed);
       ApplyServers({update.servers_version, false, update.changed, update.removed}, now);
     }
     TableWatch::TableUpdate servers = ServersTableUpdate(update, from_predecessor, now);
@@ -144,27 +144,58 @@
   // Number of ranks, from 0, whose entry VMs send updates after failed calls too, so that the
   // others leave the retries to them.
   static constexpr uint32_t kRanksThatReportFailures = 2;
-  // An update lists the changes of this many of the latest answers and updates about the servers,
-  // because earlier datagrams may have been lost.
-  static constexpr size_t kRetainedChanges = 4;
-  // Largest number of changed and removed servers in an update, to keep it within a datagram. A
-  // larger change is left out, and the receivers request a snapshot, which has no such limit.
-  static constexpr size_t kMaxServersInUpdate = 100;
+  // Number of updates that list a change of the servers, because datagrams may be lost. A change of
+  // more than kLargeChange servers has kilobytes and is sent less often.
+  static constexpr uint32_t kTransmissions = 4;
+  static constexpr uint32_t kLargeTransmissions = 2;
+  static constexpr size_t kLargeChange = 100;
+  // Largest number of changed and removed servers in an update: some 45 KB of the 65 KB that a
+  // datagram has. A larger change is left out, and the receivers request a snapshot.
+  static constexpr size_t kMaxServersInUpdate = 2500;
+  // Limits on what is retained besides the newest change. Most entry VMs never send it.
+  static constexpr size_t kMaxRetainedChanges = 16;
+  static constexpr size_t kMaxRetainedServers = 300;
   // Number of updates that carry a new manifest. An entry VM that misses all of them requests it.
   static constexpr size_t kManifestTransmissions = 2;
   // Every entry VM reads a manifest whose encoding is larger than this from the store, because a
   // store reader with a slow link would need too long to send it to all of them.
   static constexpr size_t kMaxManifestBytesInUpdate = 30000;
 
-  // The changes of servers since `base_version` from one answer of the store or one update.
+  // Changes of servers from one answer of the store or one update.
   struct RetainedChanges {
-    uint64_t base_version = 0;
+    uint64_t version = 0;  // Of the servers' table after them.
     std::vector<BackendServer> changed;
     std::vector<BackendServerId> removed;
+    uint32_t transmissions_left = 0;
+
+    size_t Size() const { return changed.size() + removed.size(); }
   };
-  void RetainChanges(RetainedChanges changes) {
+  void RetainChanges(uint64_t version, const std::vector<BackendServer>& changed,
+                     const std::vector<BackendServerId>& removed) {
+    RetainedChanges changes{version, changed, removed, kTransmissions};
+    if (changes.Size() == 0) return;
+    if (changes.Size() > kMaxServersInUpdate) return ForgetChanges(version);
+    if (changes.Size() > kLargeChange) changes.transmissions_left = kLargeTransmissions;
     recent_changes_.push_back(std::move(changes));
-    if (recent_changes_.size() > kRetainedChanges) recent_changes_.pop_front();
+    size_t servers = 0;
+    size_t kept = 0;
+    for (auto it = recent_changes_.rbegin(); it != recent_changes_.rend(); ++it, ++kept) {
+      servers += it->Size();
+      const bool fits = kept < kMaxRetainedChanges && servers <= kMaxRetainedServers;
+      if (kept > 0 && !fits) break;
+    }
+    DropChanges(recent_changes_.size() - kept);
+  }
+  void ForgetChanges(uint64_t version) {
+    recent_changes_.clear();
+    retained_since_ = version;
+  }
+  // Drops the oldest `n` changes.
+  void DropChanges(size_t n) {
+    for (; n > 0; --n) {
+      retained_since_ = recent_changes_.front().version;
+      recent_changes_.pop_front();
+    }
   }
 
   bool RecentOutage(MonotonicTime now) const {
@@ -205,7 +236,7 @@
     manifest_watch_.OnTableUpdate(manifest, now);
     servers_watch_.NoteVersion(update.servers_version, now);
     if (newer) {
-      recent_changes_.clear();
+      ForgetChanges(update.servers_version);
       ApplyServers({update.servers_version, true, update.changed, {}}, now);
     }
     TableWatch::TableUpdate servers = ServersTableUpdate(update, from_predecessor, now);
@@ -309,9 +340,9 @@
       if (answer.version >= before) {
         ApplyServers(answer, now);
         if (answer.is_snapshot) {
-          recent_changes_.clear();
+          ForgetChanges(answer.version);
         } else {
-          RetainChanges({before, answer.changed, answer.removed});
+          RetainChanges(answer.version, answer.changed, answer.removed);
         }
       }
       if (IsStoreReader()) SendUpdate(true, now);
@@ -388,19 +419,23 @@
     }
   }
 
+  // Adds the retained changes to the update, and drops those that were sent often enough.
+  void AttachChanges(CatalogUpdate& update) {
+    update.servers_base_version = retained_since_;
+    size_t sent = 0;
+    for (size_t i = 0; i < recent_changes_.size(); ++i) {
+      MergeChanges(recent_changes_[i], update);
+      if (--recent_changes_[i].transmissions_left == 0) sent = i + 1;
+    }
+    DropChanges(sent);
+  }
+
   // Sends an update to all other entry VMs. `reaches_store`: the store has just answered this one.
   void SendUpdate(bool reaches_store, MonotonicTime now) {
     if (!manifest_watch_.IsLoaded() || !servers_watch_.IsLoaded()) return;
     CatalogUpdate update = MakeUpdate(now);
     update.reaches_store = reaches_store;
-    update.servers_base_version =
-        recent_changes_.empty() ? update.servers_version : recent_changes_.front().base_version;
-    for (const RetainedChanges& changes : recent_changes_) MergeChanges(changes, update);
-    if (update.changed.size() + update.removed.size() > kMaxServersInUpdate) {
-      update.changed.clear();
-      update.removed.clear();
-      update.servers_base_version = update.servers_version;
-    }
+    AttachChanges(update);
     if (manifest_transmissions_left_ > 0) {
       --manifest_transmissions_left_;
       AttachManifest(update);
@@ -420,7 +455,8 @@
   std::string manifest_bytes_;                 // manifest_ encoded; empty until it is needed.
   size_t manifest_transmissions_left_ = 0;     // Number of updates that will still carry manifest_.
   std::optional<MonotonicTime> last_request_;  // When a request was last sent to a peer.
-  std::deque<RetainedChanges> recent_changes_;  // The last kRetainedChanges changes, oldest first.
+  std::deque<RetainedChanges> recent_changes_;
+  uint64_t retained_since_ = 0;
   uint32_t rank_ = 0;
   bool manifest_calls_fail_ = false;
   bool servers_calls_fail_ = false;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
+#include <random>
 
 namespace cowsliphill {
 namespace {
@@ -35,6 +37,10 @@
   CPPUNIT_TEST(SendUpdate_AfterUpdateOfAnotherReader_IncludesItsChanges);
   CPPUNIT_TEST(OnUpdate_WithVersionGap_CallsTheStore);
   CPPUNIT_TEST(SendUpdate_ServerRemovedThenAdded_ListsItAsChanged);
+  CPPUNIT_TEST(SendUpdate_AfterManyAnswersWithoutChanges_ReachesBackToTheLastChange);
+  CPPUNIT_TEST(SendUpdate_Change_IsListedAFewTimes);
+  CPPUNIT_TEST(SendUpdate_LargeChange_IsListed);
+  CPPUNIT_TEST(SendUpdate_ChangesOfAllSizes_LeadAnyReceiverToTheSameList);
   CPPUNIT_TEST(SendUpdate_NewManifest_IsIncludedAFewTimes);
   CPPUNIT_TEST(SendUpdate_AfterNewerManifestOfAnotherReader_IncludesThatManifest);
   CPPUNIT_TEST(OnUpdate_WithNewManifest_AppliesItWithoutTheStore);
@@ -130,6 +136,89 @@
     CPPUNIT_ASSERT(sent_updates_.back().changed.empty());
   }
 
+  // Regression: an update listed the last four answers. When these had no changes, an entry VM that
+  // had missed a second of updates took itself for behind and asked for a snapshot.
+  void SendUpdate_AfterManyAnswersWithoutChanges_ReachesBackToTheLastChange() {
+    for (uint64_t version = 11; version < 40; ++version) {
+      Advance();
+      AnswerServers({version, false, {}, {}});
+    }
+    CPPUNIT_ASSERT_EQUAL(uint64_t{39}, sent_updates_.back().servers_version);
+    CPPUNIT_ASSERT(sent_updates_.back().servers_base_version <= 10);
+  }
+
+  void SendUpdate_Change_IsListedAFewTimes() {
+    Advance();
+    AnswerServers({11, false, {MakeServer("c")}, {}});
+    size_t listed = 0;
+    for (uint64_t version = 12; version < 30; ++version) {
+      listed += sent_updates_.back().changed.size();
+      Advance();
+      AnswerServers({version, false, {}, {}});
+    }
+    CPPUNIT_ASSERT(listed >= 3 && listed <= 5);
+    CPPUNIT_ASSERT(sent_updates_.back().servers_base_version >= 11);
+  }
+
+  // Regression: a change of more than 100 servers was left out of the updates. All entry VMs were
+  // behind at the same time, could not help each other, and read the store: at each start of a
+  // thousand servers.
+  void SendUpdate_LargeChange_IsListed() {
+    Advance();
+    AnswerServers({11, false, MakeServers(1080), {}});
+    CPPUNIT_ASSERT_EQUAL(size_t{1080}, sent_updates_.back().changed.size());
+    CPPUNIT_ASSERT(sent_updates_.back().servers_base_version <= 10);
+    const std::string bytes = EncodeCatalogMessage(sent_updates_.back());
+    CPPUNIT_ASSERT(bytes.size() < 65507);
+    size_t listed = 0;
+    for (uint64_t version = 12; version < 30; ++version) {
+      listed += sent_updates_.back().changed.size();
+      Advance();
+      AnswerServers({version, false, {}, {}});
+    }
+    CPPUNIT_ASSERT(listed <= 2 * 1080);
+  }
+
+  // Entry VMs that receive only some of the updates have the reader's list whenever they count as
+  // caught up.
+  void SendUpdate_ChangesOfAllSizes_LeadAnyReceiverToTheSameList() {
+    std::mt19937_64 random(1);
+    std::map<BackendServerId, BackendServer> sent;
+    std::map<BackendServerId, BackendServer> received;
+    uint64_t received_version = 10;
+    for (const BackendServer& server : servers_) sent[server.id] = server;
+    received = sent;
+    size_t caught_up = 0;
+    for (uint64_t version = 11; version < 600; ++version) {
+      ServersAnswer answer{version, false, {}, {}};
+      const size_t n = random() % 3 == 0 ? random() % (random() % 10 == 0 ? 400 : 8) : 0;
+      for (size_t i = 0; i < n; ++i) {
+        const BackendServer server = MakeServer("s" + std::to_string(random() % 500));
+        if (random() % 3 == 0) {
+          answer.removed.push_back(server.id);
+        } else {
+          answer.changed.push_back(server);
+        }
+      }
+      Advance();
+      AnswerServers(answer);
+      sent.clear();
+      for (const BackendServer& server : servers_) sent[server.id] = server;
+      const CatalogUpdate& update = sent_updates_.back();
+      if (random() % 2 == 0) continue;  // The datagram is lost.
+      if (update.servers_base_version <= received_version) {
+        for (const BackendServer& server : update.changed) received[server.id] = server;
+        for (const BackendServerId& id : update.removed) received.erase(id);
+        ++caught_up;
+      } else {
+        received = sent;  // A snapshot.
+      }
+      received_version = update.servers_version;
+      CPPUNIT_ASSERT(received == sent);
+    }
+    CPPUNIT_ASSERT(caught_up > 200);
+  }
+
   void SendUpdate_NewManifest_IsIncludedAFewTimes() {
     Advance();
     AnswerManifest(11, 2);
@@ -387,6 +476,18 @@
     update.changed = std::move(servers);
     return update;
   }
+  static std::vector<BackendServer> MakeServers(size_t n) {
+    std::vector<BackendServer> servers;
+    for (size_t i = 0; i < n; ++i) {
+      BackendServer server = MakeServer("i-" + std::to_string(9876543210 + i * 7919));
+      server.service = ServiceId("service-" + std::to_string(i % 3));
+      server.failure_domain = FailureDomainId("failure-domain-" + std::to_string(i % 5));
+      server.endpoint = {"10.1.64." + std::to_string(i % 250), 8509};
+      server.started = 1775600000000 + i * 31;
+      servers.push_back(server);
+    }
+    return servers;
+  }
   void Apply(const ServerChanges& changes) {
     const auto erase = [this](const BackendServerId& id) {
       std::erase_if(servers_, [&id](const BackendServer& it) { return it.id == id; });
