--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -111,10 +111,7 @@
   // one does not have the versions named in it yet. The manifest is included only if the sender has
   // an older one and it is not too large.
   std::optional<CatalogUpdate> AnswerRequest(const CatalogRequest& request) {
-    if (!Ready() || manifest_watch_.Version() < request.manifest_version ||
-        servers_watch_.Version() < request.servers_version) {
-      return std::nullopt;
-    }
+    if (!CanAnswer(request)) return std::nullopt;
     CatalogUpdate update = MakeUpdate(clock_.Now());
     update.is_snapshot = true;
     update.changed = servers_.Registered();
@@ -122,6 +119,28 @@
     return update;
   }
 
+  // Returns an update with versions and ages, but without servers and manifest.
+  CatalogUpdate MakeUpdate(MonotonicTime now) const {
+    const auto millis = [](Duration d) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(d);
+    };
+    CatalogUpdate update;
+    update.sender = self_;
+    update.revision = manifest_ ? manifest_->revision : 0;
+    update.manifest_too_large = manifest_bytes_.size() > kMaxManifestBytesInUpdate;
+    update.manifest_version = manifest_watch_.Version();
+    update.manifest_age = millis(now - manifest_watch_.Confirmed());
+    update.servers_version = servers_watch_.Version();
+    update.servers_age = millis(now - servers_watch_.Confirmed());
+    return update;
+  }
+
+  // Whether this entry VM has the versions that the request names.
+  bool CanAnswer(const CatalogRequest& request) const {
+    return Ready() && manifest_watch_.Version() >= request.manifest_version &&
+           servers_watch_.Version() >= request.servers_version;
+  }
+
   // Whether a manifest and the servers are known, from the store or from another entry VM.
   bool Ready() const { return manifest_ != nullptr && servers_watch_.IsLoaded(); }
   const std::shared_ptr<const Manifest>& InForce() const { return manifest_; }
@@ -389,22 +408,6 @@
     calls_fail = false;
   }
 
-  // Returns an update with versions and ages, but without servers and manifest.
-  CatalogUpdate MakeUpdate(MonotonicTime now) const {
-    const auto millis = [](Duration d) {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(d);
-    };
-    CatalogUpdate update;
-    update.sender = self_;
-    update.revision = manifest_ ? manifest_->revision : 0;
-    update.manifest_too_large = manifest_bytes_.size() > kMaxManifestBytesInUpdate;
-    update.manifest_version = manifest_watch_.Version();
-    update.manifest_age = millis(now - manifest_watch_.Confirmed());
-    update.servers_version = servers_watch_.Version();
-    update.servers_age = millis(now - servers_watch_.Confirmed());
-    return update;
-  }
-
   // Adds the changes to the update. They replace earlier changes of the same servers in it.
   static void MergeChanges(const RetainedChanges& changes, CatalogUpdate& update) {
     for (const BackendServer& server : changes.changed) {
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <random>
 #include <utility>
 
+#include "src/catalog/startup_patience.h"
 #include "src/members/election.h"
 #include "src/poison/poison_message.h"
 
@@ -25,7 +27,8 @@
 // During kUnstableTime an entry VM takes at least a pseudo-random rank from 1 to kUnstableRanks, so
 // that it does not become the store reader because it knows few others yet.
 constexpr uint32_t kUnstableRanks = 8;
-constexpr size_t kMaxPendingCatalogRequests = 256;
+// A snapshot is encoded once for all requests within this time.
+constexpr milliseconds kSnapshotReuseTime{50};
 // Up to this many peers, catalog updates are sent to all of them. With more, they are sent to the
 // peers in this failure domain and to one in each other failure domain, which relays them there.
 constexpr size_t kMaxDirectPeers = 20;
@@ -72,7 +75,7 @@
             metrics_.OnBadInput("row");
             log_.Write(LogLevel::kWarning, "store row left out", {{"key", key}, {"detail", why}});
           })),
-      follower_(id_, store_, clock_, MakeListener(), MakeWatchOptions()),
+      follower_(id_, store_, clock_, MakeListener(), MakeWatchOptions(seed)),
       scheduling_(io_, clock_, settings_, seed, MakeReportReader(), MakeScheduleListener()),
       poison_(io_, clock_, settings_.backend, seed, MakeReportReader(), MakePoisonListener()),
       dispatcher_(io_, clock_, scheduling_.Planner()),
@@ -137,13 +140,16 @@
 
 // Seeds read the store themselves at the start. Other entry VMs first request the catalog from
 // peers.
-TableWatchOptions RoutedEntry::MakeWatchOptions() const {
+TableWatchOptions RoutedEntry::MakeWatchOptions(uint64_t seed) const {
   TableWatchOptions options;
   const auto& seeds = settings_.peer.seeds;
   const bool is_seed =
       std::find(seeds.begin(), seeds.end(), settings_.peer.advertise) != seeds.end();
   if (!seeds.empty() && !is_seed) {
-    options.startup_peer_timeout = settings_.platform.startup_peer_timeout;
+    std::mt19937_64 random(seed);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random);
+    options.startup_peer_timeout =
+        duration_cast<milliseconds>(StartupPatience(settings_.platform.startup_peer_timeout, draw));
   }
   return options;
 }
@@ -331,26 +337,38 @@
 }
 
 void RoutedEntry::OnCatalogRequest(const CatalogRequest& request) {
-  std::optional<CatalogUpdate> answer = follower_.AnswerRequest(request);
-  if (answer) {
-    answer->sender_rank = election_rank_;
-    return datagrams_.Send({request.reply_to}, EncodeCatalogMessage(*answer));
+  snapshot_requests_.Add(request, clock_.Now());
+  AfterCatalogStep();
+}
+
+void RoutedEntry::AnswerCatalogRequests() {
+  const auto can_answer = [this](const CatalogRequest& it) { return follower_.CanAnswer(it); };
+  const SnapshotQueue::Due due = snapshot_requests_.TakeDue(can_answer, clock_.Now());
+  for (const CatalogRequest& request : due.answers) {
+    datagrams_.Send({request.reply_to}, EncodedSnapshotFor(request));
   }
-  std::erase_if(pending_catalog_requests_,
-                [&request](const CatalogRequest& it) { return it.reply_to == request.reply_to; });
-  if (pending_catalog_requests_.size() < kMaxPendingCatalogRequests) {
-    pending_catalog_requests_.push_back(request);
+  for (const SnapshotQueue::Forward& forward : due.forwards) {
+    datagrams_.Send({forward.to}, EncodeCatalogMessage(forward.request));
   }
 }
 
-// Answers the catalog requests that arrived before this entry VM had the versions that they name.
-// This happens when all entry VMs start at once, before the seeds have read the store, and when
-// entry VMs that missed the same change send requests to each other.
-void RoutedEntry::AnswerPendingCatalogRequests() {
-  if (!follower_.Ready()) return;
-  for (const CatalogRequest& request : std::exchange(pending_catalog_requests_, {})) {
-    OnCatalogRequest(request);
-  }
+const std::string& RoutedEntry::EncodedSnapshotFor(const CatalogRequest& request) {
+  const MonotonicTime now = clock_.Now();
+  CatalogUpdate update = follower_.MakeUpdate(now);
+  const bool has_manifest = update.revision > request.revision;
+  const bool is_current = now - snapshot_.made < kSnapshotReuseTime &&
+                          snapshot_.has_manifest == has_manifest &&
+                          snapshot_.manifest_version == update.manifest_version &&
+                          snapshot_.servers_version == update.servers_version;
+  if (is_current) return snapshot_.bytes;
+  update = *follower_.AnswerRequest(request);
+  update.sender_rank = election_rank_;
+  // Its receivers must not take it for newer than it is.
+  update.manifest_age += kSnapshotReuseTime;
+  update.servers_age += kSnapshotReuseTime;
+  snapshot_ = {update.manifest_version, update.servers_version, has_manifest, now,
+               EncodeCatalogMessage(update)};
+  return snapshot_.bytes;
 }
 
 void RoutedEntry::OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update) {
@@ -528,7 +546,7 @@
 void RoutedEntry::OnRequestEnded(const RequestEnd& end) {
   metrics_.OnRequestEnded(end);
   const bool clean = end.whole && !end.late && end.outcome == Outcome::kRan && end.status < 500;
-  LogBudget& budget = clean ? success_log_budget_ : event_log_budget_;
+  RateLimit& budget = clean ? success_log_budget_ : event_log_budget_;
   if (!log_.IsEnabled(LogLevel::kInfo) || !budget.Allow(clock_.Now())) return;
   log_.Write(LogLevel::kInfo, "request ended",
              {{"request", end.id.Text()},
@@ -562,10 +580,11 @@
 // To be called after whatever may have changed the catalog, or what the follower waits for.
 void RoutedEntry::AfterCatalogStep() {
   LogStoreReaderChange();
-  AnswerPendingCatalogRequests();
+  AnswerCatalogRequests();
   const MonotonicTime now = clock_.Now();
   const MonotonicTime stable = started_ + kUnstableTime;
   if (now < stable) catalog_timer_.WakeBy(stable);
+  if (const auto next = snapshot_requests_.NextWake(now)) catalog_timer_.WakeBy(*next);
   if (const auto next = follower_.NextTick()) {
     catalog_timer_.WakeBy(std::max(*next, now + kMinCatalogInterval));
   }
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -25,11 +25,12 @@
 #include <vector>
 
 #include "src/admin/log.h"
-#include "src/admin/log_budget.h"
 #include "src/admin/metrics.h"
 #include "src/base/clock.h"
+#include "src/base/rate_limit.h"
 #include "src/base/wake_timer.h"
 #include "src/catalog/catalog_follower.h"
+#include "src/catalog/snapshot_queue.h"
 #include "src/cli/graceful_stop.h"
 #include "src/cli/platform_adapter.h"
 #include "src/datagram/datagram_link.h"
@@ -63,7 +64,7 @@
   // 1. Build and listen
   ForwardContext MakeContext();
   CatalogListener MakeListener();
-  TableWatchOptions MakeWatchOptions() const;
+  TableWatchOptions MakeWatchOptions(uint64_t seed) const;
   std::string Listen();
 
   // 2. Catalog and members
@@ -77,7 +78,8 @@
   void OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update);
   void SendCatalogRequest(CatalogRequest request);
   void OnCatalogRequest(const CatalogRequest& request);
-  void AnswerPendingCatalogRequests();
+  void AnswerCatalogRequests();
+  const std::string& EncodedSnapshotFor(const CatalogRequest& request);
   void OnMembers();
   void UpdateRank();
   bool Ready() const;
@@ -150,15 +152,23 @@
   // While this entry VM applies an update that it also relays: the address that sent the update.
   // Otherwise unset.
   std::optional<Endpoint> relayed_update_sender_;
-  // Requests that name catalog versions which this entry VM does not have yet.
-  std::vector<CatalogRequest> pending_catalog_requests_;
+  SnapshotQueue snapshot_requests_;
+  // The last snapshot that was sent, for the next requests.
+  struct EncodedSnapshot {
+    uint64_t manifest_version = 0;
+    uint64_t servers_version = 0;
+    bool has_manifest = false;
+    MonotonicTime made{};
+    std::string bytes;
+  };
+  EncodedSnapshot snapshot_;
   // Round-robin position among the peers that get catalog requests.
   size_t next_catalog_request_peer_ = 0;
   // Position among the live entry VMs in the election of the store reader; 0 is elected.
   uint32_t rank_ = 0;
   MonotonicTime started_{};       // When this process began to serve.
-  LogBudget event_log_budget_;    // Limits log lines on faults, failed requests and changes.
-  LogBudget success_log_budget_;  // Limits log lines on requests that ended without a fault.
+  RateLimit event_log_budget_;    // Limits log lines on faults, failed requests and changes.
+  RateLimit success_log_budget_;  // Limits log lines on requests that ended without a fault.
   asio::signal_set signals_;
   WakeTimer catalog_timer_;
   asio::steady_timer second_timer_;
--- a/src/datagram/catalog_message.cc
+++ b/src/datagram/catalog_message.cc
@@ -18,7 +18,7 @@
 // A message is a MessagePack array whose first item is its kind. The numbers are part of the wire
 // format; don't reuse those of removed kinds.
 constexpr int kUpdateKind = 5;
-constexpr int kRequestKind = 4;
+constexpr int kRequestKind = 6;
 
 json Encode(const BackendServer& server) {
   return {server.id.Text(),
@@ -116,6 +116,7 @@
     request.revision = message.at(2).get<uint64_t>();
     request.manifest_version = message.at(3).get<uint64_t>();
     request.servers_version = message.at(4).get<uint64_t>();
+    request.forwards = message.at(5).get<uint32_t>();
     return request;
   }
   CatalogUpdate update;
@@ -143,8 +144,12 @@
 std::string EncodeCatalogMessage(const CatalogMessage& message) {
   json fields;
   if (const auto* request = std::get_if<CatalogRequest>(&message)) {
-    fields = {kRequestKind, request->reply_to.ToString(), request->revision,
-              request->manifest_version, request->servers_version};
+    fields = {kRequestKind,
+              request->reply_to.ToString(),
+              request->revision,
+              request->manifest_version,
+              request->servers_version,
+              request->forwards};
   } else {
     fields = EncodeUpdate(std::get<CatalogUpdate>(message));
   }
--- a/src/datagram/catalog_message.h
+++ b/src/datagram/catalog_message.h
@@ -49,6 +49,7 @@
   // Newest versions of the tables that the sender knows to exist; 0 if it knows none.
   uint64_t manifest_version = 0;
   uint64_t servers_version = 0;
+  uint32_t forwards = 0;  // Number of entry VMs that have forwarded the request.
 };
 
 using CatalogMessage = std::variant<CatalogUpdate, CatalogRequest>;
--- a/src/datagram/catalog_message_test.cc
+++ b/src/datagram/catalog_message_test.cc
@@ -56,12 +56,13 @@
 
   void Request_EncodedAndDecoded_IsUnchanged() {
     const auto message =
-        DecodeCatalogMessage(EncodeCatalogMessage(CatalogRequest{{"10.0.0.7", 81}, 5, 6, 7}));
+        DecodeCatalogMessage(EncodeCatalogMessage(CatalogRequest{{"10.0.0.7", 81}, 5, 6, 7, 2}));
     const auto& decoded = std::get<CatalogRequest>(message.value());
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.7:81"), decoded.reply_to.ToString());
     CPPUNIT_ASSERT_EQUAL(uint64_t{5}, decoded.revision);
     CPPUNIT_ASSERT_EQUAL(uint64_t{6}, decoded.manifest_version);
     CPPUNIT_ASSERT_EQUAL(uint64_t{7}, decoded.servers_version);
+    CPPUNIT_ASSERT_EQUAL(uint32_t{2}, decoded.forwards);
   }
 
   // Regression: a manifest that had grown by 410 routes saturated slow links when it was sent in
