--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -47,6 +47,11 @@
  public:
   // Shortest interval between two requests to peers.
   static constexpr std::chrono::milliseconds kMinRequestInterval{50};
+  // A starting entry VM takes a snapshot that was last confirmed longer ago than this only if it
+  // gets no newer one for kStaleSnapshotDelay: its sender may have been paused or cut off, and what
+  // has left since would be used again.
+  static constexpr std::chrono::milliseconds kMaxSnapshotAge{1000};
+  static constexpr std::chrono::milliseconds kStaleSnapshotDelay{300};
   // Interval at which servers that the store no longer lists are looked at during an outage.
   static constexpr std::chrono::milliseconds kUnlistedInterval{100};
 
@@ -69,6 +74,7 @@
     RunManifestStep(manifest_watch_.Next(ManifestRank(), now));
     RunServersStep(servers_watch_.Next(rank_, now));
     Report(servers_.RemoveUnlisted(RecentOutage(now)));
+    if (stale_snapshot_ && now >= stale_snapshot_->use_at) UseStaleSnapshot();
   }
 
   // When Tick must be called next, unless a call to the store ends or an update arrives before.
@@ -81,30 +87,21 @@
     by(manifest_watch_.NextWake(ManifestRank(), now));
     by(servers_watch_.NextWake(rank_, now));
     if (servers_.HasUnlisted()) by(now + kUnlistedInterval);
+    if (stale_snapshot_) by(stale_snapshot_->use_at);
     return next;
   }
 
   // `from_predecessor`: the sender precedes this entry VM in the election order.
   void OnUpdate(const CatalogUpdate& update, bool from_predecessor) {
     const MonotonicTime now = clock_.Now();
-    ApplyReceivedManifest(update);
-    if (update.is_snapshot) return OnSnapshot(update, from_predecessor, now);
-    // The manifest's table has other rows too, so its version may grow without a new manifest.
-    const bool same = manifest_ != nullptr && update.revision <= manifest_->revision;
-    TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
-    manifest.is_caught_up = same;
-    manifest_watch_.OnTableUpdate(manifest, now);
-    const uint64_t before = servers_watch_.Version();
-    const bool is_caught_up = update.servers_base_version <= before;
-    if (is_caught_up && update.servers_version > before) {
-      // The receivers of the next update from here may lack these changes too.
-      RetainChanges(update.servers_version, update.changed, update.removed);
-      ApplyServers({update.servers_version, false, update.changed, update.removed}, now);
+    if (update.is_snapshot && !Ready() &&
+        std::max(update.manifest_age, update.servers_age) > kMaxSnapshotAge) {
+      const MonotonicTime use_at =
+          stale_snapshot_ ? stale_snapshot_->use_at : now + kStaleSnapshotDelay;
+      stale_snapshot_ = StaleSnapshot{update, from_predecessor, now, use_at};
+      return;
     }
-    TableWatch::TableUpdate servers = ServersTableUpdate(update, from_predecessor, now);
-    servers.is_caught_up = is_caught_up;
-    servers_watch_.OnTableUpdate(servers, now);
-    Tick();
+    Receive(update, from_predecessor, now);
   }
 
   // Returns a snapshot of the catalog for the entry VM that sent the request, or nullopt if this
@@ -242,6 +239,38 @@
     return table_update;
   }
 
+  void Receive(const CatalogUpdate& update, bool from_predecessor, MonotonicTime now) {
+    ApplyReceivedManifest(update);
+    if (update.is_snapshot) return OnSnapshot(update, from_predecessor, now);
+    // The manifest's table has other rows too, so its version may grow without a new manifest.
+    const bool same = manifest_ != nullptr && update.revision <= manifest_->revision;
+    TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
+    manifest.is_caught_up = same;
+    manifest_watch_.OnTableUpdate(manifest, now);
+    const uint64_t before = servers_watch_.Version();
+    const bool is_caught_up = update.servers_base_version <= before;
+    if (is_caught_up && update.servers_version > before) {
+      // The receivers of the next update from here may lack these changes too.
+      RetainChanges(update.servers_version, update.changed, update.removed);
+      ApplyServers({update.servers_version, false, update.changed, update.removed}, now);
+    }
+    TableWatch::TableUpdate servers = ServersTableUpdate(update, from_predecessor, now);
+    servers.is_caught_up = is_caught_up;
+    servers_watch_.OnTableUpdate(servers, now);
+    Tick();
+  }
+
+  void UseStaleSnapshot() {
+    StaleSnapshot stale = std::move(*stale_snapshot_);
+    stale_snapshot_.reset();
+    if (Ready()) return;
+    const auto passed =
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - stale.received_at);
+    stale.update.manifest_age += passed;
+    stale.update.servers_age += passed;
+    Receive(stale.update, stale.from_predecessor, clock_.Now());
+  }
+
   // Handles a snapshot, the answer to a request. Its sender may be cut off from the store.
   void OnSnapshot(const CatalogUpdate& update, bool from_predecessor, MonotonicTime now) {
     if (!manifest_ || update.revision < manifest_->revision) return;
@@ -446,6 +475,13 @@
     listener_.send_update(update);
   }
 
+  struct StaleSnapshot {
+    CatalogUpdate update;
+    bool from_predecessor = false;
+    MonotonicTime received_at;
+    MonotonicTime use_at;
+  };
+
   EntryVmId self_;
   Store& store_;
   const Clock& clock_;
@@ -458,8 +494,10 @@
   std::string manifest_bytes_;                 // manifest_ encoded; empty until it is needed.
   size_t manifest_transmissions_left_ = 0;     // Number of updates that will still carry manifest_.
   std::optional<MonotonicTime> last_request_;  // When a request was last sent to a peer.
+  // All changes of the servers after version retained_since_, oldest first.
   std::deque<RetainedChanges> recent_changes_;
   uint64_t retained_since_ = 0;
+  std::optional<StaleSnapshot> stale_snapshot_;
   uint32_t rank_ = 0;
   bool manifest_calls_fail_ = false;
   bool servers_calls_fail_ = false;
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -48,6 +48,8 @@
   CPPUNIT_TEST(SendUpdate_LargeManifest_MakesReceiversCallTheStore);
   CPPUNIT_TEST(OnUpdate_WithMalformedManifest_CallsTheStore);
   CPPUNIT_TEST(AnswerRequest_FromStartingEntryVm_MakesItReady);
+  CPPUNIT_TEST(OnUpdate_StaleSnapshotAtTheStart_WaitsForANewerOne);
+  CPPUNIT_TEST(OnUpdate_OnlyStaleSnapshotsAtTheStart_UsesOneAfterAWhile);
   CPPUNIT_TEST(AnswerRequest_BeforeCatalogIsKnown_ReturnsNullopt);
   CPPUNIT_TEST(AnswerRequest_VersionNotYetKnown_ReturnsNulloptUntilKnown);
   CPPUNIT_TEST(Tick_BeforeFirstManifest_WatchesForItAtTheStore);
@@ -306,6 +308,35 @@
     CPPUNIT_ASSERT(!store.manifest && !store.servers);
   }
 
+  // Regression: a restarted entry VM used servers that had left, because the entry VM that it asked
+  // had been paused or cut off.
+  void OnUpdate_StaleSnapshotAtTheStart_WaitsForANewerOne() {
+    SetUpStarting();
+    starting_->OnUpdate(Snapshot(5, "left", milliseconds(4000)), false);
+    clock_.Advance(milliseconds(100));
+    starting_->Tick();
+    CPPUNIT_ASSERT(!starting_->Ready());
+    starting_->OnUpdate(Snapshot(9, "stays", milliseconds(200)), false);
+    CPPUNIT_ASSERT(starting_->Ready());
+    clock_.Advance(milliseconds(500));
+    starting_->Tick();
+    CPPUNIT_ASSERT_EQUAL(size_t{1}, servers_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("stays"), servers_[0].id.Text());
+  }
+
+  // The store may be away, so that no entry VM has anything newer.
+  void OnUpdate_OnlyStaleSnapshotsAtTheStart_UsesOneAfterAWhile() {
+    SetUpStarting();
+    starting_->OnUpdate(Snapshot(5, "a", milliseconds(4000)), false);
+    clock_.Advance(milliseconds(200));
+    starting_->OnUpdate(Snapshot(5, "a", milliseconds(4200)), false);
+    CPPUNIT_ASSERT(!starting_->Ready());
+    clock_.Advance(milliseconds(100));
+    starting_->Tick();
+    CPPUNIT_ASSERT(starting_->Ready());
+    CPPUNIT_ASSERT(starting_->ServersAge() >= milliseconds(4300));
+  }
+
   void AnswerRequest_BeforeCatalogIsKnown_ReturnsNullopt() {
     FakeStore store;
     CatalogFollower<FakeStore> starting(EntryVmId("new"), store, clock_, NoOpListener());
@@ -476,6 +507,31 @@
     update.changed = std::move(servers);
     return update;
   }
+  // A follower that asks peers before it reads the store.
+  void SetUpStarting() {
+    TableWatchOptions options;
+    options.startup_peer_timeout = milliseconds(10000);
+    CatalogListener listener = NoOpListener();
+    servers_.clear();
+    listener.on_servers = [this](const ServerChanges& changes) { Apply(changes); };
+    starting_ = std::make_unique<CatalogFollower<FakeStore>>(EntryVmId("starting"), store_, clock_,
+                                                             listener, options);
+    starting_->Tick();
+  }
+  static CatalogUpdate Snapshot(uint64_t version, const std::string& server, milliseconds age) {
+    Manifest manifest = WithOneRoute();
+    CatalogUpdate update;
+    update.sender = EntryVmId("other");
+    update.is_snapshot = true;
+    update.manifest_version = version;
+    update.revision = version;
+    update.manifest = EncodeManifest(manifest);
+    update.manifest_age = age;
+    update.servers_version = version;
+    update.servers_age = age;
+    update.changed = {MakeServer(server)};
+    return update;
+  }
   static std::vector<BackendServer> MakeServers(size_t n) {
     std::vector<BackendServer> servers;
     for (size_t i = 0; i < n; ++i) {
@@ -547,6 +603,7 @@
   ManualClock clock_;
   FakeStore store_;
   std::unique_ptr<CatalogFollower<FakeStore>> follower_;
+  std::unique_ptr<CatalogFollower<FakeStore>> starting_;
   std::vector<CatalogUpdate> sent_updates_;
   size_t peer_requests_ = 0;
   std::vector<BackendServer> servers_;
