Connections that are not accepted yet are answered at a planned stop

One of the operators' reports: during a planned stop under load, requests that had just been accepted were cut off. When a stopping entry VM closed its listening socket, the kernel reset the connections that it had not accepted yet, with the requests on them; and a connection whose request lay unread counted as idle. Now what is pending is accepted first, and a connection with unread bytes is not idle.

--- a/src/forward/caller_connection.cc
+++ b/src/forward/caller_connection.cc
@@ -43,7 +43,7 @@
 void CallerConnection::ReadNextRequest() {
   if (finished_ || !last_request_read_) return;
   if (pipeline_.Empty()) {
-    if (close_when_idle_ && stream_->BetweenMessages()) return Finish(ConnectionAction::kClose);
+    if (close_when_idle_ && IsIdle()) return Finish(ConnectionAction::kClose);
     StartIdleTimer();
   }
   const bool may_read =
@@ -198,7 +198,14 @@
 
 void CallerConnection::CloseWhenIdle() {
   close_when_idle_ = true;
-  if (pipeline_.Empty() && stream_->BetweenMessages()) Finish(ConnectionAction::kClose);
+  if (pipeline_.Empty() && IsIdle()) Finish(ConnectionAction::kClose);
+}
+
+// Whether no part of a request has arrived.
+bool CallerConnection::IsIdle() const {
+  std::error_code ignored;
+  return stream_->BetweenMessages() && !stream_->HasUnread() &&
+         stream_->GetSocket().available(ignored) == 0;
 }
 
 }  // namespace cowsliphill
--- a/src/forward/caller_connection.h
+++ b/src/forward/caller_connection.h
@@ -50,6 +50,7 @@
   void RejectMalformed(const HttpError& error);
   void WatchCaller();
   void OnCallerGone();
+  bool IsIdle() const;
   void OnExchangeDone(const std::shared_ptr<PipelineSlot>& slot, ConnectionAction action);
   void OnAnswered(ConnectionAction action);
   void Finish(ConnectionAction action);
--- a/src/forward/edge_server.cc
+++ b/src/forward/edge_server.cc
@@ -36,11 +36,10 @@
 
 void EdgeServer::Accept() {
   acceptor_.async_accept([this](std::error_code ec, HttpStream::Socket socket) {
-    if (!acceptor_.is_open()) return;
-    if (!ec) {
-      OnAccepted(std::move(socket));
-      return Accept();
-    }
+    if (!ec) OnAccepted(std::move(socket));
+    // Closed meanwhile: this connection had been accepted before.
+    if (!acceptor_.is_open()) return CloseIdle();
+    if (!ec) return Accept();
     retry_timer_.expires_after(kAcceptRetryDelay);
     retry_timer_.async_wait([this](std::error_code timer_ec) {
       if (!timer_ec && acceptor_.is_open()) Accept();
@@ -61,9 +60,26 @@
   connection->Start();
 }
 
+// The kernel resets the connections that are established and not accepted yet when the listening
+// socket is closed.
+void EdgeServer::AcceptPending() {
+  std::error_code ec;
+  acceptor_.non_blocking(true, ec);
+  while (!ec) {
+    HttpStream::Socket socket(context_.io);
+    acceptor_.accept(socket, ec);
+    if (!ec) OnAccepted(std::move(socket));
+  }
+}
+
 void EdgeServer::StopAccepting() {
+  AcceptPending();
   std::error_code ignored;
   acceptor_.close(ignored);
+  CloseIdle();
+}
+
+void EdgeServer::CloseIdle() {
   const std::vector<std::shared_ptr<CallerConnection>> open(connections_.begin(),
                                                             connections_.end());
   for (const auto& connection : open) connection->CloseWhenIdle();
--- a/src/forward/edge_server.h
+++ b/src/forward/edge_server.h
@@ -25,7 +25,8 @@
   std::string Listen(const Endpoint& listen);
   Endpoint LocalEndpoint() const;
 
-  // Stops accepting connections and closes the idle ones; busy ones close after their request.
+  // Stops accepting connections and closes the idle ones; busy ones close after their request, also
+  // those whose request has only just arrived.
   void StopAccepting();
   // Closes every connection immediately, without finishing its request.
   void AbortAll();
@@ -36,6 +37,8 @@
  private:
   void Accept();
   void OnAccepted(HttpStream::Socket socket);
+  void AcceptPending();
+  void CloseIdle();
 
   ForwardContext& context_;
   asio::ip::tcp::acceptor acceptor_;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -6,12 +6,14 @@
 
 #include <algorithm>
 #include <csignal>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
 
 #include "platform/rows.h"
 #include "tests/fleet_harness.h"
+#include "tests/raw_caller.h"
 
 namespace cowsliphill {
 namespace {
@@ -56,6 +58,7 @@
   CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndExits);
   CPPUNIT_TEST(Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout);
   CPPUNIT_TEST(Sigterm_WithRequestsThatWaitForASlot_RefusesThemAsNotRun);
+  CPPUNIT_TEST(Sigterm_WithConnectionsNotYetAccepted_AnswersTheirRequests);
   CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
   CPPUNIT_TEST(Metrics_OfAnEntryVm_IncludeStoreCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -418,6 +421,33 @@
     CPPUNIT_ASSERT(refused > 0);
   }
 
+  // Regression: when a stopping entry VM closed its listening socket, the kernel reset the
+  // connections that it had not accepted yet, with the requests on them. The process is paused, as
+  // if it were busy, while they come in.
+  void Sigterm_WithConnectionsNotYetAccepted_AnswersTheirRequests() {
+    constexpr size_t callers = 20;
+    Fleet fleet(2);
+    const Process& process = *fleet.Entry(1).process;
+    process.Signal(SIGTERM);
+    // New connections are accepted for half of the stop timeout of 4 s.
+    std::this_thread::sleep_for(milliseconds(1700));
+    process.Signal(SIGSTOP);
+    std::vector<std::unique_ptr<RawCaller>> connections;
+    for (size_t i = 0; i < callers; ++i) {
+      connections.push_back(std::make_unique<RawCaller>(fleet.Entry(1).edge));
+      connections.back()->Send("GET /a/x HTTP/1.1\r\nHost: fleet.example\r\nX-Request-Id: r" +
+                               std::to_string(i) + "\r\nX-Deadline-Ms: 3000\r\n\r\n");
+    }
+    std::this_thread::sleep_for(milliseconds(600));
+    process.Signal(SIGCONT);
+    size_t answered = 0;
+    for (const auto& it : connections) {
+      const std::vector<RawAnswer> answers = it->ReadAnswers(1, milliseconds(1500));
+      if (answers.size() == 1 && answers[0].head.status == 200) ++answered;
+    }
+    CPPUNIT_ASSERT_EQUAL(callers, answered);
+  }
+
   void Kill_OfTheReader_LeavesTheOthersUpToDate() {
     Fleet fleet(3);
     std::this_thread::sleep_for(std::chrono::seconds(2));
