After a pause requests wait until the catalog is confirmed again

An entry VM that had been paused served the requests that waited for it by the list of servers from before the pause. The steady clock does not even count the time of a suspended machine.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -4,6 +4,7 @@
 #define COWSLIPHILL_BASE_CLOCK_H_
 
 #include <chrono>
+#include <ctime>
 
 namespace cowsliphill {
 
@@ -25,7 +26,14 @@
 
 class SystemClock : public Clock {
  public:
-  MonotonicTime Now() const override { return std::chrono::steady_clock::now(); }
+  // Counts the time for which the machine is suspended, which std::chrono::steady_clock does not:
+  // deadlines and ages go on meanwhile.
+  MonotonicTime Now() const override {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return MonotonicTime(std::chrono::seconds(time.tv_sec) +
+                         std::chrono::nanoseconds(time.tv_nsec));
+  }
   WallTime WallNow() const override {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now());
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -27,6 +27,8 @@
 // During kUnstableTime an entry VM takes at least a pseudo-random rank from 1 to kUnstableRanks, so
 // that it does not become the store reader because it knows few others yet.
 constexpr uint32_t kUnstableRanks = 8;
+// A longer time between two runs of this process is a pause: it runs every second.
+constexpr milliseconds kPauseThreshold{2500};
 // A snapshot is encoded once for all requests within this time.
 constexpr milliseconds kSnapshotReuseTime{50};
 // Up to this many peers, catalog updates are sent to all of them. With more, they are sent to the
@@ -118,8 +120,10 @@
 ForwardContext RoutedEntry::MakeContext() {
   ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, nullptr};
   context.manifest = [this] { return manifest_; };
-  context.ready = [this] { return follower_.Ready(); };
-  context.starting = [this] { return clock_.Now() - started_ < kStartupHoldTime; };
+  context.ready = [this] { return HasCatalog(); };
+  context.starting = [this] {
+    return clock_.Now() - std::max(started_, resumed_) < kStartupHoldTime;
+  };
   context.on_report = [this](const BackendServerId& server, const Report& report) {
     scheduling_.OnAnswerReport(server, report);
   };
@@ -221,6 +225,7 @@
 }
 
 int RoutedEntry::Run() {
+  last_running_ = clock_.Now();
   const std::string error = Listen();
   if (!error.empty()) {
     log_.Write(LogLevel::kError, "can't listen", {{"detail", error}});
@@ -437,6 +442,21 @@
   follower_.SetRank(stable ? rank_ : std::max(rank_, unstable_rank));
 }
 
+// After a pause the catalog is out of date: servers may have left meanwhile. Requests wait until it
+// is confirmed again, or for kStartupHoldTime if the store and the other entry VMs are silent.
+bool RoutedEntry::HasCatalog() {
+  NoteRunning();
+  const Duration since_pause = clock_.Now() - resumed_;
+  return follower_.Ready() &&
+         (since_pause >= kStartupHoldTime || follower_.ServersAge() <= since_pause);
+}
+
+void RoutedEntry::NoteRunning() {
+  const MonotonicTime now = clock_.Now();
+  if (now - last_running_ > kPauseThreshold) resumed_ = now;
+  last_running_ = now;
+}
+
 bool RoutedEntry::Ready() const { return follower_.Ready() && !stop_.Begun(); }
 
 PlainResponse RoutedEntry::ServeLookup(const std::string& path, const std::string& query) {
@@ -591,6 +611,7 @@
 }
 
 void RoutedEntry::EverySecond() {
+  NoteRunning();
   pool_.CloseIdle();
   scheduling_.CloseIdle();
   poison_.CloseIdle();
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -83,6 +83,8 @@
   void OnMembers();
   void UpdateRank();
   bool Ready() const;
+  bool HasCatalog();
+  void NoteRunning();
   PlainResponse ServeLookup(const std::string& path, const std::string& query);
   PlainResponse ServeReadiness(const std::string& path);
   PlainResponse ServeMetrics(const std::string& path);
@@ -167,6 +169,8 @@
   // Position among the live entry VMs in the election of the store reader; 0 is elected.
   uint32_t rank_ = 0;
   MonotonicTime started_{};       // When this process began to serve.
+  MonotonicTime last_running_{};  // When this process last ran.
+  MonotonicTime resumed_{};       // When it last resumed after a pause.
   RateLimit event_log_budget_;    // Limits log lines on faults, failed requests and changes.
   RateLimit success_log_budget_;  // Limits log lines on requests that ended without a fault.
   asio::signal_set signals_;
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout);
   CPPUNIT_TEST(Sigterm_WithRequestsThatWaitForASlot_RefusesThemAsNotRun);
   CPPUNIT_TEST(Sigterm_WithConnectionsNotYetAccepted_AnswersTheirRequests);
+  CPPUNIT_TEST(Pause_WhileAServerBeginsToLeave_GivesItNoWorkAfterwards);
   CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
   CPPUNIT_TEST(Metrics_OfAnEntryVm_IncludeStoreCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -448,6 +449,32 @@
     CPPUNIT_ASSERT_EQUAL(callers, answered);
   }
 
+  // Regression: an entry VM that had been paused served the requests that waited for it by the list
+  // of servers from before the pause.
+  void Pause_WhileAServerBeginsToLeave_GivesItNoWorkAfterwards() {
+    constexpr size_t callers = 30;
+    Fleet fleet(1);
+    const Process& process = *fleet.Entry(0).process;
+    process.Signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(3000));
+    json row = ServerRow("s-0");
+    row["state"] = "draining";
+    fleet.Control("PUT", "/control/row?table=servers&key=s-0", row.dump());
+    std::vector<std::unique_ptr<RawCaller>> connections;
+    for (size_t i = 0; i < callers; ++i) {
+      connections.push_back(std::make_unique<RawCaller>(fleet.Entry(0).edge));
+      connections.back()->Send("GET /a/x HTTP/1.1\r\nHost: fleet.example\r\nX-Request-Id: r" +
+                               std::to_string(i) + "\r\nX-Deadline-Ms: 3000\r\n\r\n");
+    }
+    const size_t before = fleet.Journal().size();
+    process.Signal(SIGCONT);
+    for (const auto& it : connections) {
+      CPPUNIT_ASSERT_EQUAL(size_t{1}, it->ReadAnswers(1, milliseconds(3000)).size());
+    }
+    const json journal = fleet.Journal();
+    for (size_t i = before; i < journal.size(); ++i) CPPUNIT_ASSERT(journal[i]["server"] != "s-0");
+  }
+
   void Kill_OfTheReader_LeavesTheOthersUpToDate() {
     Fleet fleet(3);
     std::this_thread::sleep_for(std::chrono::seconds(2));
