A starting entry VM does not log that it reads the store for all

The line misled readers of logs. Test: PlatformPathTest::Log_OfAStart_ClaimsNoReadingOfTheStoreBeforeIt.

--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -225,7 +225,8 @@
 }
 
 int RoutedEntry::Run() {
-  last_running_ = clock_.Now();
+  started_ = clock_.Now();
+  last_running_ = started_;
   const std::string error = Listen();
   if (!error.empty()) {
     log_.Write(LogLevel::kError, "can't listen", {{"detail", error}});
@@ -233,7 +234,6 @@
   }
   log_.Write(LogLevel::kInfo, "started",
              {{"entry_vm", id_.Text()}, {"edge", settings_.edge.listen.ToString()}});
-  started_ = clock_.Now();
   AwaitSignal();
   RunCatalogStep();
   EverySecond();
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -62,6 +62,7 @@
   CPPUNIT_TEST(Pause_WhileAServerBeginsToLeave_GivesItNoWorkAfterwards);
   CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
   CPPUNIT_TEST(Metrics_OfAnEntryVm_IncludeStoreCalls);
+  CPPUNIT_TEST(Log_OfAStart_ClaimsNoReadingOfTheStoreBeforeIt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -492,6 +493,17 @@
     CPPUNIT_ASSERT(result->body.find("cowsliphill_store_calls") != std::string::npos);
   }
 
+  // Until it knows the others, an entry VM must not take itself for the first of them.
+  void Log_OfAStart_ClaimsNoReadingOfTheStoreBeforeIt() {
+    Fleet fleet(2);
+    for (size_t i = 0; i < fleet.Entries(); ++i) {
+      const std::string log = fleet.Entry(i).process->Output();
+      const size_t started = log.find("\"started\"");
+      CPPUNIT_ASSERT(started != std::string::npos);
+      CPPUNIT_ASSERT(log.find("reads the store for all") >= started);
+    }
+  }
+
  private:
   // The rows of the servers' table, as the store returns them.
   static std::string RowsOf(const Fleet& fleet) {
