Lookup answers name different entry VMs to different callers

A lookup named the first 64 entry VMs of the caller's failure domain. With a hundred of them the same 64 served all callers, and the rest got nobody. Now rendezvous hashing over the caller's address picks them: each gets an equal share of the callers, and one caller gets the same ones from every entry VM, so that its open connections stay in use.

--- a/src/catalog/server_list_test.cc
+++ b/src/catalog/server_list_test.cc
@@ -133,6 +133,7 @@
       Update(copy, list_.Apply(answer, outage, now_));
       if (random() % 4 == 0) Update(copy, list_.RemoveUnlisted(outage));
       std::vector<BackendServer> servers;
+      servers.reserve(copy.size());
       for (const auto& [id, server] : copy) servers.push_back(server);
       CPPUNIT_ASSERT(servers == list_.All());
     }
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -85,12 +85,11 @@
       manifest_(std::make_shared<Manifest>()),
       context_(MakeContext()),
       edge_(context_),
-      lookup_server_(io_, [this](const std::string& path,
-                                 const std::string& query) { return ServeLookup(path, query); }),
-      readiness_server_(io_, [this](const std::string& path,
-                                    const std::string&) { return ServeReadiness(path); }),
-      metrics_server_(
-          io_, [this](const std::string& path, const std::string&) { return ServeMetrics(path); }),
+      lookup_server_(io_, [this](const PlainRequest& request) { return ServeLookup(request); }),
+      readiness_server_(
+          io_, [this](const PlainRequest& request) { return ServeReadiness(request.path); }),
+      metrics_server_(io_,
+                      [this](const PlainRequest& request) { return ServeMetrics(request.path); }),
       peers_(io_, clock_, id_, settings_.peer),
       datagrams_(
           io_, DatagramKey(settings_),
@@ -459,12 +458,13 @@
 
 bool RoutedEntry::Ready() const { return follower_.Ready() && !stop_.Begun(); }
 
-PlainResponse RoutedEntry::ServeLookup(const std::string& path, const std::string& query) {
-  if (path != adapter_.lookup_path) return {404, "text/plain", "not found\n"};
-  std::vector<Member> members = members_->LiveAndSelf();
-  const std::vector<Endpoint> entries =
-      NearEntries(members, FailureDomainId(QueryValue(query, adapter_.lookup_failure_domain)),
-                  RegionId(QueryValue(query, adapter_.lookup_region)));
+PlainResponse RoutedEntry::ServeLookup(const PlainRequest& request) {
+  if (request.path != adapter_.lookup_path) return {404, "text/plain", "not found\n"};
+  LookupQuery query;
+  query.caller = request.caller;
+  query.failure_domain = FailureDomainId(QueryValue(request.query, adapter_.lookup_failure_domain));
+  query.region = RegionId(QueryValue(request.query, adapter_.lookup_region));
+  const std::vector<Endpoint> entries = NearEntries(members_->LiveAndSelf(), query);
   return {200, "application/json",
           adapter_.format_lookup(entries, manifest_->entry.lookup_lifetime)};
 }
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -85,7 +85,7 @@
   bool Ready() const;
   bool HasCatalog();
   void NoteRunning();
-  PlainResponse ServeLookup(const std::string& path, const std::string& query);
+  PlainResponse ServeLookup(const PlainRequest& request);
   PlainResponse ServeReadiness(const std::string& path);
   PlainResponse ServeMetrics(const std::string& path);
 
--- a/src/forward/plain_server.cc
+++ b/src/forward/plain_server.cc
@@ -48,6 +48,9 @@
  public:
   Connection(PlainServer& server, HttpStream::Socket socket)
       : server_(server), idle_timer_(server.io_) {
+    std::error_code ec;
+    const auto remote = socket.remote_endpoint(ec);
+    if (!ec) caller_ = remote.address().to_string();
     std::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
@@ -84,9 +87,9 @@
   void Respond(const HttpHead& head) {
     const size_t mark = std::min(head.target.find('?'), head.target.size());
     const std::string query = mark < head.target.size() ? head.target.substr(mark + 1) : "";
-    const PlainResponse response = head.method == "GET"
-                                       ? server_.handler_(head.target.substr(0, mark), query)
-                                       : PlainResponse{405, "text/plain", "only GET is allowed\n"};
+    const PlainResponse response =
+        head.method == "GET" ? server_.handler_({head.target.substr(0, mark), query, caller_})
+                             : PlainResponse{405, "text/plain", "only GET is allowed\n"};
     std::string out = StatusLine(response.status);
     AppendBody(out, response.type, response.body, head.keep_alive);
     stream_->Write(std::move(out), [self = shared_from_this(), keep = head.keep_alive](bool ok) {
@@ -98,6 +101,7 @@
   }
 
   PlainServer& server_;
+  std::string caller_;
   asio::steady_timer idle_timer_;
   std::shared_ptr<HttpStream> stream_;
 };
--- a/src/forward/plain_server.h
+++ b/src/forward/plain_server.h
@@ -16,6 +16,12 @@
 
 namespace cowsliphill {
 
+struct PlainRequest {
+  std::string path;
+  std::string query;   // Without the question mark; may be empty.
+  std::string caller;  // Remote IP address; empty if unknown.
+};
+
 struct PlainResponse {
   int status = 200;
   std::string type = "text/plain";
@@ -24,7 +30,7 @@
 
 class PlainServer {
  public:
-  using Handler = std::function<PlainResponse(const std::string& path, const std::string& query)>;
+  using Handler = std::function<PlainResponse(const PlainRequest& request)>;
 
   PlainServer(asio::io_context& io, Handler handler);
   ~PlainServer();
--- a/src/members/lookup.cc
+++ b/src/members/lookup.cc
@@ -3,8 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <utility>
 
 namespace cowsliphill {
 namespace {
@@ -74,6 +77,20 @@
   }
 }
 
+// Keeps the `n` entries with the highest scores for the caller.
+void KeepForCaller(std::vector<Endpoint>& entries, size_t n, const std::string& caller) {
+  if (entries.size() <= n) return;
+  std::vector<std::pair<uint64_t, Endpoint>> scored;
+  for (Endpoint& it : entries) {
+    const uint64_t score = RendezvousScore(caller, it);
+    scored.emplace_back(score, std::move(it));
+  }
+  const auto end = scored.begin() + static_cast<std::ptrdiff_t>(n);
+  std::nth_element(scored.begin(), end, scored.end(), std::greater<>());
+  entries.clear();
+  for (auto it = scored.begin(); it != end; ++it) entries.push_back(std::move(it->second));
+}
+
 }  // namespace
 
 std::vector<Endpoint> RankEntries(const std::vector<Member>& members,
@@ -99,25 +116,26 @@
   return answer;
 }
 
-std::vector<Endpoint> NearEntries(const std::vector<Member>& members,
-                                  const FailureDomainId& failure_domain, const RegionId& region) {
+std::vector<Endpoint> NearEntries(const std::vector<Member>& members, const LookupQuery& query) {
+  // How far a member is from the caller; a farther one is listed only if the nearer ones are few.
+  enum Distance { kFailureDomain, kRegion, kElsewhere, kNotAlive, kDistances };
+  std::array<std::vector<Endpoint>, kDistances> groups;
+  for (const Member& member : members) {
+    const bool near = member.failure_domain == query.failure_domain;
+    const Distance distance = member.state != MemberState::kAlive ? kNotAlive
+                              : near                              ? kFailureDomain
+                              : member.region == query.region     ? kRegion
+                                                                  : kElsewhere;
+    groups[distance].push_back(member.edge);
+  }
   std::vector<Endpoint> entries;
-  const auto add = [&](auto matches) {
-    for (const Member& member : members) {
-      if (entries.size() >= kMaxNearEntries) return;
-      const bool listed = std::find(entries.begin(), entries.end(), member.edge) != entries.end();
-      if (!listed && matches(member)) entries.push_back(member.edge);
-    }
-  };
-  const auto alive = [](const Member& member) { return member.state == MemberState::kAlive; };
-  add([&](const Member& member) {
-    return alive(member) && member.failure_domain == failure_domain;
-  });
-  if (entries.size() >= kMinNearEntries) return entries;
-  add([&](const Member& member) { return alive(member) && member.region == region; });
-  if (entries.size() >= kMinNearEntries) return entries;
-  add(alive);
-  if (entries.empty()) add([](const Member&) { return true; });
+  for (size_t distance = kFailureDomain; distance < kDistances; ++distance) {
+    const bool enough =
+        distance == kNotAlive ? !entries.empty() : entries.size() >= kMinNearEntries;
+    if (enough) return entries;
+    KeepForCaller(groups[distance], kMaxNearEntries - entries.size(), query.caller);
+    entries.insert(entries.end(), groups[distance].begin(), groups[distance].end());
+  }
   return entries;
 }
 
--- a/src/members/lookup.h
+++ b/src/members/lookup.h
@@ -53,8 +53,12 @@
 // Returns the alive entry VMs of the caller's failure domain. If these are fewer than
 // kMinNearEntries, those of its region are appended, and then all other alive ones if there are
 // still too few. Suspect and leaving entry VMs are returned only if none is alive.
-std::vector<Endpoint> NearEntries(const std::vector<Member>& members,
-                                  const FailureDomainId& failure_domain, const RegionId& region);
+//
+// If more than kMaxNearEntries qualify, rendezvous hashing of the caller and the entry VM's address
+// selects them: each entry VM gets an equal share of the callers, and a caller gets the same
+// selection from every entry VM, so that its open connections stay in use. Callers behind one
+// address share a selection.
+std::vector<Endpoint> NearEntries(const std::vector<Member>& members, const LookupQuery& query);
 
 // Returns the manifest's lifetime, reduced to at most kUnstableLookupLifetime while members are
 // suspect or have recently changed, so that callers ask again soon after it is known which members
