A stopped entry VM leaves the event loop

After its departure an entry VM's timer for members named a time that had passed, so the last poll of the event loop never ended. Test: PlatformPathTest::Sigterm_ToIdleEntryVms_EachExitsSoon.

--- a/src/members/members.h
+++ b/src/members/members.h
@@ -146,7 +146,7 @@
       }
     }
     RefreshIfDue();
-    timer_.WakeBy(membership_.NextTick(clock_.Now()));
+    if (const auto next = membership_.NextTick(clock_.Now())) timer_.WakeBy(*next);
   }
 
   void SendRequest(SendGossip send) {
--- a/src/members/membership.cc
+++ b/src/members/membership.cc
@@ -58,7 +58,8 @@
   PushChanges();
 }
 
-MonotonicTime Membership::NextTick(MonotonicTime now) const {
+std::optional<MonotonicTime> Membership::NextTick(MonotonicTime now) const {
+  if (departed_) return std::nullopt;
   MonotonicTime next = next_period_;
   if (probe_ && !probe_->indirect_pings_requested) {
     next = std::min(next, probe_->started + config_.direct_timeout);
--- a/src/members/membership.h
+++ b/src/members/membership.h
@@ -86,8 +86,8 @@
   Membership(MembershipConfig config, const Member& self, uint64_t seed, MonotonicTime now);
 
   void Tick(MonotonicTime now);
-  // When Tick must be called next. Any other call may make it earlier.
-  MonotonicTime NextTick(MonotonicTime now) const;
+  // When Tick must be called next; never after Depart. Any other call may make it earlier.
+  std::optional<MonotonicTime> NextTick(MonotonicTime now) const;
   // Processes a message from another member and returns the reply. The reply is empty if the
   // message is rejected or this member has departed.
   std::string Receive(MonotonicTime now, const EntryVmId& from, const std::string& payload);
--- a/src/members/membership_test.cc
+++ b/src/members/membership_test.cc
@@ -19,6 +19,8 @@
   CPPUNIT_TEST(Member_Killed_IsGoneEverywhereWithinSeconds);
   CPPUNIT_TEST(Member_Leaving_IsKnownEverywhereWithinTwoSeconds);
   CPPUNIT_TEST(Member_Departing_IsGoneWithoutSuspicion);
+  CPPUNIT_TEST(NextTick_WhileOthersComeAndGo_IsAfterTheLastTick);
+  CPPUNIT_TEST(NextTick_AfterDeparting_IsNever);
   CPPUNIT_TEST(Members_WithTenPercentLoss_AreNotDeclaredDead);
   CPPUNIT_TEST(Member_PausedAndResumed_RefutesItsDeath);
   CPPUNIT_TEST(Member_PausedAndResumed_DeclaresNobodyDead);
@@ -92,6 +94,34 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{0}, Total(net, &MembershipStats::suspected));
   }
 
+  // A time that has passed would keep the event loop busy.
+  void NextTick_WhileOthersComeAndGo_IsAfterTheLastTick() {
+    VirtualNetwork net(41);
+    StartAndConverge(net, 19);
+    for (size_t i = 1; i < net.Size(); ++i) {
+      net.Kill(i);
+      for (int ms = 0; ms < 400; ms += 7) {
+        net.Run(milliseconds(7));
+        Membership& member = *net.At(0).membership;
+        member.Tick(net.Now());
+        const std::optional<MonotonicTime> next = member.NextTick(net.Now());
+        CPPUNIT_ASSERT(next && *next > net.Now());
+        net.ApplyActions(0);
+      }
+    }
+  }
+
+  void NextTick_AfterDeparting_IsNever() {
+    VirtualNetwork net(42);
+    StartAndConverge(net, 3);
+    Membership& member = *net.At(1).membership;
+    member.Depart();
+    net.ApplyActions(1);
+    net.Run(seconds(2));
+    member.Tick(net.Now());
+    CPPUNIT_ASSERT(!member.NextTick(net.Now()));
+  }
+
   void Members_WithTenPercentLoss_AreNotDeclaredDead() {
     VirtualNetwork net(5);
     StartAndConverge(net, 60);
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(Sighup_ToAnEntryVm_ChangesNothing);
   CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndExits);
   CPPUNIT_TEST(Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout);
+  CPPUNIT_TEST(Sigterm_ToIdleEntryVms_EachExitsSoon);
   CPPUNIT_TEST(Sigterm_WithRequestsThatWaitForASlot_RefusesThemAsNotRun);
   CPPUNIT_TEST(Sigterm_WithConnectionsNotYetAccepted_AnswersTheirRequests);
   CPPUNIT_TEST(Pause_WhileAServerBeginsToLeave_GivesItNoWorkAfterwards);
@@ -380,6 +381,19 @@
     CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(1).process->Wait(milliseconds(6000)));
   }
 
+  // They stop at different times after the last message to other members, which is sent every
+  // second.
+  void Sigterm_ToIdleEntryVms_EachExitsSoon() {
+    Fleet fleet(12);
+    for (size_t i = 0; i < fleet.Entries(); ++i) {
+      fleet.Entry(i).process->Signal(SIGTERM);
+      std::this_thread::sleep_for(milliseconds(90));
+    }
+    for (size_t i = 0; i < fleet.Entries(); ++i) {
+      CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(i).process->Wait(milliseconds(3500)));
+    }
+  }
+
   void Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout() {
     Fleet fleet(2);
     SetModeOfAllServers(fleet, "ok&work_ms=60000");
