--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -91,6 +91,12 @@
     return next;
   }
 
+  // Another entry VM has given a sign of life; a starting one then waits longer for its answer.
+  void OnPeerAlive() {
+    manifest_watch_.OnPeerAlive();
+    servers_watch_.OnPeerAlive();
+  }
+
   // `from_predecessor`: the sender precedes this entry VM in the election order.
   void OnUpdate(const CatalogUpdate& update, bool from_predecessor) {
     const MonotonicTime now = clock_.Now();
--- a/src/catalog/catalog_follower_test.cc
+++ b/src/catalog/catalog_follower_test.cc
@@ -178,7 +178,7 @@
       Advance();
       AnswerServers({version, false, {}, {}});
     }
-    CPPUNIT_ASSERT(listed <= 2 * 1080);
+    CPPUNIT_ASSERT(listed <= size_t{2} * 1080);
   }
 
   // Entry VMs that receive only some of the updates have the reader's list whenever they count as
--- a/src/catalog/table_watch.h
+++ b/src/catalog/table_watch.h
@@ -20,6 +20,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "src/base/clock.h"
 #include "src/catalog/catalog.h"
@@ -66,6 +67,10 @@
   // How long a starting entry VM sends requests to peers before it reads the store; 0: it reads the
   // store at once.
   std::chrono::milliseconds startup_peer_timeout{0};
+  // The same while no peer has given a sign of life; 0: no difference. The seeds may start later.
+  std::chrono::milliseconds startup_silent_timeout{0};
+  // Replaces peer_timeout while no peer has given a sign of life.
+  std::chrono::milliseconds silent_peer_timeout{50};
 };
 
 class TableWatch {
@@ -83,10 +88,13 @@
     if (call_open_ || now < not_before_) return Step::kNone;
     if (!is_loaded_) {
       if (!started_) started_ = now;
-      const Duration remaining = options_.startup_peer_timeout - (now - *started_);
-      if (remaining > Duration{}) {
-        return RequestFromPeer(std::min<Duration>(remaining, options_.peer_timeout), now);
-      }
+      const bool is_silent = !heard_peer_ && options_.startup_silent_timeout.count() > 0;
+      const Duration limit =
+          is_silent ? std::min(options_.startup_silent_timeout, options_.startup_peer_timeout)
+                    : options_.startup_peer_timeout;
+      const Duration remaining = limit - (now - *started_);
+      const Duration wait = is_silent ? options_.silent_peer_timeout : options_.peer_timeout;
+      if (remaining > Duration{}) return RequestFromPeer(std::min(remaining, wait), now);
       return BeginCall(Step::kReadTable, now);
     }
     if (behind_) {
@@ -117,6 +125,12 @@
     return std::max(not_before_, stale);
   }
 
+  // Another entry VM is alive. One that has received a request answers it, or has it answered.
+  void OnPeerAlive() {
+    if (std::exchange(heard_peer_, true) || is_loaded_ || call_open_ || peer_requests_ == 0) return;
+    not_before_ = requested_at_ + options_.peer_timeout;
+  }
+
   // The store answered with everything up to `version`.
   void OnAnswer(uint64_t version, MonotonicTime now) {
     NoteVersion(version, now);
@@ -236,6 +250,7 @@
 
   Step RequestFromPeer(Duration wait, MonotonicTime now) {
     ++peer_requests_;
+    requested_at_ = now;
     not_before_ = now + wait;
     return Step::kRequestFromPeer;
   }
@@ -259,6 +274,8 @@
   bool taking_over_ = false;      // If the open call succeeds, has_taken_over_ will be set.
   bool has_predecessor_update_ = false;  // An update of a predecessor has arrived.
   bool is_high_rank_ = false;            // The rank at the last Next was above max_rank_steps.
+  bool heard_peer_ = false;              // Another entry VM has given a sign of life.
+  MonotonicTime requested_at_{};         // When a peer was last sent a request.
   uint32_t peer_requests_ = 0;  // Requests to peers since a call last succeeded or failed, or
                                 // since this entry VM was last up to date.
   uint64_t version_ = 0;
--- a/src/catalog/table_watch_test.cc
+++ b/src/catalog/table_watch_test.cc
@@ -33,6 +33,8 @@
   CPPUNIT_TEST(OnTableUpdate_NewVersionDuringBackoff_RequestsAtOnce);
   CPPUNIT_TEST(Next_AtStartWithPeers_RequestsFromThemFirst);
   CPPUNIT_TEST(Next_AtStartWithoutAnswers_ReadsTableAfterStartupPeerTimeout);
+  CPPUNIT_TEST(Next_AtStartWithSilentPeers_AsksThreeThenReadsTheTable);
+  CPPUNIT_TEST(Next_AtStartWithALivePeer_WaitsForItsAnswer);
   CPPUNIT_TEST(Next_AfterPeersSnapshot_DoesNotCallTheStore);
   CPPUNIT_TEST(Next_BehindWithoutStore_KeepsRequestingFromPeers);
   CPPUNIT_TEST(OnTableUpdate_SnapshotFromPeerThatIsBehindToo_CallsTheStore);
@@ -284,6 +286,33 @@
     CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kReadTable);
   }
 
+  // The seeds start after the others, or are down. Requests of callers are held for 400 ms only.
+  void Next_AtStartWithSilentPeers_AsksThreeThenReadsTheTable() {
+    watch_ = TableWatch(WithSilentTimeout());
+    const MonotonicTime start = now_;
+    int requests = 0;
+    Step step = watch_.Next(3, now_);
+    for (; step != Step::kReadTable; step = watch_.Next(3, now_)) {
+      requests += step == Step::kRequestFromPeer ? 1 : 0;
+      Advance(milliseconds(5));
+    }
+    CPPUNIT_ASSERT_EQUAL(3, requests);
+    CPPUNIT_ASSERT(now_ - start <= milliseconds(125));
+  }
+
+  void Next_AtStartWithALivePeer_WaitsForItsAnswer() {
+    watch_ = TableWatch(WithSilentTimeout());
+    const MonotonicTime start = now_;
+    CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kRequestFromPeer);
+    Advance(milliseconds(5));
+    watch_.OnPeerAlive();
+    CPPUNIT_ASSERT(watch_.NextWake(3, now_) == start + TableWatchOptions().peer_timeout);
+    Advance(milliseconds(395));
+    CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kRequestFromPeer);
+    Advance(milliseconds(101));
+    CPPUNIT_ASSERT(watch_.Next(3, now_) == Step::kReadTable);
+  }
+
   void Next_AfterPeersSnapshot_DoesNotCallTheStore() {
     ReadTable(5);
     Advance(milliseconds(400));
@@ -394,6 +423,13 @@
   }
 
  private:
+  static TableWatchOptions WithSilentTimeout() {
+    TableWatchOptions options;
+    options.startup_peer_timeout = milliseconds(500);
+    options.startup_silent_timeout = milliseconds(120);
+    return options;
+  }
+
   void ApplyRandomEvent(std::mt19937_64& random, uint32_t rank) {
     Advance(milliseconds(random() % 700));
     const Step step = watch_.Next(rank, now_);
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -153,6 +153,9 @@
     const double draw = std::uniform_real_distribution<double>(0, 1)(random);
     options.startup_peer_timeout =
         duration_cast<milliseconds>(StartupPatience(settings_.platform.startup_peer_timeout, draw));
+    // Spread, so that the store gets the calls of hundreds of entry VMs one after the other.
+    options.startup_silent_timeout = duration_cast<milliseconds>(
+        Times(settings_.platform.startup_silent_timeout, (1 + draw) / 2));
   }
   return options;
 }
@@ -342,18 +345,27 @@
 
 void RoutedEntry::OnCatalogRequest(const CatalogRequest& request) {
   snapshot_requests_.Add(request, clock_.Now());
+  const std::vector<CatalogRequest> answered = AnswerCatalogRequests();
+  const bool is_pending = std::none_of(
+      answered.begin(), answered.end(),
+      [&request](const CatalogRequest& it) { return it.reply_to == request.reply_to; });
+  if (is_pending && request.forwards == 0) {
+    datagrams_.Send({request.reply_to}, EncodeCatalogMessage(CatalogRequestPending{}));
+  }
   AfterCatalogStep();
 }
 
-void RoutedEntry::AnswerCatalogRequests() {
+// Returns the requests that were answered.
+std::vector<CatalogRequest> RoutedEntry::AnswerCatalogRequests() {
   const auto can_answer = [this](const CatalogRequest& it) { return follower_.CanAnswer(it); };
-  const SnapshotQueue::Due due = snapshot_requests_.TakeDue(can_answer, clock_.Now());
+  SnapshotQueue::Due due = snapshot_requests_.TakeDue(can_answer, clock_.Now());
   for (const CatalogRequest& request : due.answers) {
     datagrams_.Send({request.reply_to}, EncodedSnapshotFor(request));
   }
   for (const SnapshotQueue::Forward& forward : due.forwards) {
     datagrams_.Send({forward.to}, EncodeCatalogMessage(forward.request));
   }
+  return std::move(due.answers);
 }
 
 const std::string& RoutedEntry::EncodedSnapshotFor(const CatalogRequest& request) {
@@ -427,6 +439,7 @@
     }
   }
   rank_ = rank;
+  if (!members_->Live().empty()) follower_.OnPeerAlive();
   UpdateRank();
   AfterCatalogStep();
   scheduling_.SetMembers(schedulers);
@@ -558,7 +571,8 @@
   if (const auto* request = std::get_if<CatalogRequest>(&*message)) {
     return OnCatalogRequest(*request);
   }
-  OnCatalogUpdate(from, std::get<CatalogUpdate>(*message));
+  if (const auto* update = std::get_if<CatalogUpdate>(&*message)) OnCatalogUpdate(from, *update);
+  follower_.OnPeerAlive();
 }
 
 // ---- 4. Requests -------------------------------------------------------------------------------
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -78,7 +78,7 @@
   void OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update);
   void SendCatalogRequest(CatalogRequest request);
   void OnCatalogRequest(const CatalogRequest& request);
-  void AnswerCatalogRequests();
+  std::vector<CatalogRequest> AnswerCatalogRequests();
   const std::string& EncodedSnapshotFor(const CatalogRequest& request);
   void OnMembers();
   void UpdateRank();
--- a/src/datagram/catalog_message.cc
+++ b/src/datagram/catalog_message.cc
@@ -19,6 +19,7 @@
 // format; don't reuse those of removed kinds.
 constexpr int kUpdateKind = 5;
 constexpr int kRequestKind = 6;
+constexpr int kPendingKind = 7;
 
 json Encode(const BackendServer& server) {
   return {server.id.Text(),
@@ -109,7 +110,9 @@
 }
 
 CatalogMessage DecodeFields(const json& message) {
-  if (message.at(0).get<int>() == kRequestKind) {
+  const int kind = message.at(0).get<int>();
+  if (kind == kPendingKind) return CatalogRequestPending{};
+  if (kind == kRequestKind) {
     CatalogRequest request;
     const std::optional<Endpoint> reply_to = ParseEndpoint(message.at(1).get<std::string>());
     if (reply_to) request.reply_to = *reply_to;
@@ -150,8 +153,10 @@
               request->manifest_version,
               request->servers_version,
               request->forwards};
+  } else if (const auto* update = std::get_if<CatalogUpdate>(&message)) {
+    fields = EncodeUpdate(*update);
   } else {
-    fields = EncodeUpdate(std::get<CatalogUpdate>(message));
+    fields = json::array({kPendingKind});
   }
   std::string bytes;
   json::to_msgpack(fields, bytes);
@@ -164,7 +169,7 @@
   try {
     const json message = json::from_msgpack(*expanded);
     const int kind = message.at(0).get<int>();
-    if (kind != kUpdateKind && kind != kRequestKind) return std::nullopt;
+    if (kind != kUpdateKind && kind != kRequestKind && kind != kPendingKind) return std::nullopt;
     return DecodeFields(message);
   } catch (const json::exception&) {
     return std::nullopt;  // The caller counts it as bad input.
--- a/src/datagram/catalog_message.h
+++ b/src/datagram/catalog_message.h
@@ -52,7 +52,10 @@
   uint32_t forwards = 0;  // Number of entry VMs that have forwarded the request.
 };
 
-using CatalogMessage = std::variant<CatalogUpdate, CatalogRequest>;
+// Tells the sender of a CatalogRequest that it was received, if the answer takes a while.
+struct CatalogRequestPending {};
+
+using CatalogMessage = std::variant<CatalogUpdate, CatalogRequest, CatalogRequestPending>;
 
 std::string EncodeCatalogMessage(const CatalogMessage& message);
 // Returns nullopt if the message is malformed.
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -126,6 +126,8 @@
   }
   platform.startup_peer_timeout =
       ReadTimeout(reader, "peer_patience_ms", platform.startup_peer_timeout);
+  platform.startup_silent_timeout =
+      ReadTimeout(reader, "silent_patience_ms", platform.startup_silent_timeout);
   platform.timeout = ReadTimeout(reader, "timeout_ms", platform.timeout);
   platform.connections =
       static_cast<uint32_t>(reader.Integer("connections", platform.connections, 1, 64));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -72,6 +72,9 @@
   // At startup, how long an entry VM that is not a seed asks other entry VMs for the manifest and
   // the list of backend servers before it reads the store.
   std::chrono::milliseconds startup_peer_timeout{40};
+  // The same while no other entry VM has given a sign of life: the seeds may be down or start
+  // later.
+  std::chrono::milliseconds startup_silent_timeout{40};
 };
 
 // Retry budget: limit on extra attempts (retries and hedges) by all entry VMs together.
