--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -292,6 +292,7 @@
 
 void RoutedEntry::PeerGroup::Add(const Member& member) {
   all.push_back(member.peer);
+  if (member.state != MemberState::kAlive) return;
   if (member.millicores < largest_millicores) return;
   if (member.millicores > largest_millicores) largest.clear();
   largest_millicores = member.millicores;
@@ -301,7 +302,7 @@
 // Alternates between the largest entry VMs and all, because all of the largest may be gone before
 // the members know.
 const Endpoint& RoutedEntry::PeerGroup::Pick(size_t n) const {
-  const std::vector<Endpoint>& peers = n % 2 == 0 ? largest : all;
+  const std::vector<Endpoint>& peers = n % 2 == 0 && !largest.empty() ? largest : all;
   return peers[n / 2 % peers.size()];
 }
 
@@ -428,15 +429,16 @@
   if (!stop_.Begun()) schedulers.push_back(members_->Self());
   uint32_t rank = 0;
   for (const Member& member : members_->Live()) {
-    if (member.state != MemberState::kAlive) continue;
+    // Leaving and suspect ones still serve requests, so they get catalog updates too.
     all_peers_.push_back(member.peer);
-    if (ElectionRank(member.id, member.millicores) < election_rank_) ++rank;
-    schedulers.push_back(member);
     if (member.failure_domain == settings_.failure_domain) {
       same_domain_peers_.Add(member);
     } else {
       other_domain_peers_[member.failure_domain].Add(member);
     }
+    if (member.state != MemberState::kAlive) continue;
+    if (ElectionRank(member.id, member.millicores) < election_rank_) ++rank;
+    schedulers.push_back(member);
   }
   rank_ = rank;
   if (!members_->Live().empty()) follower_.OnPeerAlive();
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -138,7 +138,7 @@
   // Peer addresses of entry VMs.
   struct PeerGroup {
     std::vector<Endpoint> all;
-    std::vector<Endpoint> largest;  // Those of them with the largest processor share.
+    std::vector<Endpoint> largest;  // Those alive with the largest processor share.
     uint32_t largest_millicores = 0;
 
     void Add(const Member& member);
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(Sigterm_WithARequestOpen_AnswersItAndExits);
   CPPUNIT_TEST(Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout);
   CPPUNIT_TEST(Sigterm_ToIdleEntryVms_EachExitsSoon);
+  CPPUNIT_TEST(Sigterm_ToAnEntryVmThatReliesOnTheReader_KeepsItFromTheStore);
   CPPUNIT_TEST(Sigterm_WithRequestsThatWaitForASlot_RefusesThemAsNotRun);
   CPPUNIT_TEST(Sigterm_WithConnectionsNotYetAccepted_AnswersTheirRequests);
   CPPUNIT_TEST(Pause_WhileAServerBeginsToLeave_GivesItNoWorkAfterwards);
@@ -394,6 +395,27 @@
     }
   }
 
+  // An entry VM that is leaving still serves requests. It must get the news of servers from the
+  // others, not from the store: hundreds may be stopped one after the other.
+  void Sigterm_ToAnEntryVmThatReliesOnTheReader_KeepsItFromTheStore() {
+    Fleet fleet(3);
+    const auto reads_store = [&](size_t i) {
+      return fleet.Metric(i, "cowsliphill_store_reader") > 0;
+    };
+    // For five seconds after a start the reader may change.
+    std::this_thread::sleep_for(std::chrono::seconds(6));
+    const size_t leaving = reads_store(0) ? 1 : 0;
+    SetModeOfAllServers(fleet, "ok&work_ms=3500");
+    const std::jthread caller([&] { fleet.Send(leaving, "/u/x", "u1", std::chrono::seconds(5)); });
+    std::this_thread::sleep_for(milliseconds(200));
+    const double calls = fleet.Metric(leaving, "cowsliphill_store_calls");
+    fleet.Entry(leaving).process->Signal(SIGTERM);
+    std::this_thread::sleep_for(milliseconds(1800));
+    CPPUNIT_ASSERT(!reads_store(leaving));
+    CPPUNIT_ASSERT_EQUAL(calls, fleet.Metric(leaving, "cowsliphill_store_calls"));
+    CPPUNIT_ASSERT_EQUAL(0, fleet.Entry(leaving).process->Wait(milliseconds(3500)));
+  }
+
   void Sigterm_WithAStuckRequest_ExitsWithinTheStopTimeout() {
     Fleet fleet(2);
     SetModeOfAllServers(fleet, "ok&work_ms=60000");
