Catalog updates go down a tree

The store reader sent each update to every entry VM of its failure domain, and so did each relay: bytes that grow with the fleet, on links of 20 Mbit/s. Each update takes other ways than the one before, so that what is lost with an inner node arrives with the next.

--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -31,9 +31,6 @@
 constexpr milliseconds kPauseThreshold{2500};
 // A snapshot is encoded once for all requests within this time.
 constexpr milliseconds kSnapshotReuseTime{50};
-// Up to this many peers, catalog updates are sent to all of them. With more, they are sent to the
-// peers in this failure domain and to one in each other failure domain, which relays them there.
-constexpr size_t kMaxDirectPeers = 20;
 constexpr milliseconds kSecond{1000};
 constexpr milliseconds kDepartureTime{150};  // Time to send the last peer messages.
 // Fraction of the stop timeout during which new connections are accepted.
@@ -101,6 +98,7 @@
       second_timer_(io_),
       stop_(io_, clock_, kDepartureTime) {
   context_.ids.prefix = seed;
+  broadcast_seed_ = static_cast<uint32_t>(seed);
   next_catalog_request_peer_ = seed;
   scheduling_.Attach(dispatcher_);
   dispatcher_.SetHedgeDueCallback([this](Ticket ticket) {
@@ -291,8 +289,8 @@
 }
 
 void RoutedEntry::PeerGroup::Add(const Member& member) {
-  all.push_back(member.peer);
   if (member.state != MemberState::kAlive) return;
+  alive.push_back(member.peer);
   if (member.millicores < largest_millicores) return;
   if (member.millicores > largest_millicores) largest.clear();
   largest_millicores = member.millicores;
@@ -301,47 +299,46 @@
 
 // Alternates between the largest entry VMs and all, because all of the largest may be gone before
 // the members know.
-const Endpoint& RoutedEntry::PeerGroup::Pick(size_t n) const {
-  const std::vector<Endpoint>& peers = n % 2 == 0 && !largest.empty() ? largest : all;
+std::optional<Endpoint> RoutedEntry::PeerGroup::Pick(size_t n) const {
+  if (alive.empty()) return std::nullopt;
+  const std::vector<Endpoint>& peers = n % 2 == 0 ? largest : alive;
   return peers[n / 2 % peers.size()];
 }
 
-// Returns one entry VM of each other failure domain.
-std::vector<Endpoint> RoutedEntry::NextRelays(const CatalogUpdate& update) {
-  // A manifest would occupy the link of a small entry VM for a second.
-  if (!update.manifest.empty()) next_relay_ += next_relay_ % 2;
-  std::vector<Endpoint> relays;
-  for (const auto& [id, peers] : other_domain_peers_) relays.push_back(peers.Pick(next_relay_));
-  ++next_relay_;
-  return relays;
-}
-
 void RoutedEntry::SendCatalogUpdate(CatalogUpdate update) {
   update.sender_rank = election_rank_;
-  if (all_peers_.size() <= kMaxDirectPeers) {
-    return datagrams_.Send(all_peers_, EncodeCatalogMessage(update));
+  Broadcast(EncodeCatalogMessage(update));
+}
+
+// Sends the datagram to all other entry VMs.
+void RoutedEntry::Broadcast(const std::string& payload) {
+  SendHops(broadcasts_.Start(broadcast_seed_ + broadcasts_sent_++), payload);
+}
+
+void RoutedEntry::SendHops(const std::vector<BroadcastHop>& hops, const std::string& payload) {
+  std::vector<Endpoint> leaves;
+  for (const BroadcastHop& hop : hops) {
+    if (hop.forward) {
+      datagrams_.Send({hop.to}, EncodeBroadcast(*hop.forward, payload));
+    } else {
+      leaves.push_back(hop.to);
+    }
   }
-  CatalogUpdate relayed = update;
-  relayed.relay = true;
-  // Relays come first: if a datagram to a relay is lost on a full link, the relay's whole failure
-  // domain misses the update.
-  datagrams_.Send(NextRelays(update), EncodeCatalogMessage(relayed));
-  datagrams_.Send(same_domain_peers_.all, EncodeCatalogMessage(update));
+  datagrams_.Send(leaves, payload);
 }
 
 void RoutedEntry::SendCatalogRequest(CatalogRequest request) {
   // A different peer each time, because the requests of all entry VMs would saturate the link of
   // the store reader.
   const std::vector<Endpoint>& seeds = settings_.peer.seeds;
-  const bool has_peers = !same_domain_peers_.all.empty();
-  if (!has_peers && seeds.empty()) return;
+  const std::optional<Endpoint> peer = same_domain_peers_.Pick(next_catalog_request_peer_);
+  if (!peer && seeds.empty()) return;
   request.reply_to = settings_.peer.advertise;
   if (relayed_update_sender_) {
     return datagrams_.Send({*relayed_update_sender_}, EncodeCatalogMessage(request));
   }
   const size_t n = next_catalog_request_peer_++;
-  const Endpoint& to = has_peers ? same_domain_peers_.Pick(n) : seeds[n % seeds.size()];
-  datagrams_.Send({to}, EncodeCatalogMessage(request));
+  datagrams_.Send({peer ? *peer : seeds[n % seeds.size()]}, EncodeCatalogMessage(request));
 }
 
 void RoutedEntry::OnCatalogRequest(const CatalogRequest& request) {
@@ -388,17 +385,8 @@
   return snapshot_.bytes;
 }
 
-void RoutedEntry::OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update) {
-  if (update.relay) {
-    CatalogUpdate relayed = update;
-    relayed.relay = false;
-    datagrams_.Send(same_domain_peers_.all, EncodeCatalogMessage(relayed));
-  }
-  // Changes that a relay missed are missing in its whole failure domain, so the relay sends its
-  // catalog requests to the sender of the update instead of to a peer in the domain.
-  if (update.relay) relayed_update_sender_ = from;
+void RoutedEntry::OnCatalogUpdate(const CatalogUpdate& update) {
   follower_.OnUpdate(update, update.sender_rank < election_rank_);
-  relayed_update_sender_.reset();
   AfterCatalogStep();
 }
 
@@ -422,25 +410,19 @@
 }
 
 void RoutedEntry::OnMembers() {
-  all_peers_.clear();
   same_domain_peers_ = PeerGroup();
-  other_domain_peers_.clear();
   std::vector<Member> schedulers;
   if (!stop_.Begun()) schedulers.push_back(members_->Self());
   uint32_t rank = 0;
   for (const Member& member : members_->Live()) {
-    // Leaving and suspect ones still serve requests, so they get catalog updates too.
-    all_peers_.push_back(member.peer);
-    if (member.failure_domain == settings_.failure_domain) {
-      same_domain_peers_.Add(member);
-    } else {
-      other_domain_peers_[member.failure_domain].Add(member);
-    }
+    if (member.failure_domain == settings_.failure_domain) same_domain_peers_.Add(member);
     if (member.state != MemberState::kAlive) continue;
     if (ElectionRank(member.id, member.millicores) < election_rank_) ++rank;
     schedulers.push_back(member);
   }
   rank_ = rank;
+  // Leaving and suspect ones still serve requests, so they get catalog updates too.
+  broadcasts_.SetMembers(settings_.failure_domain, members_->Live());
   if (!members_->Live().empty()) follower_.OnPeerAlive();
   UpdateRank();
   AfterCatalogStep();
@@ -566,6 +548,17 @@
 }
 
 void RoutedEntry::OnDatagram(const Endpoint& from, const std::string& payload) {
+  const std::optional<BroadcastMessage> broadcast = DecodeBroadcast(payload);
+  if (!broadcast) return OnMessage(from, payload);
+  SendHops(broadcasts_.Forward(broadcast->range, from), broadcast->payload);
+  // Changes that a relay missed are missing in its whole failure domain, so the relay sends its
+  // catalog requests to the sender of the update instead of to a peer in the domain.
+  if (broadcast->range.IsWhole()) relayed_update_sender_ = from;
+  OnMessage(from, broadcast->payload);
+  relayed_update_sender_.reset();
+}
+
+void RoutedEntry::OnMessage(const Endpoint& from, const std::string& payload) {
   if (scheduling_.OnDatagram(from, payload)) return;
   if (const auto records = DecodePoisonRecords(payload)) return poison_.OnDatagram(*records);
   const std::optional<CatalogMessage> message = DecodeCatalogMessage(payload);
@@ -573,7 +566,7 @@
   if (const auto* request = std::get_if<CatalogRequest>(&*message)) {
     return OnCatalogRequest(*request);
   }
-  if (const auto* update = std::get_if<CatalogUpdate>(&*message)) OnCatalogUpdate(from, *update);
+  if (const auto* update = std::get_if<CatalogUpdate>(&*message)) OnCatalogUpdate(*update);
   follower_.OnPeerAlive();
 }
 
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -33,6 +33,7 @@
 #include "src/catalog/snapshot_queue.h"
 #include "src/cli/graceful_stop.h"
 #include "src/cli/platform_adapter.h"
+#include "src/datagram/broadcast_tree.h"
 #include "src/datagram/datagram_link.h"
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
@@ -73,9 +74,10 @@
   void LogServerChanges(const ServerChanges& changes);
   void LogMemberChange(const MemberChange& change);
   void LogStoreReaderChange();
-  std::vector<Endpoint> NextRelays(const CatalogUpdate& update);
   void SendCatalogUpdate(CatalogUpdate update);
-  void OnCatalogUpdate(const Endpoint& from, const CatalogUpdate& update);
+  void Broadcast(const std::string& payload);
+  void SendHops(const std::vector<BroadcastHop>& hops, const std::string& payload);
+  void OnCatalogUpdate(const CatalogUpdate& update);
   void SendCatalogRequest(CatalogRequest request);
   void OnCatalogRequest(const CatalogRequest& request);
   std::vector<CatalogRequest> AnswerCatalogRequests();
@@ -94,6 +96,7 @@
   ProbeClient::ReadReport MakeReportReader() const;
   PoisonListener MakePoisonListener();
   void OnDatagram(const Endpoint& from, const std::string& payload);
+  void OnMessage(const Endpoint& from, const std::string& payload);
 
   // 4. Requests
   void OnRequestEnded(const RequestEnd& end);
@@ -137,22 +140,20 @@
   DatagramLink datagrams_;
   // Peer addresses of entry VMs.
   struct PeerGroup {
-    std::vector<Endpoint> all;
+    std::vector<Endpoint> alive;    // Those that are neither suspect nor leaving.
     std::vector<Endpoint> largest;  // Those alive with the largest processor share.
     uint32_t largest_millicores = 0;
 
     void Add(const Member& member);
-    // The n-th choice of one of them.
-    const Endpoint& Pick(size_t n) const;
+    // The n-th choice of one that is alive; nullopt if none is.
+    std::optional<Endpoint> Pick(size_t n) const;
   };
-  // The other entry VMs that are alive: all of them, those in this failure domain, and those in
-  // each other failure domain.
-  std::vector<Endpoint> all_peers_;
-  PeerGroup same_domain_peers_;
-  std::map<FailureDomainId, PeerGroup> other_domain_peers_;
-  size_t next_relay_ = 0;  // Round-robin position in each group of other_domain_peers_.
-  // While this entry VM applies an update that it also relays: the address that sent the update.
-  // Otherwise unset.
+  PeerGroup same_domain_peers_;  // The other entry VMs in this failure domain.
+  BroadcastTree broadcasts_;
+  uint32_t broadcast_seed_ = 0;  // Of the first broadcast; each further one adds one.
+  uint32_t broadcasts_sent_ = 0;
+  // While this entry VM applies an update that it also relays to its whole failure domain: the
+  // address that sent the update. Otherwise unset.
   std::optional<Endpoint> relayed_update_sender_;
   SnapshotQueue snapshot_requests_;
   // The last snapshot that was sent, for the next requests.
--- a/src/datagram/catalog_message.cc
+++ b/src/datagram/catalog_message.cc
@@ -17,7 +17,7 @@
 
 // A message is a MessagePack array whose first item is its kind. The numbers are part of the wire
 // format; don't reuse those of removed kinds.
-constexpr int kUpdateKind = 5;
+constexpr int kUpdateKind = 8;
 constexpr int kRequestKind = 6;
 constexpr int kPendingKind = 7;
 
@@ -101,7 +101,6 @@
           std::move(removed),
           update.sender.Text(),
           update.revision,
-          update.relay,
           update.reaches_store,
           json::binary(std::vector<uint8_t>(update.manifest.begin(), update.manifest.end())),
           update.is_snapshot,
@@ -132,13 +131,12 @@
   for (const json& id : message.at(7)) update.removed.emplace_back(id.get<std::string>());
   update.sender = EntryVmId(message.at(8).get<std::string>());
   update.revision = message.at(9).get<uint64_t>();
-  update.relay = message.at(10).get<bool>();
-  update.reaches_store = message.at(11).get<bool>();
-  const json::binary_t& manifest = message.at(12).get_binary();
+  update.reaches_store = message.at(10).get<bool>();
+  const json::binary_t& manifest = message.at(11).get_binary();
   update.manifest.assign(manifest.begin(), manifest.end());
-  update.is_snapshot = message.at(13).get<bool>();
-  update.manifest_too_large = message.at(14).get<bool>();
-  update.sender_rank = message.at(15).get<uint64_t>();
+  update.is_snapshot = message.at(12).get<bool>();
+  update.manifest_too_large = message.at(13).get<bool>();
+  update.sender_rank = message.at(14).get<uint64_t>();
   return update;
 }
 
--- a/src/datagram/catalog_message.h
+++ b/src/datagram/catalog_message.h
@@ -38,7 +38,6 @@
   // The manifest is too large for updates; receivers read it from the store.
   bool manifest_too_large = false;
   bool is_snapshot = false;  // `changed` lists all servers; servers_base_version has no meaning.
-  bool relay = false;  // Sent from another failure domain: the receiver forwards it within its own.
 };
 
 // Requests a snapshot of the catalog. An entry VM that has the versions named here answers with a
--- a/src/datagram/catalog_message_test.cc
+++ b/src/datagram/catalog_message_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(Update_WithManyRoutes_ShrinksToAQuarter);
   CPPUNIT_TEST(Decode_WrongUncompressedSize_IsRejected);
   CPPUNIT_TEST(Request_EncodedAndDecoded_IsUnchanged);
+  CPPUNIT_TEST(Pending_EncodedAndDecoded_IsRecognized);
   CPPUNIT_TEST(Decode_DamagedBytes_NeverThrows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -48,8 +49,7 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t{9}, decoded.servers_version);
     CPPUNIT_ASSERT(decoded.changed == update.changed);
     CPPUNIT_ASSERT(decoded.removed == update.removed);
-    CPPUNIT_ASSERT(decoded.reaches_store && !decoded.relay && decoded.is_snapshot &&
-                   decoded.manifest_too_large);
+    CPPUNIT_ASSERT(decoded.reaches_store && decoded.is_snapshot && decoded.manifest_too_large);
     CPPUNIT_ASSERT(decoded.servers_age == milliseconds(40));
     CPPUNIT_ASSERT_EQUAL(update.manifest, decoded.manifest);
   }
@@ -65,6 +65,11 @@
     CPPUNIT_ASSERT_EQUAL(uint32_t{2}, decoded.forwards);
   }
 
+  void Pending_EncodedAndDecoded_IsRecognized() {
+    const auto message = DecodeCatalogMessage(EncodeCatalogMessage(CatalogRequestPending{}));
+    CPPUNIT_ASSERT(message && std::holds_alternative<CatalogRequestPending>(*message));
+  }
+
   // Regression: a manifest that had grown by 410 routes saturated slow links when it was sent in
   // full to each of 18 peers.
   void Update_WithManyRoutes_ShrinksToAQuarter() {
--- a/tests/platform_path_test.cc
+++ b/tests/platform_path_test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(Sigterm_WithConnectionsNotYetAccepted_AnswersTheirRequests);
   CPPUNIT_TEST(Pause_WhileAServerBeginsToLeave_GivesItNoWorkAfterwards);
   CPPUNIT_TEST(Kill_OfTheReader_LeavesTheOthersUpToDate);
+  CPPUNIT_TEST(Kill_OfAThirdOfALargeFleet_LeavesTheOthersUpToDate);
   CPPUNIT_TEST(Metrics_OfAnEntryVm_IncludeStoreCalls);
   CPPUNIT_TEST(Log_OfAStart_ClaimsNoReadingOfTheStoreBeforeIt);
   CPPUNIT_TEST_SUITE_END();
@@ -522,6 +523,22 @@
     CPPUNIT_ASSERT_EQUAL(200, fleet.SendForStatus(2, "/b/x", "r2"));
   }
 
+  // With more than 20 entry VMs, catalog updates reach most of them by way of others. A third of
+  // these are lost at the moment of the change.
+  void Kill_OfAThirdOfALargeFleet_LeavesTheOthersUpToDate() {
+    constexpr size_t entries = 36;
+    Fleet fleet(entries);
+    // Until then the reader may change.
+    std::this_thread::sleep_for(std::chrono::seconds(6));
+    for (size_t i = 0; i < entries; i += 3) fleet.Entry(i).process->Signal(SIGKILL);
+    fleet.PutManifest(2, "/b/");
+    std::this_thread::sleep_for(kMaxManifestDelay);
+    for (size_t i = 0; i < entries; ++i) {
+      if (i % 3 == 0) continue;
+      CPPUNIT_ASSERT_EQUAL(200, fleet.SendForStatus(i, "/b/x", "r" + std::to_string(i)));
+    }
+  }
+
   void Metrics_OfAnEntryVm_IncludeStoreCalls() {
     Fleet fleet(1);
     const auto result = HttpClientFor(fleet.Entry(0).metrics).Get("/metrics");
