A scheduler's wake-up looks only at servers whose probes are due

What grows with the fleet: each wake-up of a scheduler looked at every server of every cell, twice, to find out which probes are due and when the next is; also in entry VMs that schedule nothing. Work of a wake-up and number of wake-ups both grow with the servers.

Each cell now keeps its servers in the order in which their probes are due (ProbeQueue). A probe or a report moves one server; all are ordered anew when the hosts' interval or the cell's use changes.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -595,8 +595,15 @@
   if (report.limit) {
     UpdateLimit(server, [&](ServerLimit& limit) { limit.OnStatement(report.limit, received_at); });
   }
-  if (change.changed) server.cell->last_speed_change = received_at;
-  if (change.gap) host_interval_.OnGapBetweenChanges(*change.gap);
+  if (change.changed) {
+    if (received_at - server.cell->last_speed_change > kQuietPeriod) ++next_probe_changes_;
+    server.cell->last_speed_change = received_at;
+  }
+  if (change.gap) {
+    const std::optional<Duration> before = host_interval_.Interval();
+    host_interval_.OnGapBetweenChanges(*change.gap);
+    if (host_interval_.Interval() != before) ++next_probe_changes_;
+  }
   if (!report.slowdown) return;
   double& mean = server.cell->mean_slowdown;
   mean += kMeanSlowdownWeight * (*report.slowdown - mean);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -143,8 +143,10 @@
   // call show.
   std::vector<AssignmentId> TakeStartedSlow() { return std::exchange(started_slow_, {}); }
 
-  // When to probe this server again; the last probe was sent at `probed`.
+  // When to probe this server again; the last probe was sent at `probed`. A report changes it for
+  // its server, and for all servers whenever NextProbeChanges grows.
   MonotonicTime NextProbe(const BackendServerId& server, MonotonicTime probed) const;
+  uint64_t NextProbeChanges() const { return next_probe_changes_; }
 
   size_t Waiting() const;  // Number of queued requests in all cells.
   // When to call TakeQueueDecisions next; nullopt while no request is queued.
@@ -220,6 +222,7 @@
   uint64_t assigned_within_limits_ = 0;
   uint64_t declined_by_limits_ = 0;
   std::vector<BackendServerId> servers_to_probe_;
+  uint64_t next_probe_changes_ = 0;
 };
 
 }  // namespace cowsliphill
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -62,33 +62,36 @@
     servers_.erase(HashName(server.id.Text()));
     RemoveServer(server.id);
   }
-  for (const ServerChange& change : changes.changed) AddServer(change.server);
+  for (const ServerChange& change : changes.changed) AddServer(change.server, now);
   if (regrouped) {
     balancer_.Regroup(cell_map_);
-    for (const BackendServer& server : balancer_.Servers()) AddServer(server);
+    for (const BackendServer& server : balancer_.Servers()) AddServer(server, now);
   }
   if (regrouped || cells_.size() != cells_before) UpdatePrimaries(now);
 }
 
-void Scheduler::AddServer(const BackendServer& server) {
+void Scheduler::AddServer(const BackendServer& server, MonotonicTime now) {
   services_[HashName(server.service.Text())] = server.service;
   failure_domains_[HashName(server.failure_domain.Text())] = server.failure_domain;
   servers_[HashName(server.id.Text())] = server.id;
   if (server.state == BackendState::kLeaving) return RemoveServer(server.id);
   Cell& cell = cells_[cell_map_.CellOf(server.service, server.failure_domain)];
   const auto it = cells_by_server_.find(server.id);
-  if (it != cells_by_server_.end() && it->second == &cell) return;
+  if (it != cells_by_server_.end() && it->second == &cell)
+    return ScheduleProbe(cell, server.id, now);
   Probe probe;
   if (it != cells_by_server_.end()) probe = it->second->probes[server.id];
   RemoveServer(server.id);
   cell.probes[server.id] = probe;
   cells_by_server_[server.id] = &cell;
+  ScheduleProbe(cell, server.id, now);
 }
 
 void Scheduler::RemoveServer(const BackendServerId& server) {
   const auto it = cells_by_server_.find(server);
   if (it == cells_by_server_.end()) return;
   it->second->probes.erase(server);
+  it->second->probe_queue.Set(server, std::nullopt);
   cells_by_server_.erase(it);
 }
 
@@ -108,6 +111,7 @@
   for (auto& [id, cell] : cells_) {
     const std::vector<Endpoint>& order = order_.SchedulersFor(id);
     cell.is_primary = settled_ && !order.empty() && order.front() == self_;
+    UpdateProbeMode(cell, now);
   }
   UpdateLimits(now);
 }
@@ -163,6 +167,7 @@
   balancer_.AdjustTargetForRetry(request);
   cell.requests = InUse(cell, now) ? cell.requests + 1 : 1;
   cell.last_request = now;
+  UpdateProbeMode(cell, now);
   if (!message.forwarded_for) {
     const Availability availability = balancer_.AvailabilityOf(request, now);
     // Large answers cross to another domain only if they would be late here.
@@ -235,6 +240,10 @@
   if (it == assignment_ids_.end()) return;
   const AssignmentId id = it->second;
   balancer_.OnAttemptEnded(id, {end.end, end.latency, end.report, end.limit}, now);
+  if (const std::optional<ScheduleReply>& assigned = requests_.at(id).assigned) {
+    const auto server = servers_.find(assigned->server);
+    if (server != servers_.end()) OnServerChanged(server->second, now);
+  }
   EraseRequest(id);
   if (balancer_.LimitChangesSeen() != limit_changes_sent_) UpdateLimits(now);
   SendDecisions(now);
@@ -266,30 +275,64 @@
     Probe& probe = cell->second->probes[server];
     if (probe.IsPending(now)) continue;
     probe.MarkSent(now);
+    ScheduleProbe(*cell->second, server, now);
     servers_to_probe_.push_back(server);
   }
 }
 
 // ---- Probes -------------------------------------------------------------------------------------
 
-std::optional<MonotonicTime> Scheduler::ProbeDue(const Cell& cell, const BackendServerId& server,
-                                                 const Probe& probe, MonotonicTime now) const {
+Scheduler::ProbeMode Scheduler::ProbeModeOf(const Cell& cell, MonotonicTime now) const {
   const bool in_use =
       settled_ && InUse(cell, now) && (cell.is_primary || cell.requests >= kBackupProbeMinRequests);
-  if ((!cell.is_primary && !in_use) || probe.IsPending(now)) return std::nullopt;
-  if (!in_use) return probe.sent_at + kIdleProbeInterval;
-  if (!cell.is_primary) return probe.sent_at + kBackupProbeInterval;
+  if (!in_use) return cell.is_primary ? ProbeMode::kIdle : ProbeMode::kNone;
+  return cell.is_primary ? ProbeMode::kInUse : ProbeMode::kBackup;
+}
+
+void Scheduler::UpdateProbeMode(Cell& cell, MonotonicTime now) {
+  const ProbeMode mode = ProbeModeOf(cell, now);
+  if (mode == std::exchange(cell.probe_mode, mode)) return;
+  ScheduleAllProbes(cell, now);
+}
+
+std::optional<MonotonicTime> Scheduler::ProbeDue(const Cell& cell, const BackendServerId& server,
+                                                 const Probe& probe, MonotonicTime now) {
+  if (cell.probe_mode == ProbeMode::kNone) return std::nullopt;
+  ++probe_checks_;
+  if (probe.IsPending(now)) return probe.sent_at + kMaxProbeTime + kMinWakeDelay;
+  if (cell.probe_mode == ProbeMode::kIdle) return probe.sent_at + kIdleProbeInterval;
+  if (cell.probe_mode == ProbeMode::kBackup) return probe.sent_at + kBackupProbeInterval;
   return balancer_.NextProbe(server, probe.sent_at);
 }
 
+void Scheduler::ScheduleProbe(Cell& cell, const BackendServerId& server, MonotonicTime now) {
+  cell.probe_queue.Set(server, ProbeDue(cell, server, cell.probes[server], now));
+}
+
+void Scheduler::ScheduleAllProbes(Cell& cell, MonotonicTime now) {
+  for (const auto& [server, probe] : cell.probes) {
+    cell.probe_queue.Set(server, ProbeDue(cell, server, probe, now));
+  }
+}
+
+void Scheduler::OnServerChanged(const BackendServerId& server, MonotonicTime now) {
+  const auto it = cells_by_server_.find(server);
+  if (it != cells_by_server_.end()) ScheduleProbe(*it->second, server, now);
+  if (next_probe_changes_ == balancer_.NextProbeChanges()) return;
+  next_probe_changes_ = balancer_.NextProbeChanges();
+  for (auto& [id, cell] : cells_) {
+    if (cell.probe_mode == ProbeMode::kInUse) ScheduleAllProbes(cell, now);
+  }
+}
+
 std::vector<BackendServerId> Scheduler::TakeServersToProbe(MonotonicTime now) {
   std::vector<BackendServerId> due = std::exchange(servers_to_probe_, {});
   for (auto& [id, cell] : cells_) {
-    for (auto& [server, probe] : cell.probes) {
-      const std::optional<MonotonicTime> when = ProbeDue(cell, server, probe, now);
-      if (!when || *when > now) continue;
-      probe.MarkSent(now);
-      due.push_back(server);
+    UpdateProbeMode(cell, now);
+    while (const std::optional<BackendServerId> server = cell.probe_queue.TakeDue(now)) {
+      cell.probes[*server].MarkSent(now);
+      ScheduleProbe(cell, *server, now);
+      due.push_back(*server);
     }
   }
   return due;
@@ -304,6 +347,7 @@
   } else {
     balancer_.OnMissedProbe(server);
   }
+  OnServerChanged(server, now);
   SendDecisions(now);
 }
 
@@ -448,10 +492,7 @@
     if (cell.has_limits && cell.shares_limits) wake_by(cell.next_limit_update);
     const auto takeover = cell.has_limits ? LimitTakeover(cell) : std::nullopt;
     if (takeover && settled_ && !cell.shares_limits) wake_by(*takeover);
-    for (const auto& [server, probe] : cell.probes) {
-      const std::optional<MonotonicTime> when = ProbeDue(cell, server, probe, now);
-      if (when) wake_by(*when);
-    }
+    if (const std::optional<MonotonicTime> due = cell.probe_queue.Next()) wake_by(*due);
   }
   if (any_primary) wake_by(next_cell_update_);
   if (!requests_.empty()) wake_by(next_expiry_);
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -20,6 +20,7 @@
 
 #include "src/balance/balancer.h"
 #include "src/members/peer.h"
+#include "src/schedule/probe_queue.h"
 #include "src/schedule/schedule_message.h"
 #include "src/schedule/scheduler_order.h"
 
@@ -104,6 +105,8 @@
   size_t Waiting() const { return balancer_.Waiting(); }
   bool HasRequests() const { return !requests_.empty(); }  // Queued or assigned ones.
   size_t CellsScheduled() const;
+  // How many servers were looked at since the start to find out whether a probe is due.
+  uint64_t ProbeChecks() const { return probe_checks_; }
 
  private:
   struct Probe {
@@ -117,6 +120,12 @@
     // A probe without a result after kMaxProbeTime was lost by its client.
     bool IsPending(MonotonicTime now) const { return pending && now - sent_at <= kMaxProbeTime; }
   };
+  enum class ProbeMode {
+    kNone,    // This entry VM does not probe the cell.
+    kIdle,    // At kIdleProbeInterval.
+    kBackup,  // At kBackupProbeInterval.
+    kInUse,   // As often as Balancer needs.
+  };
   struct Cell {
     // This entry VM is the first of the cell's schedulers, and its settle time is over.
     bool is_primary = false;
@@ -132,6 +141,8 @@
     MonotonicTime next_limit_update{};
     uint32_t limit_updates = 0;               // Number of LimitUpdates sent.
     std::map<BackendServerId, Probe> probes;  // Probes of the servers that are not leaving.
+    ProbeMode probe_mode = ProbeMode::kNone;  // As of the last UpdateProbeMode.
+    ProbeQueue probe_queue;                   // When the servers in `probes` are due.
   };
   // An assignment request that is queued or assigned.
   struct OpenRequest {
@@ -148,10 +159,16 @@
   using RequestKey = std::pair<Endpoint, ScheduleRequestId>;
 
   static bool InUse(const Cell& cell, MonotonicTime now);
-  // When the server is to be probed; nullopt if this entry VM does not probe the cell, or a probe
-  // is pending.
+  ProbeMode ProbeModeOf(const Cell& cell, MonotonicTime now) const;
+  // Sets the cell's mode, and when its servers are due if that changes them.
+  void UpdateProbeMode(Cell& cell, MonotonicTime now);
+  void ScheduleProbe(Cell& cell, const BackendServerId& server, MonotonicTime now);
+  // To be called after what may have changed when the server's next probe is due.
+  void OnServerChanged(const BackendServerId& server, MonotonicTime now);
+  void ScheduleAllProbes(Cell& cell, MonotonicTime now);
+  // When the server is to be probed; nullopt if this entry VM does not probe the cell.
   std::optional<MonotonicTime> ProbeDue(const Cell& cell, const BackendServerId& server,
-                                        const Probe& probe, MonotonicTime now) const;
+                                        const Probe& probe, MonotonicTime now);
   AssignmentRequest ToAssignmentRequest(const ScheduleRequest& message, const ServiceId& service,
                                         MonotonicTime now) const;
   std::optional<CellId> CellWithFreeSlots(const CellId& home, MonotonicTime now);
@@ -168,7 +185,7 @@
                        const std::vector<LimitStatement>& limits, bool to_all, MonotonicTime now);
   void EraseExpired(MonotonicTime now);
   void EraseRequest(AssignmentId id);
-  void AddServer(const BackendServer& server);
+  void AddServer(const BackendServer& server, MonotonicTime now);
   void RemoveServer(const BackendServerId& server);
   void UpdatePrimaries(MonotonicTime now);
   MonotonicTime SettledAt() const { return started_ + (alone_ ? kSettleTimeAlone : kSettleTime); }
@@ -192,8 +209,10 @@
   std::vector<BackendServerId> servers_to_probe_;  // Queued requests wait for their reports.
   MonotonicTime next_cell_update_{};
   MonotonicTime next_expiry_{};
-  bool settled_ = false;  // The settle time after the start has passed.
-  bool alone_ = true;     // No other entry VM is known.
+  bool settled_ = false;             // The settle time after the start has passed.
+  bool alone_ = true;                // No other entry VM is known.
+  uint64_t next_probe_changes_ = 0;  // Balancer::NextProbeChanges() at the last ScheduleAllProbes.
+  uint64_t probe_checks_ = 0;
   std::vector<Outgoing> outbox_;
 };
 
