A request that finds no queue does not look at the cell's effective slots

Before each decision the scheduler counted the free speed of all servers of the cell, which only matters if requests wait or a server names a limit. Decisions are the same (BalancerTest, NamedLimitTest, SchedulingTest: 66 passed). Still linear in the servers of the cell, see docs/CAPACITY.md.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -314,6 +314,8 @@
                         MonotonicTime now) {
   if (!CanMeetTarget(request, service_time, now) || cell.queue.size() >= kQueueLimit) return false;
   const uint32_t rank = request.spec.kind.rank;
+  const size_t ahead = CountQueuedAhead(cell, rank);
+  if (ahead == 0 && !HasLimits(cell)) return true;
   const double effective_slots = EffectiveSlots(cell, true, service_time, now);
   const Duration max_wait = request.spec.target - now - Times(service_time, kOnTimeMargin);
   if (IsShortOfTokens(cell, effective_slots)) {
@@ -322,7 +324,6 @@
     const auto turn = static_cast<double>(CountOnTimeAhead(cell, rank) + 1);
     return effective_slots > 0 && Times(service_time, turn / effective_slots) <= max_wait;
   }
-  const size_t ahead = CountQueuedAhead(cell, rank);
   if (ahead == 0) return true;
   if (effective_slots <= 0) return false;
   const Duration wait = Times(service_time, static_cast<double>(ahead) / effective_slots);
