Answers to suspected requests are numbered, so that each counts once at every entry VM

Each answer to a suspected request now has a number, one larger than the largest that the entry VM which saw it knew; a report with a larger number is a later answer, however close it is to the one before. One with the same number still must be a second newer. The first byte of these messages is another one, so that entry VMs of the release before ignore them.

--- a/src/poison/poison_list.cc
+++ b/src/poison/poison_list.cc
@@ -85,6 +85,7 @@
   const auto it = entries_.find(hash);
   if (it == entries_.end()) return;
   const size_t crashes = Counted(hash, it->second, now).size();
+  ++it->second.answers;
   SetAnswered(hash, it->second, now);
   if (crashes == 0) return;
   changed_.push_back(hash);
@@ -99,7 +100,9 @@
   }
   if (record.answered_age) {
     const MonotonicTime at = now - *record.answered_age;
-    const bool is_newer = !entry.answered_at || at > *entry.answered_at + kAgeTolerance;
+    const bool is_newer = !entry.answered_at || record.answers > entry.answers ||
+                          at > *entry.answered_at + kAgeTolerance;
+    entry.answers = std::max(entry.answers, record.answers);
     if (is_newer) changed = SetAnswered(record.hash, entry, at) || changed;
   }
   if (record.condemned_age && !entry.condemned_at) {
@@ -201,6 +204,7 @@
   record.hash = hash;
   for (const auto& [id, at] : entry.crashes) record.crashes.push_back({id, AgeOf(at, now)});
   if (entry.answered_at) record.answered_age = AgeOf(*entry.answered_at, now);
+  record.answers = entry.answers;
   if (entry.condemned_at) record.condemned_age = AgeOf(*entry.condemned_at, now);
   return record;
 }
--- a/src/poison/poison_list.h
+++ b/src/poison/poison_list.h
@@ -53,7 +53,8 @@
   };
   RequestHash hash = 0;
   std::vector<Crash> crashes;
-  std::optional<std::chrono::milliseconds> answered_age;   // Since the last answer of a server.
+  std::optional<std::chrono::milliseconds> answered_age;  // Since the last answer of a server.
+  uint32_t answers = 0;  // Number of that answer; a later one has a larger number.
   std::optional<std::chrono::milliseconds> condemned_age;  // Set while the request is condemned.
 };
 
@@ -95,8 +96,8 @@
   static constexpr std::chrono::seconds kTrialTime{10};  // Time until another trial may start.
   static constexpr size_t kMaxRequests = 4096;           // The oldest one makes room for a new one.
   static constexpr size_t kMaxCrashes = 32;              // Kept for one request.
-  // An answer that another entry VM reports must be newer by this time than the one known here: its
-  // age includes the time on the way.
+  // An answer that another entry VM reports without a larger number must be newer by this time than
+  // the one known here: its age includes the time on the way, so it may be the same answer.
   static constexpr std::chrono::seconds kAgeTolerance{1};
 
   void OnCrash(RequestHash hash, CrashId crash, MonotonicTime now);
@@ -122,6 +123,7 @@
   struct Entry {
     std::map<CrashId, MonotonicTime> crashes;
     std::optional<MonotonicTime> answered_at;
+    uint32_t answers = 0;  // Largest number of an answer, see PoisonRecord.
     std::optional<MonotonicTime> condemned_at;
     MonotonicTime trial_until{};
   };
--- a/src/poison/poison_list_test.cc
+++ b/src/poison/poison_list_test.cc
@@ -227,22 +227,26 @@
   }
 
   void Message_Encoded_RoundTrips() {
-    const std::vector<PoisonRecord> records = {
-        {0x123456789abcdef0, {{7, milliseconds(5)}, {8, milliseconds(70000)}}, milliseconds(3), {}},
-        {5, {}, {}, milliseconds(9)}};
+    const std::vector<PoisonRecord> records = {{0x123456789abcdef0,
+                                                {{7, milliseconds(5)}, {8, milliseconds(70000)}},
+                                                milliseconds(3),
+                                                4,
+                                                {}},
+                                               {5, {}, {}, 0, milliseconds(9)}};
     const auto decoded = DecodePoisonRecords(EncodePoisonRecords(records));
     CPPUNIT_ASSERT(decoded && decoded->size() == 2);
     CPPUNIT_ASSERT_EQUAL(records[0].hash, (*decoded)[0].hash);
     CPPUNIT_ASSERT_EQUAL(CrashId{8}, (*decoded)[0].crashes[1].id);
     CPPUNIT_ASSERT((*decoded)[0].crashes[1].age == milliseconds(70000));
     CPPUNIT_ASSERT((*decoded)[0].answered_age == milliseconds(3));
+    CPPUNIT_ASSERT_EQUAL(uint32_t{4}, (*decoded)[0].answers);
     CPPUNIT_ASSERT(!(*decoded)[0].condemned_age);
     CPPUNIT_ASSERT((*decoded)[1].condemned_age == milliseconds(9));
   }
 
   void Message_CorruptedBytes_IsRejectedOrDecoded() {
     const std::string encoded = EncodePoisonRecords(
-        {{1, {{7, milliseconds(5)}}, milliseconds(3), milliseconds(1)}, {2, {}, {}, {}}});
+        {{1, {{7, milliseconds(5)}}, milliseconds(3), 4, milliseconds(1)}, {2, {}, {}, 0, {}}});
     std::mt19937_64 random(1);
     for (int i = 0; i < 20000; ++i) {
       std::string bytes = encoded.substr(0, random() % (encoded.size() + 1));
--- a/src/poison/poison_message.cc
+++ b/src/poison/poison_message.cc
@@ -11,7 +11,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr char kFirstByte = 'P';
+constexpr char kFirstByte = 'Q';
 constexpr uint32_t kAnswered = 1;
 constexpr uint32_t kCondemned = 2;
 constexpr size_t kWordBits = 32;
@@ -34,7 +34,10 @@
     const PoisonRecord& record = records[i];
     out.Number(record.hash >> kWordBits, 4).Number(static_cast<uint32_t>(record.hash), 4);
     out.Number((record.answered_age ? kAnswered : 0) | (record.condemned_age ? kCondemned : 0), 1);
-    if (record.answered_age) PutAge(out, *record.answered_age);
+    if (record.answered_age) {
+      PutAge(out, *record.answered_age);
+      out.Number(record.answers, 4);
+    }
     if (record.condemned_age) PutAge(out, *record.condemned_age);
     const size_t crashes = std::min(record.crashes.size(), PoisonList::kMaxCrashes);
     out.Number(crashes, 1);
@@ -57,7 +60,10 @@
     record.hash = uint64_t{in.Number(4)} << kWordBits;
     record.hash |= in.Number(4);
     const uint32_t flags = in.Number(1);
-    if ((flags & kAnswered) != 0) record.answered_age = ReadAge(in);
+    if ((flags & kAnswered) != 0) {
+      record.answered_age = ReadAge(in);
+      record.answers = in.Number(4);
+    }
     if ((flags & kCondemned) != 0) record.condemned_age = ReadAge(in);
     const size_t crashes = in.Number(1);
     if (crashes > PoisonList::kMaxCrashes) return std::nullopt;
