Late requests leave servers that they would hold too long

A request that is already late is now given a server only if it is expected to be done within 0.45 of the time to its deadline, in place of 0.9. Otherwise it waits for a better one, or is refused at once, so that its caller can come back.

--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -13,7 +13,8 @@
 //   - A server gets at most as many requests as it has slots. Other requests queue here, ordered
 //     by rank and target, and take the first slot that comes free. This handles bursts.
 //   - A request that can no longer meet its target leaves the slots to those of its rank that can,
-//     and takes what is left over, such as slow hosts. This handles overload.
+//     and takes what is left over, such as slow hosts, if it has time to spare there. This handles
+//     overload.
 //   - The target of a request that its caller retries after a refusal is measured from the first
 //     try (caller_elapsed_estimate.h). This handles lasting overload, and the time after an outage.
 //   - A server that names a limit gets at most that many requests a second, out of a token bucket
@@ -70,8 +71,10 @@
   // A request waits for a slot only while this many service times are left before its target:
   // service times vary.
   static constexpr double kOnTimeMargin = 1.3;
-  // Share of the time to its deadline within which a late request must be expected to finish.
-  static constexpr double kUsableDeadlineShare = 0.9;
+  // Share of the time to its deadline within which a late request must be expected to finish. With
+  // more, it would often be cut off there, and hold a slot of a slow host after the host has turned
+  // fast again.
+  static constexpr double kUsableDeadlineShare = 0.45;
   // A request joins a queue whose expected wait is at most this many times the longest wait with
   // which it meets its target: the expected wait is only an estimate.
   static constexpr double kQueueSlack = 1.25;
