--- a/src/forward/attempt.h
+++ b/src/forward/attempt.h
@@ -23,8 +23,8 @@
     std::function<void(const HttpEvent&)> on_response;  // Called for each event of the response.
     // Called if the attempt fails before the response's head arrives. No event follows.
     std::function<void(AttemptEnd, std::string)> on_failed;
-    std::function<void()>
-        on_sent;  // Called once what `make_request` of Start returned was written.
+    // Called once the bytes that `make_request` of Start returned were written.
+    std::function<void()> on_sent;
     // Whether a response belongs to this request; other responses are discarded. Null: each does,
     // and its server never sends another response.
     std::function<ResponseMatch(const HttpHead&)> match;
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -77,8 +77,9 @@
   if (server.state == BackendState::kLeaving) return RemoveServer(server.id);
   Cell& cell = cells_[cell_map_.CellOf(server.service, server.failure_domain)];
   const auto it = cells_by_server_.find(server.id);
-  if (it != cells_by_server_.end() && it->second == &cell)
+  if (it != cells_by_server_.end() && it->second == &cell) {
     return ScheduleProbe(cell, server.id, now);
+  }
   Probe probe;
   if (it != cells_by_server_.end()) probe = it->second->probes[server.id];
   RemoveServer(server.id);
