Manifest and schedule messages name workspaces, keys and warm-up rates

The types that its parts share come first, so that the parts can be built side by side: Workspace, Manifest::keys_required, Route::keyless, Service::warmup_rate, RefusalCause::kWorkspaceLimit (status 429), and the workspace of an assignment request with whether its limit was charged already.

An assignment request without a workspace is encoded as before; one with a workspace has a first byte of its own. Manifests without the new members have the same bytes and digests.

--- a/src/balance/assignment.h
+++ b/src/balance/assignment.h
@@ -53,6 +53,7 @@
   MonotonicTime deadline;  // A later answer has no value.
   Duration caller_left{};  // Time until the caller stops waiting; 0: unknown.
   std::vector<BackendServerId> tried;  // Servers that must not be assigned again.
+  TenantId workspace;                  // Empty: the request belongs to none.
 };
 
 struct Assigned {
--- a/src/choose/chooser.h
+++ b/src/choose/chooser.h
@@ -72,6 +72,7 @@
   kStopping,         // This entry VM stops before a server can be found. Not sent to others.
   kServerLimit,      // The backend servers' own limits allow no further request in time.
   kServerPause,      // All usable backend servers have asked this entry VM for a pause.
+  kWorkspaceLimit,   // The limit of the request's workspace is used up.
 };
 
 struct SendTo {
--- a/src/choose/chooser_views.cc
+++ b/src/choose/chooser_views.cc
@@ -26,6 +26,8 @@
       return "server limit";
     case RefusalCause::kServerPause:
       return "server pause";
+    case RefusalCause::kWorkspaceLimit:
+      return "workspace limit";
     case RefusalCause::kRetryBudget:
       return "retry budget";
   }
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -671,6 +671,11 @@
     case RefusalCause::kServerPause:
       error_response.detail = "its backend servers have asked this entry VM for a pause";
       return error_response;
+    case RefusalCause::kWorkspaceLimit:
+      error_response.status = 429;
+      error_response.error = "http_request_denied";
+      error_response.detail = "the limit of the workspace is used up";
+      return error_response;
     case RefusalCause::kServerLimit:
       error_response.detail = "the limits that its backend servers name are used up";
       return error_response;
--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -15,6 +15,7 @@
 #include "src/base/ids.h"
 #include "src/base/request_class.h"
 #include "src/manifest/route.h"
+#include "src/manifest/workspace.h"
 
 namespace cowsliphill {
 
@@ -61,7 +62,10 @@
   double retry_budget = 0.1;  // Retries and hedges allowed per request sent, 0 to 1.
   uint32_t queue_limit = 64;  // Queued requests of the service per entry VM and class.
   ReportFormat report_format = ReportFormat::kBackendHeaders;
-  bool allow_empty = false;  // The service may have no active backend server.
+  bool allow_empty = false;             // The service may have no active backend server.
+  std::chrono::milliseconds warmup{0};  // Time for which a server is cold after its start.
+  // Requests per second that a cold server accepts from all entry VMs together; 0: no limit.
+  double warmup_rate = 0;
 
   friend bool operator==(const Service& a, const Service& b) = default;
 };
@@ -101,6 +105,9 @@
   std::vector<BackendServer> backend_servers;
   std::vector<Route> routes;  // Sorted by host, then by descending length of the prefix.
   EntryRules entry;
+  // Requests need the key of a workspace, unless their route says otherwise.
+  bool keys_required = false;
+  std::vector<Workspace> workspaces;  // Empty unless keys_required is set.
 };
 
 // Returns null if the manifest has no such service.
--- a/src/manifest/manifest_codec.cc
+++ b/src/manifest/manifest_codec.cc
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -38,6 +39,9 @@
 json ToJson(const BinaryBlob& bytes) {
   return json::binary(std::vector<uint8_t>(bytes.data.begin(), bytes.data.end()));
 }
+json ToJson(const KeyDigest& digest) {
+  return json::binary(std::vector<uint8_t>(digest.begin(), digest.end()));
+}
 json ToJson(const RevisionRef& ref) { return json::array({ref.revision, ref.digest}); }
 
 // Structs are encoded as maps of their members; see VisitMembers().
@@ -48,6 +52,7 @@
 json ToJson(const EntryRules& it);
 json ToJson(const WeightedService& it);
 json ToJson(const Route& it);
+json ToJson(const Workspace& it);
 json ToJson(const ManifestChange& it);
 json ToJson(const ManifestHead& it);
 json ToJson(const HistoryEntry& it);
@@ -126,6 +131,11 @@
   const json::binary_t& binary = in.get_binary();
   bytes.data.assign(binary.begin(), binary.end());
 }
+void FromJson(const json& in, KeyDigest& digest) {
+  const json::binary_t& binary = in.get_binary();
+  if (binary.size() != digest.size()) throw std::out_of_range("the digest has another size");
+  std::copy(binary.begin(), binary.end(), digest.begin());
+}
 void FromJson(const json& in, RevisionRef& ref) {
   FromJson(in.at(0), ref.revision);
   FromJson(in.at(1), ref.digest);
@@ -138,6 +148,7 @@
 void FromJson(const json& in, EntryRules& it);
 void FromJson(const json& in, WeightedService& it);
 void FromJson(const json& in, Route& it);
+void FromJson(const json& in, Workspace& it);
 void FromJson(const json& in, ManifestChange& it);
 void FromJson(const json& in, ManifestHead& it);
 void FromJson(const json& in, HistoryEntry& it);
@@ -216,6 +227,8 @@
   visit("queue_limit", it.queue_limit, d.queue_limit);
   visit("report", it.report_format, d.report_format);
   visit("allow_empty", it.allow_empty, d.allow_empty);
+  visit("warmup", it.warmup, d.warmup);
+  visit("warmup_rate", it.warmup_rate, d.warmup_rate);
 }
 
 template <typename Visit, typename T>
@@ -248,6 +261,16 @@
   visit("timeout", it.timeout, d.timeout);
   visit("target", it.target_latency, d.target_latency);
   visit("services", it.services, d.services);
+  visit("keyless", it.keyless, d.keyless);
+}
+
+template <typename Visit, typename T>
+void VisitMembers(Visit visit, T& it, const Workspace& d) {
+  visit("id", it.id, d.id);
+  visit("keys", it.keys, d.keys);
+  visit("priority", it.priority, d.priority);
+  visit("rate", it.rate, d.rate);
+  visit("burst", it.burst, d.burst);
 }
 
 template <typename Visit, typename T>
@@ -322,6 +345,8 @@
   visit("servers", it.backend_servers, d.backend_servers);
   visit("routes", it.routes, d.routes);
   visit("entry", it.entry, d.entry);
+  visit("keys_required", it.keys_required, d.keys_required);
+  visit("workspaces", it.workspaces, d.workspaces);
 }
 
 template <typename T>
@@ -344,6 +369,7 @@
 json ToJson(const EntryRules& it) { return MembersToJson(it); }
 json ToJson(const WeightedService& it) { return MembersToJson(it); }
 json ToJson(const Route& it) { return MembersToJson(it); }
+json ToJson(const Workspace& it) { return MembersToJson(it); }
 json ToJson(const ManifestChange& it) { return MembersToJson(it); }
 json ToJson(const ManifestHead& it) { return MembersToJson(it); }
 json ToJson(const HistoryEntry& it) { return MembersToJson(it); }
@@ -360,6 +386,7 @@
 void FromJson(const json& in, EntryRules& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, WeightedService& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, Route& it) { MembersFromJson(in, it); }
+void FromJson(const json& in, Workspace& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, ManifestChange& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, ManifestHead& it) { MembersFromJson(in, it); }
 void FromJson(const json& in, HistoryEntry& it) { MembersFromJson(in, it); }
--- a/src/manifest/route.h
+++ b/src/manifest/route.h
@@ -34,6 +34,7 @@
   std::chrono::milliseconds timeout{0};
   std::chrono::milliseconds target_latency{1000};  // A response that takes longer is worth less.
   std::vector<WeightedService> services;           // Never empty.
+  bool keyless = false;  // Requests need no key, even if the manifest requires keys.
 
   friend bool operator==(const Route& a, const Route& b) = default;
 };
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -198,6 +198,9 @@
   message.rank = request.params.rank;
   message.bulk = request.params.bulk;
   message.hedge = attempt.hedge;
+  const TenantId& workspace = request.params.tenant;
+  if (!workspace.Empty()) message.workspace = HashName(workspace.Text());
+  message.charged = request.charged;
   message.target_latency = request.params.target_latency;
   message.target_left = std::min(
       TimeLeft(request.params.target.value_or(request.params.deadline), now), kMaxTargetLeft);
@@ -334,6 +337,7 @@
     }
     const AttemptEnd end = pause_end ? AttemptEnd::kCancelled : AttemptEnd::kNotStarted;
     outbox_.push_back({from, ScheduleEnd{attempt.request_id, end, {}, {}}});
+    request.charged = true;
     request.rejected_servers.push_back(reply.server);
     ChangeRequestId(request, attempt);
     if (attempt.requests_sent >= kMaxRequestsPerAttempt) {
@@ -341,6 +345,7 @@
     }
     return RequestAssignment(request, attempt, now);
   }
+  request.charged = true;
   attempt.stage = Stage::kSent;
   attempt.scheduler = from;
   attempt.server = id->second;
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -169,6 +169,7 @@
     ChoiceRequest params;
     std::vector<Attempt> attempts;
     std::vector<NameHash> rejected_servers;  // Assigned, but leaving or unknown here.
+    bool charged = false;   // A scheduler has assigned a server: the workspace's limit is charged.
     bool finished = false;  // The caller is done; kept until its open attempts end.
   };
   using Timer = std::pair<MonotonicTime, ScheduleRequestId>;
--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -17,17 +17,19 @@
 
 // Message types (the first byte) and numbers are part of the wire format; never reuse one.
 constexpr char kRequest = 'A';
+constexpr char kWorkspaceRequest = 'B';  // A request that names a workspace.
 constexpr char kReply = 'R';
 constexpr char kEnd = 'E';
 constexpr char kSlowHost = 'S';
 constexpr char kCellUpdate = 'N';
 constexpr char kLimitUpdate = 'L';
 constexpr char kServerNotice = 'D';
-constexpr std::string_view kFirstBytes = "ARESNLD";
+constexpr std::string_view kFirstBytes = "ABRESNLD";
 
 constexpr uint32_t kBulk = 1;
 constexpr uint32_t kHedge = 2;
 constexpr uint32_t kForwarded = 4;
+constexpr uint32_t kCharged = 8;
 
 constexpr uint32_t kHasReport = 1;
 constexpr uint32_t kHasInFlight = 2;
@@ -40,7 +42,7 @@
 constexpr double kPercent = 100.0;
 constexpr double kMilli = 1000.0;  // Limits are encoded in requests per 1000 s.
 
-constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kServerPause);
+constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kWorkspaceLimit);
 constexpr auto kLastEnd = static_cast<uint32_t>(AttemptEnd::kCancelled);
 
 uint64_t NonNegative(int64_t value) { return static_cast<uint64_t>(std::max<int64_t>(value, 0)); }
@@ -53,9 +55,9 @@
   uint32_t flags = request.bulk ? kBulk : 0;
   if (request.hedge) flags |= kHedge;
   if (request.forwarded_for) flags |= kForwarded;
-  out.Number(static_cast<unsigned char>(kRequest), 1)
-      .Number(request.id, 4)
-      .Number(request.service, 4);
+  if (request.charged && request.workspace != 0) flags |= kCharged;
+  const char first = request.workspace != 0 ? kWorkspaceRequest : kRequest;
+  out.Number(static_cast<unsigned char>(first), 1).Number(request.id, 4).Number(request.service, 4);
   out.Number(request.failure_domain, 4).Number(request.rank, 1).Number(flags, 1);
   out.Number(Millis(request.target_latency), 2)
       .Number(Millis(request.target_left), 2)
@@ -65,6 +67,7 @@
   out.Number(n, 1);
   for (size_t i = 0; i < n; ++i) out.Number(request.tried[i], 4);
   if (request.forwarded_for) out.Text(request.forwarded_for->ToString());
+  if (request.workspace != 0) out.Number(request.workspace, 4);
 }
 
 void Put(PackedWriter& out, const ScheduleReply& reply) {
@@ -125,7 +128,7 @@
   }
 }
 
-std::optional<ScheduleMessage> ReadRequest(PackedReader& in) {
+std::optional<ScheduleMessage> ReadRequest(PackedReader& in, bool has_workspace) {
   ScheduleRequest request;
   request.id = in.Number(4);
   request.service = in.Number(4);
@@ -134,6 +137,7 @@
   const uint32_t flags = in.Number(1);
   request.bulk = (flags & kBulk) != 0;
   request.hedge = (flags & kHedge) != 0;
+  request.charged = (flags & kCharged) != 0;
   request.target_latency = milliseconds(in.Number(2));
   request.target_left = milliseconds(in.Number(2));
   request.deadline_left = milliseconds(in.Number(3));
@@ -145,6 +149,7 @@
     request.forwarded_for = ParseEndpoint(in.Text());
     if (!request.forwarded_for) return std::nullopt;
   }
+  if (has_workspace) request.workspace = in.Number(4);
   return request;
 }
 
@@ -239,7 +244,9 @@
 std::optional<ScheduleMessage> ReadMessage(char first, PackedReader& in) {
   switch (first) {
     case kRequest:
-      return ReadRequest(in);
+      return ReadRequest(in, false);
+    case kWorkspaceRequest:
+      return ReadRequest(in, true);
     case kReply:
       return ReadReply(in);
     case kEnd:
--- a/src/schedule/schedule_message.h
+++ b/src/schedule/schedule_message.h
@@ -40,6 +40,9 @@
   std::chrono::milliseconds caller_left{0};  // Time until the caller stops waiting; 0: unknown.
   std::vector<NameHash> tried;               // Servers not to be assigned again; at most kMaxTried.
   std::optional<Endpoint> forwarded_for;  // The requesting entry VM, if a scheduler forwarded this.
+  NameHash workspace = 0;                 // Workspace of the request; 0: none.
+  // An earlier assignment request of the same request has taken a token of the workspace's limit.
+  bool charged = false;
 };
 inline constexpr size_t kMaxTried = 16;
 
--- a/src/schedule/schedule_message_test.cc
+++ b/src/schedule/schedule_message_test.cc
@@ -13,6 +13,7 @@
 class ScheduleMessageTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ScheduleMessageTest);
   CPPUNIT_TEST(Request_Encoded_RoundTrips);
+  CPPUNIT_TEST(Request_WithWorkspace_RoundTrips);
   CPPUNIT_TEST(Reply_OfEachKind_RoundTrips);
   CPPUNIT_TEST(End_Encoded_RoundTrips);
   CPPUNIT_TEST(CellUpdateAndSlowHost_Encoded_RoundTrip);
@@ -51,6 +52,21 @@
     CPPUNIT_ASSERT(!RoundTrip(request).forwarded_for);
   }
 
+  // Requests without a workspace are encoded as before, for builds that don't know workspaces.
+  void Request_WithWorkspace_RoundTrips() {
+    ScheduleRequest request;
+    request.charged = true;
+    const std::string without = EncodeScheduleMessage(request);
+    CPPUNIT_ASSERT_EQUAL('A', without[0]);
+    CPPUNIT_ASSERT(!RoundTrip(request).charged);
+    request.workspace = HashName("north");
+    request.forwarded_for = Endpoint{"10.0.0.1", 7200};
+    const auto decoded = RoundTrip(request);
+    CPPUNIT_ASSERT_EQUAL(request.workspace, decoded.workspace);
+    CPPUNIT_ASSERT(decoded.charged);
+    CPPUNIT_ASSERT(decoded.forwarded_for == request.forwarded_for);
+  }
+
   void Reply_OfEachKind_RoundTrips() {
     ScheduleReply assigned;
     assigned.id = 9;
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -40,6 +40,7 @@
 
 void ScheduleNode::ApplyManifest(const Manifest& manifest) {
   planner_.ApplyServices(manifest.services);
+  scheduler_.ApplyManifest(manifest, clock_.Now());
   probe_paths_.clear();
   for (const Service& service : manifest.services) probe_paths_[service.id] = service.probe_path;
 }
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -70,6 +70,11 @@
   if (regrouped || cells_.size() != cells_before) UpdatePrimaries(now);
 }
 
+void Scheduler::ApplyManifest(const Manifest& manifest, MonotonicTime) {
+  workspaces_.clear();
+  for (const Workspace& it : manifest.workspaces) workspaces_[HashName(it.id.Text())] = it.id;
+}
+
 void Scheduler::AddServer(const BackendServer& server, MonotonicTime now) {
   services_[HashName(server.service.Text())] = server.service;
   failure_domains_[HashName(server.failure_domain.Text())] = server.failure_domain;
@@ -152,6 +157,8 @@
   request.cell = cell_map_.CellOf(service, request.home);
   request.kind = {message.rank, message.bulk, message.target_latency};
   request.hedge = message.hedge;
+  const auto workspace = workspaces_.find(message.workspace);
+  if (workspace != workspaces_.end()) request.workspace = workspace->second;
   request.target = now + message.target_left;
   request.deadline = now + message.deadline_left;
   request.caller_left = message.caller_left;
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -78,6 +78,8 @@
   Scheduler(Endpoint self, uint64_t seed, MonotonicTime now);
 
   void ApplyServers(const ServerChanges& changes, MonotonicTime now);
+  // Takes over what the manifest says about services and workspaces.
+  void ApplyManifest(const Manifest& manifest, MonotonicTime now);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving. If it lists
   // this one with lost links, requests are passed on to the scheduler that takes over.
   void SetMembers(const std::vector<Member>& members, MonotonicTime now);
@@ -215,6 +217,7 @@
   std::unordered_map<NameHash, ServiceId> services_;
   std::unordered_map<NameHash, FailureDomainId> failure_domains_;
   std::unordered_map<NameHash, BackendServerId> servers_;
+  std::unordered_map<NameHash, TenantId> workspaces_;  // Those of the manifest.
   std::unordered_map<BackendServerId, Cell*> cells_by_server_;
   std::map<RequestKey, AssignmentId> assignment_ids_;
   std::unordered_map<AssignmentId, OpenRequest> requests_;
