--- a/standins/fleet_standin.cc
+++ b/standins/fleet_standin.cc
@@ -312,6 +312,8 @@
     open_.emplace(entry, exchange);
     RunAfter(loop_, work_ * slowdown_ / 100, [this, exchange, entry] {
       if (open_.erase(entry) == 0) return;  // The server has crashed.
+      // Like the platform's servers, it counts the request in the load that its answer states.
+      HttpAnswer answer = AnswerOf(exchange.Request());
       --running_;
       journal_[entry].ended = true;
       if (exchange.Request().path.find("poison") != std::string::npos) {
@@ -320,7 +322,7 @@
       }
       if (mode_ == "stream") return;
       if (mode_ == "cut") return exchange.Drop();
-      exchange.Answer(AnswerOf(exchange.Request()));
+      exchange.Answer(std::move(answer));
     });
   }
   HttpAnswer StreamedAnswerOf(const HttpRequest& request) const {
