Require callers' keys where the manifest names workspaces

Entry VMs did not know whom a request belongs to: `tenants` in the operator's row was ignored, any caller was served, and `Authorization` and `X-Tenant` went to the servers as the caller sent them.

KeyIndex finds the workspace of a key's digest, comparing all digests in full. The exchange takes the key out of the request's head before anything else uses the head, so no later code can log or send it, keeps the digest, and answers 401 with the cause. It checks again against the keys in force before each choice, attempt, retry and hedge, at the cost of one comparison of a counter while the manifest is the same: 401 if no attempt can have run, else 502. Where keys are required, the rank is made of the workspace's priority and the route's.

Duration histograms of an entry VM on the platform don't distinguish workspaces: 180 services with 80 workspaces each would be too many series.

--- a/src/admin/metrics.cc
+++ b/src/admin/metrics.cc
@@ -43,21 +43,28 @@
         bad_input(prometheus::BuildCounter()
                       .Name("cowsliphill_bad_input_total")
                       .Help("Input that was refused, by kind")
-                      .Register(registry)) {}
+                      .Register(registry)),
+        refused_keys(prometheus::BuildCounter()
+                         .Name("cowsliphill_requests_refused_by_key_total")
+                         .Help("Requests refused for the caller's key, by cause")
+                         .Register(registry)) {}
   prometheus::Family<prometheus::Histogram>& first_byte;
   prometheus::Family<prometheus::Histogram>& took;
   prometheus::Family<prometheus::Counter>& ended;
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Family<prometheus::Counter>& bad_input;
+  prometheus::Family<prometheus::Counter>& refused_keys;
 };
 
-Metrics::Metrics()
-    : registry_(std::make_shared<prometheus::Registry>()),
+Metrics::Metrics(bool by_tenant)
+    : by_tenant_(by_tenant),
+      registry_(std::make_shared<prometheus::Registry>()),
       families_(std::make_unique<Families>(*registry_)) {}
 
 Metrics::~Metrics() = default;
 
 std::string Metrics::TenantLabel(const TenantId& tenant) {
+  if (!by_tenant_) return "";
   if (tenants_.count(tenant.Text()) > 0) return tenant.Text();
   if (tenants_.size() >= kMaxTenantLabels) return "other";
   tenants_.insert(tenant.Text());
@@ -65,6 +72,9 @@
 }
 
 void Metrics::OnRequestEnded(const RequestEnd& end) {
+  if (end.key_fault) {
+    families_->refused_keys.Add({{"cause", std::string(NameOf(*end.key_fault))}}).Increment();
+  }
   const std::string service = end.service.Text();
   const std::string request_class(NameOf(end.request_class));
   const std::string tenant = TenantLabel(end.tenant);
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -28,7 +28,9 @@
 
 class Metrics {
  public:
-  Metrics();
+  // `by_tenant`: the duration histograms are kept for each tenant. Where a service has many tenants
+  // these take much memory.
+  explicit Metrics(bool by_tenant = true);
   ~Metrics();
 
   void OnRequestEnded(const RequestEnd& end);
@@ -42,9 +44,10 @@
   using Series = std::tuple<std::string, RequestClass, std::string>;  // Service, class and tenant.
   struct Families;
 
-  // Returns the tenant's label value: its name, or "other".
+  // Returns the tenant's label value: its name, "other", or empty unless by_tenant_.
   std::string TenantLabel(const TenantId& tenant);
 
+  bool by_tenant_;
   std::shared_ptr<prometheus::Registry> registry_;
   std::unique_ptr<Families> families_;
   std::set<std::string> tenants_;  // Tenants with their own label value.
--- a/src/cli/platform_adapter.h
+++ b/src/cli/platform_adapter.h
@@ -7,6 +7,7 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
   std::function<void(AnswerCallback<ServersAnswer>)> ReadServers;
   std::function<void(uint64_t, std::chrono::milliseconds, AnswerCallback<ServersAnswer>)>
       WatchServers;
+  // To be called with each manifest that comes into force: fields of a later one that can't be used
+  // keep its values.
+  std::function<void(const std::shared_ptr<const Manifest>&)> SetInForce;
   std::function<StoreCallCounts()> Counts;
   std::function<void()> Close;
 };
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -71,6 +71,7 @@
       id_(settings_.failure_domain.Text() + "-" + fmt::format("{:016x}", seed)),
       election_rank_(ElectionRank(id_, MillicoresOf(settings_))),
       log_(clock_, settings_.log),
+      metrics_(false),
       connector_(io_, clock_, settings_.backend, seed, MakeConnectorListener()),
       link_probes_(io_, clock_, settings_.backend, {}, MakeReportReader(),
                    [this](const ProbeTarget& target, const ProbeOutcome& outcome) {
@@ -106,6 +107,7 @@
           [this](const Endpoint& from, const std::string& payload) { OnDatagram(from, payload); }),
       event_log_budget_(kEventLinesPerSecond, kEventLinesPerSecond * kLogBurstSeconds),
       failure_log_budget_(kEventLinesPerSecond, kEventLinesPerSecond * kLogBurstSeconds),
+      key_log_budget_(kSuccessLinesPerSecond, kSuccessLinesPerSecond * kLogBurstSeconds),
       success_log_budget_(kSuccessLinesPerSecond, kSuccessLinesPerSecond * kLogBurstSeconds),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       catalog_timer_(io_, clock_, [this] { RunCatalogStep(); }),
@@ -134,6 +136,7 @@
 ForwardContext RoutedEntry::MakeContext() {
   ForwardContext context{io_, clock_, settings_, dispatcher_, pool_, nullptr};
   context.manifest = [this] { return manifest_; };
+  context.keys = &keys_;
   context.ready = [this] { return HasCatalog(); };
   context.starting = [this] {
     return clock_.Now() - std::max(started_, resumed_) < kStartupHoldTime;
@@ -270,6 +273,8 @@
 
 void RoutedEntry::OnManifest(const std::shared_ptr<const Manifest>& manifest) {
   manifest_ = manifest;
+  keys_.SetManifest(manifest);
+  store_.SetInForce(manifest);
   scheduling_.ApplyManifest(*manifest_);
   dispatcher_.PollSoon();
   log_.Write(LogLevel::kInfo, "manifest in force",
@@ -539,11 +544,14 @@
 void RoutedEntry::OnRequestEnded(const RequestEnd& end) {
   metrics_.OnRequestEnded(end);
   const bool clean = end.whole && !end.late && end.outcome == Outcome::kRan && end.status < 500;
-  RateLimit& budget = clean ? success_log_budget_ : failure_log_budget_;
+  RateLimit& budget = end.key_fault ? key_log_budget_
+                      : clean       ? success_log_budget_
+                                    : failure_log_budget_;
   if (!log_.IsEnabled(LogLevel::kInfo) || !budget.Allow(clock_.Now())) return;
   log_.Write(LogLevel::kInfo, "request ended",
              {{"request", end.id.Text()},
               {"service", end.service.Text()},
+              {"workspace", end.tenant.Text()},
               {"class", std::string(NameOf(end.request_class))},
               {"backend_server", end.server.Text()},
               {"through", end.through.port == 0 ? "" : end.through.ToString()},
@@ -590,8 +598,9 @@
   scheduling_.CloseIdle();
   poison_.CloseIdle();
   link_probes_.CloseIdle();
-  const uint64_t suppressed =
-      event_log_budget_.TakeSuppressed() + failure_log_budget_.TakeSuppressed();
+  const uint64_t suppressed = event_log_budget_.TakeSuppressed() +
+                              failure_log_budget_.TakeSuppressed() +
+                              key_log_budget_.TakeSuppressed();
   if (suppressed > 0) {
     log_.Write(LogLevel::kWarning, "log lines left out",
                {{"unusual", static_cast<int64_t>(suppressed)},
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -41,6 +41,7 @@
 #include "src/forward/plain_server.h"
 #include "src/links/server_connector.h"
 #include "src/links/tunnel_server.h"
+#include "src/manifest/key_index.h"
 #include "src/members/members.h"
 #include "src/members/peer_transport.h"
 #include "src/poison/poison_watch.h"
@@ -151,6 +152,7 @@
   BackendPool pool_;
   // The manifest in force. Never null; its revision is 0 until one is known.
   std::shared_ptr<const Manifest> manifest_;
+  KeyIndex keys_;  // Of manifest_.
   ForwardContext context_;
   EdgeServer edge_;
   PlainServer lookup_server_;
@@ -199,6 +201,7 @@
   // don't hide other events.
   RateLimit event_log_budget_;    // Faults and changes.
   RateLimit failure_log_budget_;  // Malformed requests; requests and tunnels that failed.
+  RateLimit key_log_budget_;      // Requests that were refused for their keys.
   RateLimit success_log_budget_;  // Requests and tunnels that ended without a fault.
   asio::signal_set signals_;
   WakeTimer catalog_timer_;
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -120,11 +120,17 @@
   auto result = context_.wire.read_request(head_, *manifest_, context_.ids);
   if (!Ok(result)) {
     const BadRequest bad = ErrorOf(result);
+    meta_ = RequestMeta();  // May point into the manifest of an earlier admission.
+    keys_generation_ = 0;
     meta_.id = ReadRequestId(head_, context_.ids);
+    // Whether a route exists is told only to callers with a key.
+    if (bad.status == 404 && RefuseWithoutKey()) return;
     context_.observer.on_bad_input("request", bad.detail);
     return RespondWithError({bad.status, Outcome::kNotRun, {}, "http_request_error", bad.detail});
   }
   meta_ = std::move(ValueOf(result));
+  keys_generation_ = 0;
+  if (RefuseWithoutKey()) return;
   // The caller repeats a request that is behind a response which closes the connection, so it may
   // run before the earlier ones are answered only if it may run twice. Its body is behind theirs.
   const bool has_body = head_.chunked || head_.content_length.value_or(0) > 0;
@@ -266,6 +272,7 @@
 }
 
 void Exchange::Choose() {
+  if (RefuseWithoutKey()) return;
   ChoiceRequest request;
   request.ticket = ticket_;
   request.service = meta_.service->id;
@@ -275,7 +282,7 @@
   request.repeatable = meta_.idempotent && body_complete_ && !suspect_;
   request.depth = meta_.depth;
   if (meta_.route != nullptr) {
-    request.rank = meta_.route->rank;
+    request.rank = Rank();
     request.target = started_ + meta_.route->target_latency;
     request.target_latency = meta_.route->target_latency;
     if (meta_.timeout.count() > 0) request.caller_deadline = started_ + meta_.timeout;
@@ -307,6 +314,11 @@
       context_.dispatcher.OnEnded(ticket_, target->server, {AttemptEnd::kCancelled, {}, {}});
       return RespondWithError(MayHaveRun() ? ErrorForFailure() : ErrorForCondemned(judgement));
     }
+    if (!response_started_ && !KeyIsAccepted()) {
+      context_.dispatcher.OnEnded(ticket_, target->server, {AttemptEnd::kCancelled, {}, {}});
+      RefuseWithoutKey();
+      return;
+    }
     if (!FitsIntoStop()) {
       context_.dispatcher.OnEnded(ticket_, target->server, {AttemptEnd::kCancelled, {}, {}});
       return OnRefused({ticket_, RefusalCause::kStopping, kRetryAfterStop, {}});
@@ -384,7 +396,7 @@
 }
 
 void Exchange::OnHedgeDue() {
-  if (!MayHedge()) return;
+  if (!MayHedge() || !KeyIsAccepted()) return;
   const std::optional<SendTo> target = context_.dispatcher.Hedge(ticket_);
   if (target) hedge_ = StartAttempt(*target);
 }
@@ -394,7 +406,7 @@
 }
 
 void Exchange::OnHedgeAssigned(const SendTo& target) {
-  if (MayHedge()) {
+  if (MayHedge() && KeyIsAccepted()) {
     hedge_ = StartAttempt(target);
   } else {
     context_.dispatcher.OnEnded(ticket_, target.server, {AttemptEnd::kCancelled, {}, {}});
@@ -403,11 +415,12 @@
 
 // A connection normally takes milliseconds. It is there late if this process was paused meanwhile:
 // the request's time may be over. The server may have stated in the meantime that it is leaving, or
-// that it wants a pause.
-bool Exchange::MaySend(const Attempt& attempt) const {
+// that it wants a pause, and the caller's key may have been withdrawn.
+bool Exchange::MaySend(const Attempt& attempt) {
   const bool in_time = response_started_ || context_.clock.Now() < deadline_;
   const bool wanted = !context_.may_send || context_.may_send(attempt.Target());
-  return !ended_ && in_time && wanted && attempt.Age() < kMaxAssignmentAge;
+  const bool accepted = response_started_ || KeyIsAccepted();
+  return !ended_ && in_time && wanted && accepted && attempt.Age() < kMaxAssignmentAge;
 }
 
 MonotonicTime Exchange::ServerDeadline() const {
@@ -519,6 +532,7 @@
 }
 
 void Exchange::Retry() {
+  if (RefuseWithoutKey()) return;
   if (!request_read_ && !reading_body_) WatchCaller();
   context_.dispatcher.Retry(ticket_, ChoiceHandler());
 }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -6,6 +6,7 @@
 //   3. The request's body beyond the buffered part
 //   4. Ends: refusals, deadlines, callers that disconnect
 // exchange_answer.cc: the response's head and body, resuming an interrupted response.
+// exchange_keys.cc: the caller's key, at the start and again before each attempt.
 //
 // With WireFormat::buffer_responses a response is buffered completely before the caller gets any of
 // it, so that an incomplete response or a server error can be replaced by the response of another
@@ -32,6 +33,7 @@
 
 #include "src/claims/claim.h"
 #include "src/forward/attempt.h"
+#include "src/forward/caller_key.h"
 #include "src/forward/forward_context.h"
 #include "src/forward/http_stream.h"
 #include "src/forward/pipeline.h"
@@ -99,7 +101,7 @@
   void Choose();
   void OnChoice(const Choice& choice);
   std::shared_ptr<Attempt> StartAttempt(const SendTo& target);
-  bool MaySend(const Attempt& attempt) const;
+  bool MaySend(const Attempt& attempt);
   void PassOnStatement(const Attempt& attempt, const HttpHead& response) const;
   std::string RequestBytesFor(const SendTo& target);
   ConnectionReuse ReuseForAttempt() const;
@@ -147,6 +149,16 @@
   void OnResponseInterrupted(AttemptEnd end, const std::string& detail);
   void OnResumedHead(const HttpHead& response);
 
+  // exchange_keys.cc
+  // Whether the caller's key, or the lack of one, is accepted by the manifest in force. Sets
+  // RequestMeta::tenant.
+  bool KeyIsAccepted();
+  // Refuses the request if its key is not accepted and it is not being answered.
+  bool RefuseWithoutKey();
+  void CheckCallerKey();
+  bool RouteIsKeyless() const;
+  uint32_t Rank() const;
+
   // 4. Ends
   void ArmTimer(TimerUse use, Duration duration);
   // Like ArmTimer, but not beyond the deadline if the response has to be complete by then.
@@ -174,6 +186,11 @@
   HttpHead head_;                              // Head of the request.
   std::shared_ptr<const Manifest> manifest_;   // In force at admission; used to the end.
   RequestMeta meta_;
+  // Read, and removed from head_, at the first check against a manifest that requires keys.
+  std::optional<CallerKey> caller_key_;
+  uint64_t keys_generation_ = 0;       // KeyIndex::Generation() at the last check.
+  std::optional<KeyFault> key_fault_;  // Result of the last check.
+  uint32_t workspace_priority_ = 0;    // 0 without a workspace.
   Ticket ticket_ = 0;
   asio::steady_timer timer_;  // Runs for one TimerUse at a time.
   MonotonicTime started_;
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -14,6 +14,7 @@
 #include "src/base/request_class.h"
 #include "src/claims/claim_keeper.h"
 #include "src/forward/backend_pool.h"
+#include "src/forward/caller_key.h"
 #include "src/forward/dispatcher.h"
 #include "src/forward/request_headers.h"
 #include "src/manifest/manifest.h"
@@ -49,9 +50,10 @@
   Duration waited{};      // Time from the request's head to the first choice of a backend server.
   std::chrono::milliseconds timeout{};  // RequestMeta::timeout; the route's limit is not included.
   WallTime started;
-  std::string caller;     // IP address of the caller's end of the connection.
-  RequestHash hash = 0;   // Equal for repeated requests; 0 if the request was not read whole.
-  std::string detail;     // Readable cause of the end; may be empty.
+  std::string caller;    // IP address of the caller's end of the connection.
+  RequestHash hash = 0;  // Equal for repeated requests; 0 if the request was not read whole.
+  std::string detail;    // Readable cause of the end; may be empty.
+  std::optional<KeyFault> key_fault;  // Set if the request was refused for its key.
   std::string placement;  // Readable reason for the choice of `server`, or for the refusal of one;
                           // may be empty.
 };
@@ -85,6 +87,8 @@
   BackendPool& pool;
   EntryClaims* claims;  // Null: idempotency keys are forwarded and not checked here.
   std::function<std::shared_ptr<const Manifest>()> manifest = {};  // Returns the one in force.
+  // Keys of the manifest in force. Null: requests need no keys. If set, so is WireFormat::take_key.
+  const KeyIndex* keys = nullptr;
   std::function<bool()> ready = {};  // Whether requests can be admitted.
   // Whether requests wait until `ready` returns true, instead of getting status 503. Unset: they
   // never wait.
--- a/src/forward/http_format.cc
+++ b/src/forward/http_format.cc
@@ -41,6 +41,8 @@
       return "OK";
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
     case 403:
       return "Forbidden";
     case 404:
--- a/src/forward/request_headers.h
+++ b/src/forward/request_headers.h
@@ -15,6 +15,7 @@
 #include "src/base/request_class.h"
 #include "src/base/result.h"
 #include "src/claims/claim.h"
+#include "src/forward/caller_key.h"
 #include "src/forward/http_reader.h"
 #include "src/manifest/manifest.h"
 #include "src/measure/report.h"
@@ -125,6 +126,9 @@
 struct WireFormat {
   std::function<Result<RequestMeta, BadRequest>(const HttpHead&, const Manifest&, RequestIdSource&)>
       read_request;
+  // Reads the caller's key, and removes from the head the key and whatever else names a workspace.
+  // Unset: requests have no keys.
+  std::function<CallerKey(HttpHead&)> take_key;
   std::function<std::string(const HttpHead&, const RequestMeta&,
                             std::chrono::milliseconds time_left, const BackendTarget&)>
       backend_request;
