--- a/src/schedule/schedule_message_test.cc
+++ b/src/schedule/schedule_message_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "src/datagram/broadcast_tree.h"
+
 namespace cowsliphill {
 namespace {
 
@@ -64,6 +66,8 @@
     const auto decoded = RoundTrip(request);
     CPPUNIT_ASSERT_EQUAL(request.workspace, decoded.workspace);
     CPPUNIT_ASSERT(decoded.charged);
+    // Regression: such a request had the first byte of broadcasts, and was handled as one.
+    CPPUNIT_ASSERT(!DecodeBroadcast(EncodeScheduleMessage(request)));
     CPPUNIT_ASSERT(decoded.forwarded_for == request.forwarded_for);
   }
 
