Limits of workspaces hold over all entry VMs together

A workspace's rate and burst had no effect. Callers are distributed unevenly over the entry VMs, so a fixed share for each would refuse requests within the limit at some and not hold it at all.

Each scheduler keeps a bucket for each workspace with a limit (src/workspace/workspace_limits.h) and refuses with 429 what finds no token, before the request is queued or forwarded. Two owners (limit_owners.h) sum up the cumulative totals that schedulers report every 100 ms while they are used (usage_ledger.h), and answer with the level of the common bucket and what the others use and ask for. Below a guard level each scheduler takes only its share by demand: otherwise all would use the same tokens within the time that a report takes, and then none for as long.

The first scheduler that handles a request charges it. What it forwards to another cell is marked as charged and remembered for the repetitions of the request. Reservations are released when a request is declined, withdrawn or expires.

--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -682,6 +682,7 @@
       scheduling_.SchedulerTimeouts());
   set("cowsliphill_probes_sent", "Probes paid for", probes.sent);
   set("cowsliphill_probes_failed", "Probes without a report", probes.failed);
+  SetWorkspaceGauges();
 }
 
 // ---- 6. Signals and the graceful stop ----------------------------------------------------------
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -123,6 +123,7 @@
   void AfterCatalogStep();
   void EverySecond();
   void SetGauges();
+  void SetWorkspaceGauges();
 
   // 6. Signals and the graceful stop
   void AwaitSignal();
--- a/src/cli/routed_entry_servers.cc
+++ b/src/cli/routed_entry_servers.cc
@@ -186,9 +186,33 @@
                                                                       : "failed connect")},
                 {"reported_by", report.reported_by.ToString()}});
   };
+  listener.on_workspace_limit = [this](const RefusalEvent& it) {
+    if (!event_log_budget_.Allow(clock_.Now())) return;
+    log_.Write(LogLevel::kInfo, "workspace limit",
+               {{"workspace", it.workspace.Text()},
+                {"change", std::string(it.refusing ? "refuses requests" : "refuses no more")},
+                {"refused", static_cast<int64_t>(it.refused)}});
+  };
   return listener;
 }
 
+void RoutedEntry::SetWorkspaceGauges() {
+  const WorkspaceQuota& quota = scheduling_.Quota();
+  metrics_.Set("cowsliphill_requests_refused_by_workspace_limits",
+               "Requests that this entry VM's scheduler refused for the limits of workspaces",
+               static_cast<double>(quota.Limits().Refused()));
+  metrics_.Set("cowsliphill_workspace_reports_sent",
+               "Reports to the owners of workspaces' limits, on other entry VMs",
+               static_cast<double>(quota.ReportsSent()));
+  metrics_.Set("cowsliphill_workspace_answers_sent",
+               "Answers to the reports of other entry VMs, as an owner of workspaces' limits",
+               static_cast<double>(quota.AnswersSent()));
+  const auto answered_at = quota.Limits().AnsweredAt();
+  metrics_.Set("cowsliphill_workspace_answer_age_seconds",
+               "Since an owner last answered a report; -1 if none ever has",
+               answered_at ? InSeconds(clock_.Now() - *answered_at) : -1.0);
+}
+
 ProbeClient::ReadReport RoutedEntry::MakeReportReader() const {
   return [this](const HttpHead& response, const ProbeTarget& target) {
     std::optional<Report> report = adapter_.probe_report(response, target.server);
--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 
 #include "src/base/packed.h"
@@ -24,7 +25,9 @@
 constexpr char kCellUpdate = 'N';
 constexpr char kLimitUpdate = 'L';
 constexpr char kServerNotice = 'D';
-constexpr std::string_view kFirstBytes = "AWRESNLD";
+constexpr char kUsageReport = 'U';
+constexpr char kUsageAnswer = 'V';
+constexpr std::string_view kFirstBytes = "AWRESNLDUV";
 
 constexpr uint32_t kBulk = 1;
 constexpr uint32_t kHedge = 2;
@@ -42,6 +45,11 @@
 constexpr double kPercent = 100.0;
 constexpr double kMilli = 1000.0;  // Limits are encoded in requests per 1000 s.
 
+// Levels of buckets may be negative, and are encoded as tokens above the lowest one.
+constexpr double kLowestLevel = -16777216.0;
+constexpr double kTokenParts = 64.0;  // Levels are encoded in 64ths of a token.
+constexpr double kRateParts = 16.0;   // Rates of use and demand in 16ths of a request per second.
+
 constexpr auto kLastCause = static_cast<uint32_t>(RefusalCause::kWorkspaceLimit);
 constexpr auto kLastEnd = static_cast<uint32_t>(AttemptEnd::kCancelled);
 
@@ -128,6 +136,31 @@
   }
 }
 
+void Put(PackedWriter& out, const UsageReport& report) {
+  out.Number(static_cast<unsigned char>(kUsageReport), 1).Number(report.lifetime, 4);
+  const size_t n = std::min(report.entries.size(), kMaxUsageEntries);
+  out.Number(report.sent_at, 4).Number(n, 1);
+  for (size_t i = 0; i < n; ++i) {
+    const UsageReport::Entry& it = report.entries[i];
+    out.Number(it.workspace, 4).Number(it.used, 4).Number(it.demand, 4);
+    out.Number(it.reserved, 2).Number(it.recent, 3);
+  }
+}
+
+uint64_t EncodeRate(double rate) { return NonNegative(std::llround(rate * kRateParts)); }
+
+void Put(PackedWriter& out, const UsageAnswer& answer) {
+  out.Number(static_cast<unsigned char>(kUsageAnswer), 1).Number(answer.lifetime, 4);
+  const size_t n = std::min(answer.entries.size(), kMaxUsageEntries);
+  out.Number(answer.sent_at, 4).Number(answer.complete ? 1 : 0, 1).Number(n, 1);
+  for (size_t i = 0; i < n; ++i) {
+    const UsageAnswer::Entry& it = answer.entries[i];
+    const int64_t level = std::llround((it.level - kLowestLevel) * kTokenParts);
+    out.Number(it.workspace, 4).Number(NonNegative(level), 4).Number(it.used, 4);
+    out.Number(EncodeRate(it.others_use), 3).Number(EncodeRate(it.others_demand), 3);
+  }
+}
+
 std::optional<ScheduleMessage> ReadRequest(PackedReader& in, bool has_workspace) {
   ScheduleRequest request;
   request.id = in.Number(4);
@@ -241,6 +274,43 @@
   return notice;
 }
 
+std::optional<ScheduleMessage> ReadUsageReport(PackedReader& in) {
+  UsageReport report;
+  report.lifetime = in.Number(4);
+  report.sent_at = in.Number(4);
+  const size_t n = in.Number(1);
+  if (n > kMaxUsageEntries) return std::nullopt;
+  for (size_t i = 0; i < n; ++i) {
+    UsageReport::Entry it;
+    it.workspace = in.Number(4);
+    it.used = in.Number(4);
+    it.demand = in.Number(4);
+    it.reserved = in.Number(2);
+    it.recent = in.Number(3);
+    report.entries.push_back(it);
+  }
+  return report;
+}
+
+std::optional<ScheduleMessage> ReadUsageAnswer(PackedReader& in) {
+  UsageAnswer answer;
+  answer.lifetime = in.Number(4);
+  answer.sent_at = in.Number(4);
+  answer.complete = in.Number(1) != 0;
+  const size_t n = in.Number(1);
+  if (n > kMaxUsageEntries) return std::nullopt;
+  for (size_t i = 0; i < n; ++i) {
+    UsageAnswer::Entry it;
+    it.workspace = in.Number(4);
+    it.level = in.Number(4) / kTokenParts + kLowestLevel;
+    it.used = in.Number(4);
+    it.others_use = in.Number(3) / kRateParts;
+    it.others_demand = in.Number(3) / kRateParts;
+    answer.entries.push_back(it);
+  }
+  return answer;
+}
+
 std::optional<ScheduleMessage> ReadMessage(char first, PackedReader& in) {
   switch (first) {
     case kRequest:
@@ -259,6 +329,10 @@
       return ReadLimitUpdate(in);
     case kServerNotice:
       return ReadServerNotice(in);
+    case kUsageReport:
+      return ReadUsageReport(in);
+    case kUsageAnswer:
+      return ReadUsageAnswer(in);
     default:
       return std::nullopt;
   }
--- a/src/schedule/schedule_message.h
+++ b/src/schedule/schedule_message.h
@@ -15,6 +15,7 @@
 #include "src/balance/assignment.h"
 #include "src/base/ids.h"
 #include "src/measure/report.h"
+#include "src/workspace/usage_message.h"
 
 namespace cowsliphill {
 
@@ -119,8 +120,9 @@
   Endpoint of = {};  // Peer address; port 0 if `pause` is 0.
 };
 
-using ScheduleMessage = std::variant<ScheduleRequest, ScheduleReply, ScheduleEnd, SlowHost,
-                                     CellUpdate, LimitUpdate, ServerNotice>;
+using ScheduleMessage =
+    std::variant<ScheduleRequest, ScheduleReply, ScheduleEnd, SlowHost, CellUpdate, LimitUpdate,
+                 ServerNotice, UsageReport, UsageAnswer>;
 
 // Whether the first byte, which no other kind of datagram starts with, is that of a schedule
 // message.
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -104,6 +104,10 @@
   } else if (const auto* notice = std::get_if<ServerNotice>(&message)) {
     planner_.OnNotice(*notice, now);
     scheduler_.OnNotice(*notice, now);
+  } else if (const auto* usage = std::get_if<UsageReport>(&message)) {
+    scheduler_.OnUsageReport(from, *usage, now);
+  } else if (const auto* answer = std::get_if<UsageAnswer>(&message)) {
+    scheduler_.OnUsageAnswer(from, *answer, now);
   }
 }
 
@@ -136,7 +140,12 @@
   const Duration max_delay = scheduler_.Waiting() > 0   ? Balancer::kQueuePollInterval
                              : scheduler_.HasRequests() ? kMaxTimerDelay
                                                         : kMaxIdleTimerDelay;
-  const bool rearm = !timer_deadline_ || *timer_deadline_ > clock_.Now() + max_delay;
+  const MonotonicTime now = clock_.Now();
+  MonotonicTime latest = now + max_delay;
+  if (const auto report = scheduler_.Quota().NextWake()) {
+    latest = std::clamp<MonotonicTime>(*report, now + Scheduler::kMinWakeDelay, latest);
+  }
+  const bool rearm = !timer_deadline_ || *timer_deadline_ > latest;
   if (rearm) ArmTimer();
 }
 
@@ -177,6 +186,9 @@
     reported_limit_cells_ = scheduler_.CellsWithSharedLimits();
     listener_.on_event("shares out limits", std::to_string(reported_limit_cells_) + " cells");
   }
+  for (const RefusalEvent& it : scheduler_.Quota().TakeRefusalEvents(clock_.Now())) {
+    if (listener_.on_workspace_limit) listener_.on_workspace_limit(it);
+  }
   if (planner_.SchedulerTimeouts() != reported_timeouts_) {
     const uint64_t new_timeouts = planner_.SchedulerTimeouts() - reported_timeouts_;
     reported_timeouts_ += new_timeouts;
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -35,6 +35,9 @@
   std::function<void(const PauseBegin&)> on_pause;
   // Called when this entry VM's scheduler begins or ceases to hold a server to be down.
   std::function<void(const ServerHealthReport&)> on_health;
+  // Called when this entry VM's scheduler begins or ceases to refuse requests of a workspace for
+  // its limit.
+  std::function<void(const RefusalEvent&)> on_workspace_limit;
 };
 
 class ScheduleNode {
@@ -67,6 +70,7 @@
   uint64_t PausesBegun() const { return planner_.PausesBegun(); }
   size_t PausingServers() const { return planner_.PausingServers(clock_.Now()); }
   uint64_t LeavingByAnswer() const { return planner_.LeavingByAnswer(); }
+  const WorkspaceQuota& Quota() const { return scheduler_.Quota(); }
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
   // Where to probe a server; nullopt if it is unknown.
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -50,7 +50,7 @@
 }  // namespace
 
 Scheduler::Scheduler(Endpoint self, uint64_t seed, MonotonicTime now)
-    : self_(std::move(self)), started_(now), balancer_(seed) {}
+    : self_(std::move(self)), started_(now), balancer_(seed), quota_(self_, seed, now) {}
 
 // ---- Cells and members --------------------------------------------------------------------------
 
@@ -70,7 +70,8 @@
   if (regrouped || cells_.size() != cells_before) UpdatePrimaries(now);
 }
 
-void Scheduler::ApplyManifest(const Manifest& manifest, MonotonicTime) {
+void Scheduler::ApplyManifest(const Manifest& manifest, MonotonicTime now) {
+  quota_.ApplyManifest(manifest, now);
   workspaces_.clear();
   for (const Workspace& it : manifest.workspaces) workspaces_[HashName(it.id.Text())] = it.id;
 }
@@ -105,6 +106,7 @@
 
 void Scheduler::SetMembers(const std::vector<Member>& members, MonotonicTime now) {
   order_.SetMembers(members);
+  quota_.SetMembers(members, now);
   alone_ = members.size() < 2;
   links_lost_ = std::any_of(members.begin(), members.end(),
                             [this](const Member& it) { return it.peer == self_ && it.links_lost; });
@@ -195,6 +197,12 @@
     const bool is_mine = std::find(order.begin(), order.end(), self_) != order.end();
     if (!order.empty() && !is_mine) return Forward(request.cell, entry_vm, message);
   }
+  const std::optional<NameHash> reserved = Charge(entry_vm, message, now);
+  if (!reserved) {
+    return Reply(entry_vm,
+                 ToReply(message.id, Declined{0, RefusalCause::kWorkspaceLimit,
+                                              quota_.Limits().RetryAfter(message.workspace, now)}));
+  }
   Cell& cell = cells_[request.cell];
   balancer_.AdjustTargetForRetry(request);
   cell.requests = InUse(cell, now) ? cell.requests + 1 : 1;
@@ -204,7 +212,8 @@
   if (pause_end) {
     const auto other =
         message.forwarded_for ? std::nullopt : OtherCell(request.cell, entry_vm, now);
-    if (other) return Forward(*other, entry_vm, message);
+    if (other) return ForwardCharged(*other, entry_vm, message, *reserved, now);
+    quota_.Limits().Release(*reserved, now);
     return Reply(entry_vm, ToReply(message.id, Declined{0, RefusalCause::kServerPause,
                                                         AsMillis(*pause_end - now)}));
   }
@@ -215,12 +224,12 @@
                              (availability == Availability::kQueueOnTime && !request.kind.bulk);
     const std::optional<CellId> other =
         may_forward ? CellWithFreeSlots(request.cell, now) : std::optional<CellId>();
-    if (other) return Forward(*other, entry_vm, message);
+    if (other) return ForwardCharged(*other, entry_vm, message, *reserved, now);
   }
   request.id = next_id_++;
   assignment_ids_[{entry_vm, message.id}] = request.id;
-  requests_[request.id] = {entry_vm, message.id, request.deadline, std::nullopt};
-  Reply(request.id, balancer_.Assign(request, now));
+  requests_[request.id] = {entry_vm, message.id, request.deadline, std::nullopt, *reserved};
+  Reply(request.id, balancer_.Assign(request, now), now);
   SendDecisions(now);
 }
 
@@ -298,14 +307,16 @@
   Reply(entry_vm, ToReply(message.id, Queued{}));
 }
 
-void Scheduler::Reply(AssignmentId id, const Assignment& decision) {
+void Scheduler::Reply(AssignmentId id, const Assignment& decision, MonotonicTime now) {
   OpenRequest& open = requests_.at(id);
   const ScheduleRequestId reply_id = open.id;
   const ScheduleReply reply =
       std::visit([reply_id](const auto& it) { return ToReply(reply_id, it); }, decision);
   Reply(open.entry_vm, reply);
-  if (reply.kind == ScheduleReply::Kind::kAssigned) open.assigned = reply;
-  if (reply.kind == ScheduleReply::Kind::kRefused) EraseRequest(id);
+  if (reply.kind == ScheduleReply::Kind::kRefused) return EraseRequest(id, now);
+  if (reply.kind != ScheduleReply::Kind::kAssigned) return;
+  open.assigned = reply;
+  if (open.reserved != 0) quota_.Limits().Consume(std::exchange(open.reserved, 0), now);
 }
 
 void Scheduler::OnEnd(const Endpoint& from, const ScheduleEnd& end, MonotonicTime now) {
@@ -318,7 +329,7 @@
     const auto server = servers_.find(assigned->server);
     if (server != servers_.end()) OnServerChanged(server->second, now);
   }
-  EraseRequest(id);
+  EraseRequest(id, now);
   if (balancer_.LimitChangesSeen() != limit_changes_sent_) UpdateLimits(now);
   SendDecisions(now);
 }
@@ -329,9 +340,10 @@
   }
 }
 
-void Scheduler::EraseRequest(AssignmentId id) {
+void Scheduler::EraseRequest(AssignmentId id, MonotonicTime now) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
+  if (it->second.reserved != 0) quota_.Limits().Release(it->second.reserved, now);
   assignment_ids_.erase({it->second.entry_vm, it->second.id});
   requests_.erase(it);
 }
@@ -339,7 +351,7 @@
 void Scheduler::SendDecisions(MonotonicTime now) {
   for (const QueueDecision& decision : balancer_.TakeQueueDecisions(now)) {
     const AssignmentId id = std::visit([](const auto& it) { return it.id; }, decision);
-    Reply(id, std::visit([](const auto& it) -> Assignment { return it; }, decision));
+    Reply(id, std::visit([](const auto& it) -> Assignment { return it; }, decision), now);
   }
   for (const AssignmentId id : balancer_.TakeStartedSlow()) {
     const auto it = requests_.find(id);
@@ -584,7 +596,7 @@
   }
   for (const AssignmentId id : expired) {
     balancer_.Withdraw(id);
-    EraseRequest(id);
+    EraseRequest(id, now);
   }
 }
 
@@ -594,12 +606,15 @@
   if (now >= next_cell_update_) SendCellUpdates(now);
   UpdateLimits(now);
   SendDecisions(now);
+  quota_.Tick(now);
+  SendUsage();
 }
 
 std::optional<MonotonicTime> Scheduler::NextWake(MonotonicTime now) const {
   std::optional<MonotonicTime> wake = balancer_.NextWake(now);
   const auto wake_by = [&wake](MonotonicTime time) { wake = wake ? std::min(*wake, time) : time; };
   if (!settled_) wake_by(SettledAt());
+  if (const std::optional<MonotonicTime> due = quota_.NextWake()) wake_by(*due);
   bool any_primary = false;
   for (const auto& [id, cell] : cells_) {
     any_primary = any_primary || cell.is_primary;
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -20,10 +20,12 @@
 
 #include "src/balance/balancer.h"
 #include "src/members/peer.h"
+#include "src/schedule/paid_forwards.h"
 #include "src/schedule/pause_list.h"
 #include "src/schedule/probe_queue.h"
 #include "src/schedule/schedule_message.h"
 #include "src/schedule/scheduler_order.h"
+#include "src/workspace/workspace_quota.h"
 
 namespace cowsliphill {
 
@@ -90,6 +92,8 @@
   void OnCellUpdate(const CellUpdate& update, MonotonicTime now);
   void OnLimitUpdate(const Endpoint& from, const LimitUpdate& update, MonotonicTime now);
   void OnNotice(const ServerNotice& notice, MonotonicTime now);
+  void OnUsageReport(const Endpoint& from, const UsageReport& report, MonotonicTime now);
+  void OnUsageAnswer(const Endpoint& from, const UsageAnswer& answer, MonotonicTime now);
 
   // Whether queued requests wait for reports of servers that TakeServersToProbe has not returned
   // yet.
@@ -107,6 +111,9 @@
   std::optional<MonotonicTime> NextWake(MonotonicTime now) const;
   std::vector<Outgoing> TakeOutbox() { return std::exchange(outbox_, {}); }
 
+  // The limits of workspaces, as far as this entry VM charges requests and sums up the charges.
+  const WorkspaceQuota& Quota() const { return quota_; }
+  WorkspaceQuota& Quota() { return quota_; }
   std::vector<LimitChange> TakeLimitChanges() { return balancer_.TakeLimitChanges(); }
   std::vector<ServerHealthReport> TakeHealthReports() { return std::exchange(health_reports_, {}); }
   size_t LimitedServers() const { return balancer_.LimitedServers(); }
@@ -162,6 +169,7 @@
     ScheduleRequestId id = 0;
     MonotonicTime deadline;
     std::optional<ScheduleReply> assigned;  // The kAssigned reply; unset while queued.
+    NameHash reserved = 0;  // Workspace of whose limit a token is reserved while queued; 0: none.
   };
   // Free slots that another cell last reported, less the requests forwarded to it since.
   struct RemoteCell {
@@ -188,10 +196,17 @@
   std::optional<CellId> OtherCell(const CellId& home, const Endpoint& entry_vm,
                                   MonotonicTime now) const;
   std::optional<CellId> CellWithFreeSlots(const CellId& home, MonotonicTime now);
+  // Reserves a token of the limit of the request's workspace, if it needs one. Returns the
+  // workspace, 0 if it needs none, and nullopt if there is none.
+  std::optional<NameHash> Charge(const Endpoint& entry_vm, const ScheduleRequest& message,
+                                 MonotonicTime now);
+  void ForwardCharged(const CellId& to, const Endpoint& entry_vm, ScheduleRequest message,
+                      NameHash reserved, MonotonicTime now);
+  void SendUsage();
   void Forward(const CellId& to, const Endpoint& entry_vm, ScheduleRequest message);
   void RecordHealthChanges(const Endpoint& reported_by);
   void SendToAll(const ServerNotice& notice);
-  void Reply(AssignmentId id, const Assignment& decision);
+  void Reply(AssignmentId id, const Assignment& decision, MonotonicTime now);
   void Reply(const Endpoint& to, const ScheduleReply& reply) { outbox_.push_back({to, reply}); }
   void SendDecisions(MonotonicTime now);
   void QueueServersToProbe(MonotonicTime now);
@@ -202,7 +217,7 @@
   void SendLimitUpdate(const CellId& id, const Cell& cell,
                        const std::vector<LimitStatement>& limits, bool to_all, MonotonicTime now);
   void EraseExpired(MonotonicTime now);
-  void EraseRequest(AssignmentId id);
+  void EraseRequest(AssignmentId id, MonotonicTime now);
   void AddServer(const BackendServer& server, MonotonicTime now);
   void RemoveServer(const BackendServerId& server);
   void UpdatePrimaries(MonotonicTime now);
@@ -227,6 +242,8 @@
   PauseList<std::pair<Endpoint, BackendServerId>> pauses_;
   std::map<Endpoint, EntryVmId> ids_by_peer_;  // Live entry VMs. A restarted one has another id.
   std::vector<Endpoint> entry_vms_;            // Peer addresses of the live entry VMs.
+  WorkspaceQuota quota_;
+  PaidForwards<RequestKey> paid_forwards_;
   uint64_t limit_changes_sent_ = 0;  // Balancer::LimitChangesSeen() at the last LimitUpdate.
   AssignmentId next_id_ = 1;
   std::vector<BackendServerId> servers_to_probe_;  // Queued requests wait for their reports.
