Requests sent late in a graceful stop run only if all of their time fits

Callers lost requests in a planned stop: with a grace period of 8 s, 3 of 90, sent 4.2 s after the signal with 4.1 s of work, were sent to servers and cut off at 7.9 s.

Cause: Exchange::FitsIntoStop accepted a request that had three quarters of its time left (half, if it can be repeated). The server is told the shorter limit, but a server that works on beyond it is cut off.

Now StopWindow decides: a request that arrives later than 2.9 s after the signal is sent only if the earlier of the caller's limit and the route's ends in time; otherwise it is refused at once as not run. Earlier ones are judged as before. The bound is 0.1 s below the 3 s of the rule, since a busy process handles the signal late.

--- a/src/cli/entry_vm.cc
+++ b/src/cli/entry_vm.cc
@@ -428,7 +428,8 @@
   const GracefulStop::Limits limits{
       std::min(LeaveDelay(manifest_->entry.lookup_lifetime), settings_.stop_timeout),
       settings_.stop_timeout};
-  context_.work_end = clock_.Now() + limits.work;
+  const MonotonicTime now = clock_.Now();
+  context_.stop = {now, now + limits.work};
   stop_.Begin(limits, {[this] { edge_.StopAccepting(); },
                        [this](Duration waited) { return MayDepart(waited); },
                        [this] { members_->Depart(); }});
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -712,7 +712,8 @@
   const GracefulStop::Limits limits{
       duration_cast<milliseconds>(settings_.stop_timeout * kAcceptFraction),
       StopWorkLimit(settings_.stop_timeout)};
-  context_.work_end = clock_.Now() + limits.work + kDepartureTime;
+  const MonotonicTime now = clock_.Now();
+  context_.stop = {now, now + limits.work + kDepartureTime};
   stop_.Begin(limits, {[this] { edge_.StopAccepting(); },
                        [this](Duration waited) { return MayDepart(waited); },
                        [this] { members_->Depart(); }});
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -21,14 +21,6 @@
 constexpr milliseconds kRetryAfterWhileStarting{150};
 // Time between two checks whether a waiting request can be admitted.
 constexpr milliseconds kReadyPollInterval{10};
-// Time before the end of a graceful stop by which servers have to answer, so that an answer given
-// at their time limit still reaches the caller.
-constexpr milliseconds kFinalAnswerTime{100};
-// Smallest share of its time that a request must have left before the end of a graceful stop. One
-// that can't be repeated needs more, because its caller can do nothing when a server runs out of
-// time.
-constexpr double kMinStopShare = 0.5;
-constexpr double kMinStopShareUnrepeatable = 0.75;
 // A server that was assigned longer ago than this gets no request.
 constexpr milliseconds kMaxAssignmentAge{1000};
 // Limits on the parts of request bodies beyond EdgeSettings::buffer_bytes that are kept while they
@@ -410,16 +402,11 @@
   return !ended_ && in_time && wanted && attempt.Age() < kMaxAssignmentAge;
 }
 
-MonotonicTime Exchange::ServerDeadline() const {
-  return std::min(deadline_, context_.work_end - kFinalAnswerTime);
-}
+MonotonicTime Exchange::ServerDeadline() const { return context_.stop.ServerDeadline(deadline_); }
 
 bool Exchange::FitsIntoStop() const {
-  const MonotonicTime server_deadline = ServerDeadline();
-  if (response_started_ || server_deadline >= deadline_) return true;
-  const MonotonicTime now = context_.clock.Now();
-  const double min_share = meta_.idempotent ? kMinStopShare : kMinStopShareUnrepeatable;
-  return server_deadline - now >= Times(deadline_ - now, min_share);
+  return response_started_ ||
+         context_.stop.MaySend(started_, deadline_, meta_.idempotent, context_.clock.Now());
 }
 
 void Exchange::RefuseWhatDoesNotFitIntoStop(ForwardContext& context) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -15,7 +15,7 @@
 // kept while it is sent, so that a server which did not run the request can be replaced.
 //
 // An entry VM that is stopping tells servers to answer before it ends, and refuses requests that
-// would lose too much of their time by this.
+// would lose too much of their time by this (StopWindow).
 //
 // Limits: a request whose body is larger than what is kept (1 MiB, 16 MiB for all requests) is sent
 // at most once. Requests with a body beyond EdgeSettings::buffer_bytes are not hedged, and are not
--- a/src/forward/forward_context.h
+++ b/src/forward/forward_context.h
@@ -16,6 +16,7 @@
 #include "src/forward/backend_pool.h"
 #include "src/forward/dispatcher.h"
 #include "src/forward/request_headers.h"
+#include "src/forward/stop_window.h"
 #include "src/manifest/manifest.h"
 #include "src/poison/poison_list.h"
 #include "src/settings/settings.h"
@@ -105,9 +106,8 @@
   std::unordered_map<Ticket, Exchange*> exchanges = {};  // Admitted and not finished.
   RequestIdSource ids = {};
   Ticket next_ticket = 1;
-  bool leaving = false;  // Shutting down: callers' connections close after responses.
-  // While leaving: requests that are still open at this time are cut off.
-  MonotonicTime work_end = MonotonicTime::max();
+  bool leaving = false;                // Shutting down: callers' connections close after responses.
+  StopWindow stop = {};                // Set while leaving.
   size_t open_requests = 0;            // Requests in flight in this entry VM.
   size_t buffered_response_bytes = 0;  // Bodies of responses held by all exchanges.
   size_t kept_body_bytes = 0;          // Bodies of requests beyond EdgeSettings::buffer_bytes.
--- a/tests/graceful_stop_test.cc
+++ b/tests/graceful_stop_test.cc
@@ -1,6 +1,6 @@
 // Requests that an entry VM receives during a graceful stop. Each must get a whole answer or a
-// refusal that says that it did not run, whatever time it is allowed to take. The server stops work
-// at the time limit that it gets.
+// refusal that says that it did not run, whatever time it is allowed to take. Unless a test says
+// otherwise, the server stops work at the time limit that it gets.
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -37,11 +37,19 @@
            limit}};
 }
 
-std::string Filing(const std::string& id, milliseconds work, const std::string& body = "body") {
+// Works for as long as the request's path says, whatever the time limit that it got.
+std::vector<ScriptedStep> WorkRegardless(const ScriptedRequest& request) {
+  if (request.path == "/health") return {};
+  const milliseconds work(std::stol(request.path.substr(request.path.rfind('/') + 1)));
+  return {{ScriptedAnswer(request.id), work}};
+}
+
+std::string Filing(const std::string& id, milliseconds work, const std::string& body = "body",
+                   milliseconds limit = kCallerLimit) {
   return fmt::format(
       "POST /u/{} HTTP/1.1\r\nHost: fleet.example\r\nX-Request-Id: {}\r\nX-Deadline-Ms: {}\r\n"
       "Content-Length: {}\r\n\r\n{}",
-      work.count(), id, kCallerLimit.count(), body.size(), body);
+      work.count(), id, limit.count(), body.size(), body);
 }
 
 std::string Lookup(const std::string& id, milliseconds work) {
@@ -58,6 +66,7 @@
   CPPUNIT_TEST(Pipeline_SecondRequestStartsLateInTheStop_IsAnsweredOrRefusedAsNotRun);
   CPPUNIT_TEST(Upload_BodyArrivesLateInTheStop_IsAnsweredOrRefusedAsNotRun);
   CPPUNIT_TEST(Request_FitsIntoTheRestOfTheStop_IsAnswered);
+  CPPUNIT_TEST(LateRequests_LimitsReachBeyondTheStop_AreRefusedAsNotRun);
   CPPUNIT_TEST(Refusal_OfALateRequest_ComesAtOnceAndNamesATimeToComeBack);
   CPPUNIT_TEST(EntryVms_TwoOfThreeStopAtOnce_RefusedCallersAreServedByTheThird);
   CPPUNIT_TEST_SUITE_END();
@@ -149,6 +158,38 @@
     CPPUNIT_ASSERT_EQUAL(200, SendOne(1, "late", milliseconds(2400)).status);
   }
 
+  // Regression: of the requests sent later than 3 s after the signal, those that could lose up to a
+  // quarter of their time were sent, and cut off by the end of the stop.
+  void LateRequests_LimitsReachBeyondTheStop_AreRefusedAsNotRun() {
+    const milliseconds stop_timeout(8000);
+    Start(2, milliseconds(8000), stop_timeout, WorkRegardless);
+    Stop(1);
+    // Before 3 s: its limit reaches beyond the stop, but it ends in time.
+    std::vector<std::thread> threads;
+    threads.emplace_back([this] {
+      std::this_thread::sleep_for(milliseconds(2500));
+      SendOne(1, "early", milliseconds(1500), milliseconds(6000));
+    });
+    // After it: those whose limit fits are served, also if they need all of their time.
+    for (milliseconds at(3100); at < milliseconds(3900); at += milliseconds(100)) {
+      threads.emplace_back([this, at] {
+        std::this_thread::sleep_for(at);
+        SendOne(1, fmt::format("fits-{}", at.count()), milliseconds(3500), milliseconds(3700));
+      });
+      threads.emplace_back([this, at] {
+        std::this_thread::sleep_for(at);
+        SendOne(1, fmt::format("late-{}", at.count()), milliseconds(4850), milliseconds(5000));
+      });
+    }
+    for (std::thread& it : threads) it.join();
+    ExpectAnsweredOrRefused();
+    CPPUNIT_ASSERT_EQUAL(threads.size(), outcomes_.size());
+    for (const Outcome& it : outcomes_) {
+      const bool late = it.id.rfind("late", 0) == 0;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.id, late ? 503 : 200, it.status);
+    }
+  }
+
   void Refusal_OfALateRequest_ComesAtOnceAndNamesATimeToComeBack() {
     Start(2, milliseconds(8000));
     Stop(1);
@@ -185,12 +226,14 @@
     milliseconds took{0};
   };
 
-  void Start(size_t entries, milliseconds route_timeout) {
+  void Start(
+      size_t entries, milliseconds route_timeout, milliseconds stop_timeout = kStopTimeout,
+      std::function<std::vector<ScriptedStep>(const ScriptedRequest&)> script = WorkUntilTheLimit) {
     FleetOptions options;
     options.servers = 0;
-    options.stop_timeout = kStopTimeout;
+    options.stop_timeout = stop_timeout;
     fleet_ = std::make_unique<Fleet>(entries, options);
-    server_ = std::make_unique<ScriptedServer>(kServer, WorkUntilTheLimit);
+    server_ = std::make_unique<ScriptedServer>(kServer, std::move(script));
     fleet_->AddServer(kServer, server_->Address(), 400);
     fleet_->PutManifest(2, "/a/", 0, route_timeout);
     std::this_thread::sleep_for(kMaxManifestDelay);
@@ -214,10 +257,11 @@
     CPPUNIT_ASSERT_EQUAL(threads.size(), outcomes_.size());
   }
 
-  Outcome SendOne(size_t entry, const std::string& id, milliseconds work) {
+  Outcome SendOne(size_t entry, const std::string& id, milliseconds work,
+                  milliseconds limit = kCallerLimit) {
     const auto sent = std::chrono::steady_clock::now();
     RawCaller caller(fleet_->Entry(entry).edge);
-    caller.Send(Filing(id, work));
+    caller.Send(Filing(id, work, "body", limit));
     Outcome outcome = Record(id, caller.ReadAnswers(1, kCallerLimit));
     outcome.took =
         std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - sent);
