Requests with a workspace are not taken for broadcasts

Requests with a workspace were encoded with the first byte 'B', which broadcasts have. The datagrams are tried as broadcasts first, so each such request of 13 bytes or more was passed on as a broadcast and no scheduler got it. They have a first byte of their own now.

A test decodes such a request as a broadcast; it failed with the byte that was used before.

--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -17,14 +17,14 @@
 
 // Message types (the first byte) and numbers are part of the wire format; never reuse one.
 constexpr char kRequest = 'A';
-constexpr char kWorkspaceRequest = 'B';  // A request that names a workspace.
+constexpr char kWorkspaceRequest = 'J';  // A request that names a workspace.
 constexpr char kReply = 'R';
 constexpr char kEnd = 'E';
 constexpr char kSlowHost = 'S';
 constexpr char kCellUpdate = 'N';
 constexpr char kLimitUpdate = 'L';
 constexpr char kServerNotice = 'D';
-constexpr std::string_view kFirstBytes = "ABRESNLD";
+constexpr std::string_view kFirstBytes = "AJRESNLD";
 
 constexpr uint32_t kBulk = 1;
 constexpr uint32_t kHedge = 2;
--- a/src/schedule/schedule_message_test.cc
+++ b/src/schedule/schedule_message_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "src/datagram/broadcast_tree.h"
+
 namespace cowsliphill {
 namespace {
 
@@ -14,6 +16,7 @@
   CPPUNIT_TEST_SUITE(ScheduleMessageTest);
   CPPUNIT_TEST(Request_Encoded_RoundTrips);
   CPPUNIT_TEST(Request_WithWorkspace_RoundTrips);
+  CPPUNIT_TEST(Request_WithWorkspace_IsNoBroadcast);
   CPPUNIT_TEST(Reply_OfEachKind_RoundTrips);
   CPPUNIT_TEST(End_Encoded_RoundTrips);
   CPPUNIT_TEST(CellUpdateAndSlowHost_Encoded_RoundTrip);
@@ -148,6 +151,14 @@
     CPPUNIT_ASSERT(pause.pause == milliseconds(2500) && pause.of == of && !pause.leaving);
   }
 
+  // Regression: requests with a workspace began with the first byte of broadcasts, so entry VMs
+  // passed them on as broadcasts and no scheduler got them.
+  void Request_WithWorkspace_IsNoBroadcast() {
+    ScheduleRequest request;
+    request.workspace = HashName("workspace");
+    CPPUNIT_ASSERT(!DecodeBroadcast(EncodeScheduleMessage(request)));
+  }
+
   void Decode_UnknownValues_ReturnsNullopt() {
     std::string end = EncodeScheduleMessage(ScheduleEnd{});
     end[5] = 99;  // Not an AttemptEnd.
