Servers in warm-up get at most the rate of their service

Servers that had just started got as many requests as they had slots, because nothing used the service's warm-up rate or what servers say about their warm-up.

A server's token bucket now has the lower one of the limit that it names and the rate of the warm-up. The warm-up is known from the row, from a restart and from X-Warmup-Ms in responses to probes. One scheduler at a time shares the tokens out, as for named limits. It also stops as soon as another one may have taken over (LimitLease), so that the sum over all entry VMs holds. Without a service with a rate nothing is sent and nothing changes.

balancer.cc is split: what concerns servers is in balancer_servers.cc.

--- a/src/balance/assignment.h
+++ b/src/balance/assignment.h
@@ -90,6 +90,28 @@
   std::optional<double> after;
 };
 
+// What an entry VM knows about a server in warm-up.
+struct WarmupStatement {
+  BackendServerId server;
+  MonotonicTime ends_at;
+  // When the server stated this in a response to a probe; nullopt: it is known from the catalog.
+  std::optional<MonotonicTime> stated_at;
+  bool in_catalog = false;  // The catalog tells all entry VMs of it.
+};
+
+// A backend server has entered or completed a warm-up in which its requests are limited.
+struct WarmupChange {
+  BackendServerId server;
+  bool begins = false;
+  std::chrono::milliseconds left{0};  // Remaining time; 0 at the end.
+};
+
+// The warm-up of a service's servers.
+struct WarmupRule {
+  std::chrono::milliseconds usual{0};  // Duration after a start.
+  double rate = 0;                     // Requests per second that a server in warm-up may get.
+};
+
 // A server is held to be down, or no longer.
 struct HealthChange {
   enum class Cause { kMissedProbes, kConnectFailed, kReached };
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "src/balance/balancer_state.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -11,57 +13,16 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// A cancelled attempt counts as a failure after this many times its expected time.
-constexpr double kOverdueFactor = 2.5;
-// Interval between probes of a server while the times at which its host changes speed are unknown:
-// a tenth of the shortest time for which hosts stay slow.
-constexpr milliseconds kProbeInterval{50};
-// Longest interval between probes of a server, used if the times at which its host changes speed
-// are known or its cell is quiet: in-flight counts come from the assignments, and reports only
-// correct them.
-constexpr milliseconds kMaxProbeInterval{250};
-// A cell is quiet after this time without a speed change at any of its hosts: probes then only show
-// that its servers are alive.
-constexpr milliseconds kQuietPeriod{3000};
 // Smallest number of effective slots by which the time to empty a queue is estimated: without
 // limits the slots of slow hosts still serve some requests.
 constexpr double kMinEffectiveSlots = 1.0;
 constexpr double kMinLimitedSlots = 0.05;
-constexpr milliseconds kStepDelay{2};  // Delay of a probe after an expected speed change.
-
-// Position in a cell's queue: by rank, the most urgent first, then by target.
-using QueueKey = std::tuple<uint32_t, MonotonicTime, AssignmentId>;
-
 QueueKey QueueKeyOf(const AssignmentRequest& spec) {
   return {spec.kind.rank, spec.target, spec.id};
 }
 
 }  // namespace
 
-struct Balancer::Server {
-  BackendServer config;
-  Cell* cell = nullptr;
-  bool listed = true;        // False: not in the last list; kept until its requests end.
-  bool leaving = false;      // The server or the platform reported that it accepts no new requests.
-  MonotonicTime warmup_end;  // Time from which the server runs at full speed.
-  ServerLoad load;
-  ServerHealth health;
-  ServerLimit limit;
-  std::vector<AssignmentId> open_requests;
-};
-
-struct Balancer::Cell {
-  std::vector<Server*> servers;  // Servers that accept new requests.
-  std::map<RequestKind, ServiceTimeEstimate> service_times;
-  std::set<QueueKey> queue;
-  std::map<uint32_t, size_t> queued_by_rank;
-  std::map<RequestKind, CallerElapsedEstimate> caller_elapsed;
-  NearCapacityEstimate near_capacity;
-  bool shares_limits = true;          // See SetSharesLimits.
-  double mean_slowdown = 1.0;         // Exponentially weighted mean of reported slowdowns.
-  MonotonicTime last_speed_change{};  // Newest speed change of any host in the cell.
-};
-
 Balancer::Balancer(uint64_t seed) : random_(seed) {}
 Balancer::~Balancer() = default;
 
@@ -71,67 +32,6 @@
   return *cell;
 }
 
-void Balancer::Apply(const ServerChanges& changes, const CellMap& cells, MonotonicTime now) {
-  for (const BackendServer& config : changes.removed) {
-    const auto it = servers_.find(config.id);
-    if (it == servers_.end()) continue;
-    it->second->listed = false;
-    RemoveFromCell(*it->second);
-  }
-  for (const ServerChange& change : changes.changed) Put(change.server, cells, now);
-  for (const BackendServer& config : changes.removed) {
-    const auto it = servers_.find(config.id);
-    if (it == servers_.end() || it->second->listed) continue;  // It has moved to another cell.
-    if (it->second->open_requests.empty()) servers_.erase(it);
-  }
-}
-
-void Balancer::Put(const BackendServer& config, const CellMap& cells, MonotonicTime now) {
-  auto& server = servers_[config.id];
-  const bool restarted = server && server->config.started != config.started;
-  const bool is_new = !server || restarted;
-  if (!server) server = std::make_unique<Server>();
-  if (restarted) {
-    // The state of the previous process with this id does not apply to the new one.
-    server->load = ServerLoad();
-    server->health = ServerHealth();
-    UpdateLimit(*server, [](ServerLimit& limit) { limit = ServerLimit(); });
-    server->leaving = false;
-  }
-  RemoveFromCell(*server);
-  server->config = config;
-  server->listed = true;
-  if (is_new) server->warmup_end = now + config.warmup;
-  if (config.state == BackendState::kLeaving) server->leaving = true;
-  AddToCell(*server, cells);
-}
-
-void Balancer::AddToCell(Server& server, const CellMap& cells) {
-  const BackendServer& config = server.config;
-  server.cell = &FindOrCreateCell(cells.CellOf(config.service, config.failure_domain));
-  if (!server.leaving) server.cell->servers.push_back(&server);
-}
-
-void Balancer::RemoveFromCell(Server& server) {
-  if (server.cell != nullptr) std::erase(server.cell->servers, &server);
-}
-
-void Balancer::Regroup(const CellMap& cells) {
-  for (auto& [id, server] : servers_) {
-    if (!server->listed) continue;
-    RemoveFromCell(*server);
-    AddToCell(*server, cells);
-  }
-}
-
-std::vector<BackendServer> Balancer::Servers() const {
-  std::vector<BackendServer> servers;
-  for (const auto& [id, server] : servers_) {
-    if (server->listed) servers.push_back(server->config);
-  }
-  return servers;
-}
-
 ServiceTimeEstimate& Balancer::ServiceTimeOf(Cell& cell, const AssignmentRequest& spec,
                                              MonotonicTime now) {
   const auto it = cell.service_times.find(spec.kind);
@@ -166,10 +66,10 @@
   return std::max<uint32_t>(server.config.slots, 1);
 }
 
-// Whether the server accepts requests, and a limit that it names allows one more.
+// Whether the server accepts requests, and its limit, if it has one, allows one more.
 bool Balancer::MayAssign(const Cell& cell, Server& server, MonotonicTime now) {
   if (server.leaving || server.health.IsDown(now)) return false;
-  if (!server.limit.Limit()) return true;
+  if (!server.limit.LimitAt(now)) return true;
   return cell.shares_limits && server.limit.Allows(now);
 }
 
@@ -236,6 +136,7 @@
   server.load.OnAssigned(now);
   server.limit.OnAssigned(now);
   if (server.limit.Limit()) ++assigned_within_limits_;
+  if (server.limit.InWarmup(now)) ++assigned_in_warmup_;
   server.open_requests.push_back(request.spec.id);
   const Candidate next = Evaluate(server, now);
   if (next.in_flight < SlotsOf(server) && MayAssign(*request.cell, server, now)) {
@@ -253,21 +154,28 @@
   return now + Times(service_time, kOnTimeMargin) <= request.spec.target;
 }
 
-bool Balancer::HasLimits(const Cell& cell) const {
+bool Balancer::HasNamedLimits(const Cell& cell) const {
   if (!saw_limits_) return false;
   return std::any_of(cell.servers.begin(), cell.servers.end(),
                      [](const Server* it) { return it->limit.Limit().has_value(); });
 }
 
+// Whether any server of the cell has a limit now, by its own word or because of its warm-up.
+bool Balancer::HasLimits(const Cell& cell, MonotonicTime now) const {
+  if (!saw_limits_ && in_warmup_.empty()) return false;
+  return std::any_of(cell.servers.begin(), cell.servers.end(),
+                     [now](const Server* it) { return it->limit.LimitAt(now).has_value(); });
+}
+
 // Whether the limits of the cell's servers leave it less than one slot.
-bool Balancer::IsShortOfTokens(const Cell& cell, double effective_slots) const {
-  return effective_slots < 1 && HasLimits(cell);
+bool Balancer::IsShortOfTokens(const Cell& cell, double effective_slots, MonotonicTime now) const {
+  return effective_slots < 1 && HasLimits(cell, now);
 }
 
 // Whether a server could take a request now but for its limit.
 bool Balancer::IsHeldBackByLimits(const Cell& cell, MonotonicTime now) {
   return std::any_of(cell.servers.begin(), cell.servers.end(), [&](Server* it) {
-    return it->limit.Limit() && !it->leaving && !it->health.IsDown(now) &&
+    return it->limit.LimitAt(now) && !it->leaving && !it->health.IsDown(now) &&
            it->load.InFlight(now) < SlotsOf(*it) && !MayAssign(cell, *it, now);
   });
 }
@@ -284,7 +192,7 @@
         server->load.Slowdown(cell.mean_slowdown, now, host_interval_.Interval());
     if (fast_only && slowdown >= kSlowHostThreshold) continue;
     double slots = SlotsOf(*server) / std::max(slowdown, 1.0);
-    if (const std::optional<double> limit = server->limit.Limit()) {
+    if (const std::optional<double> limit = server->limit.LimitAt(now)) {
       const double busy = *limit * std::chrono::duration<double>(service_time).count();
       slots = cell.shares_limits ? std::min(slots, busy) : 0;
     }
@@ -315,10 +223,10 @@
   if (!CanMeetTarget(request, service_time, now) || cell.queue.size() >= kQueueLimit) return false;
   const uint32_t rank = request.spec.kind.rank;
   const size_t ahead = CountQueuedAhead(cell, rank);
-  if (ahead == 0 && !HasLimits(cell)) return true;
+  if (ahead == 0 && !HasLimits(cell, now)) return true;
   const double effective_slots = EffectiveSlots(cell, true, service_time, now);
   const Duration max_wait = request.spec.target - now - Times(service_time, kOnTimeMargin);
-  if (IsShortOfTokens(cell, effective_slots)) {
+  if (IsShortOfTokens(cell, effective_slots, now)) {
     // Even the first request in the queue waits for a token. The rate of tokens is known, so the
     // expected wait needs no slack, and late requests get none before those that are on time.
     const auto turn = static_cast<double>(CountOnTimeAhead(cell, rank) + 1);
@@ -433,7 +341,7 @@
   // stay queued below.
   size_t ahead = CountQueuedAhead(cell, requests_.at(late.front()).spec.kind.rank) - late.size();
   // Requests that are on time take every token of the limits, so none is left for late ones.
-  const bool no_tokens_left = ahead > 0 && IsShortOfTokens(cell, effective_slots);
+  const bool no_tokens_left = ahead > 0 && IsShortOfTokens(cell, effective_slots, now);
   for (const AssignmentId id : late) {
     Request& request = requests_.at(id);
     const Duration service_time = ServiceTimeOf(cell, request.spec, now).Mean();
@@ -469,8 +377,9 @@
   declined.cause = cause;
   Cell& cell = *request.cell;
   const Duration service_time = ServiceTimeOf(cell, request.spec, now).Mean();
-  const double effective_slots = std::max(EffectiveSlots(cell, true, service_time, now),
-                                          HasLimits(cell) ? kMinLimitedSlots : kMinEffectiveSlots);
+  const double effective_slots =
+      std::max(EffectiveSlots(cell, true, service_time, now),
+               HasNamedLimits(cell) ? kMinLimitedSlots : kMinEffectiveSlots);
   if (cause == RefusalCause::kOverload && IsHeldBackByLimits(cell, now)) {
     declined.cause = RefusalCause::kServerLimit;
     ++declined_by_limits_;
@@ -512,7 +421,7 @@
   for (const Candidate& it : FreeCandidates(cell, now)) {
     if (!it.host_speed_known || it.expected_service_times >= kSlowHostThreshold) continue;
     int32_t slots = static_cast<int32_t>(SlotsOf(*it.server)) - static_cast<int32_t>(it.in_flight);
-    if (it.server->limit.Limit()) {
+    if (it.server->limit.LimitAt(now)) {
       slots = std::min(slots, static_cast<int32_t>(it.server->limit.Tokens(now)));
     }
     free += slots;
@@ -520,215 +429,6 @@
   return free;
 }
 
-// ---- Ended attempts and reports ----------------------------------------------------------------
-
-void Balancer::Withdraw(AssignmentId id) {
-  const auto it = requests_.find(id);
-  if (it == requests_.end()) return;
-  RemoveFromQueue(it->second);
-  if (Server* server = it->second.server) {
-    server->load.OnAssignmentEnded(it->second.assigned_at);
-    std::erase(server->open_requests, id);
-    if (!server->listed && server->open_requests.empty()) servers_.erase(server->config.id);
-  }
-  requests_.erase(it);
-}
-
-void Balancer::OnAttemptEnded(AssignmentId id, const AttemptResult& result, MonotonicTime now) {
-  const auto it = requests_.find(id);
-  if (it == requests_.end() || it->second.server == nullptr) return Withdraw(id);
-  const Request& request = it->second;
-  Server& server = *request.server;
-  const BackendServerId server_id = server.config.id;
-  Cell& cell = *request.cell;
-  switch (result.end) {
-    case AttemptEnd::kAnswered:
-      MarkReached(server, now);
-      server.health.OnOutcome(false);
-      if (request.host_speed_known) {
-        ServiceTimeEstimate& service_time = ServiceTimeOf(cell, request.spec, now);
-        if (NearCapacityEstimate::IsNearCapacity(request.assignment.in_flight,
-                                                 server.config.slots)) {
-          cell.near_capacity.OnAnswer(result.latency,
-                                      Times(service_time.Mean(), request.assignment.slowdown));
-        } else {
-          service_time.OnAnswer(result.latency, request.assignment.slowdown);
-        }
-      }
-      break;
-    case AttemptEnd::kShed:
-    case AttemptEnd::kNotStarted:
-      server.load.OnFull(SlotsOf(server));
-      break;
-    case AttemptEnd::kConnectFailed:
-      if (!server.health.IsDown(now)) {
-        health_changes_.push_back({server_id, HealthChange::Cause::kConnectFailed});
-      }
-      server.health.OnUnreachable(now);
-      break;
-    case AttemptEnd::kServerError:
-    case AttemptEnd::kTimedOut:
-    case AttemptEnd::kConnectionLost:
-      server.health.OnOutcome(true);
-      break;
-    case AttemptEnd::kCancelled:
-      if (now - request.assigned_at > Times(request.assignment.expected, kOverdueFactor)) {
-        server.health.OnOutcome(true);
-      }
-      break;
-  }
-  // Only a whole answer without a limit states that there is none.
-  if (result.limit || result.end == AttemptEnd::kAnswered) {
-    UpdateLimit(server, [&](ServerLimit& limit) {
-      limit.OnAnswer(result.limit, request.assigned_at, now);
-    });
-  }
-  Withdraw(id);
-  if (result.report) OnReport(server_id, *result.report, now);
-}
-
-void Balancer::MarkReached(Server& server, MonotonicTime now) {
-  if (server.health.IsDown(now)) {
-    health_changes_.push_back({server.config.id, HealthChange::Cause::kReached});
-  }
-  server.health.OnReached();
-}
-
-const BackendServer* Balancer::FindServer(const BackendServerId& server) const {
-  const auto it = servers_.find(server);
-  return it == servers_.end() ? nullptr : &it->second->config;
-}
-
-bool Balancer::MayServe(const BackendServerId& server, MonotonicTime now) const {
-  const auto it = servers_.find(server);
-  return it != servers_.end() && !it->second->leaving && !it->second->health.IsDown(now);
-}
-
-bool Balancer::MarkLeaving(const BackendServerId& id, uint64_t started) {
-  const auto it = servers_.find(id);
-  if (it == servers_.end() || it->second->config.started != started) return false;
-  Server& server = *it->second;
-  if (std::exchange(server.leaving, true)) return false;
-  RemoveFromCell(server);
-  return true;
-}
-
-bool Balancer::IsLeaving(const BackendServerId& server) const {
-  const auto it = servers_.find(server);
-  return it != servers_.end() && it->second->leaving;
-}
-
-void Balancer::OnReport(const BackendServerId& id, const Report& report,
-                        MonotonicTime received_at) {
-  const auto it = servers_.find(id);
-  if (it == servers_.end()) return;
-  Server& server = *it->second;
-  const ServerLoad::HostChange change =
-      server.load.OnReport(report, received_at, host_interval_.Interval());
-  MarkReached(server, received_at);
-  if (report.limit) {
-    UpdateLimit(server, [&](ServerLimit& limit) { limit.OnStatement(report.limit, received_at); });
-  }
-  if (change.changed) {
-    if (received_at - server.cell->last_speed_change > kQuietPeriod) ++next_probe_changes_;
-    server.cell->last_speed_change = received_at;
-  }
-  if (change.gap) {
-    const std::optional<Duration> before = host_interval_.Interval();
-    host_interval_.OnGapBetweenChanges(*change.gap);
-    if (host_interval_.Interval() != before) ++next_probe_changes_;
-  }
-  if (!report.slowdown) return;
-  double& mean = server.cell->mean_slowdown;
-  mean += kMeanSlowdownWeight * (*report.slowdown - mean);
-  if (*report.slowdown >= kSlowHostThreshold) RecordSlowStarts(server);
-}
-
-template <typename Update>
-void Balancer::UpdateLimit(Server& server, Update update) {
-  const std::optional<double> before = server.limit.Limit();
-  update(server.limit);
-  const std::optional<double> after = server.limit.Limit();
-  if (after == before) return;
-  saw_limits_ = true;
-  ++limit_changes_seen_;
-  limit_changes_.push_back({server.config.id, before, after});
-}
-
-void Balancer::SetSharesLimits(const CellId& id, bool shares, MonotonicTime now) {
-  Cell& cell = FindOrCreateCell(id);
-  if (shares && !cell.shares_limits) {
-    for (Server* server : cell.servers) server->limit.Restart(now);
-  }
-  cell.shares_limits = shares;
-}
-
-void Balancer::OnLimitStatement(const LimitStatement& statement) {
-  const auto it = servers_.find(statement.server);
-  if (it == servers_.end()) return;
-  const uint64_t seen = limit_changes_seen_;
-  UpdateLimit(*it->second,
-              [&](ServerLimit& limit) { limit.OnStatement(statement.limit, statement.stated_at); });
-  limit_changes_seen_ = seen;
-}
-
-std::vector<LimitStatement> Balancer::LimitsOf(const CellId& id, MonotonicTime now) const {
-  std::vector<LimitStatement> limits;
-  const auto cell = cells_.find(id);
-  if (cell == cells_.end()) return limits;
-  for (const Server* server : cell->second->servers) {
-    const std::optional<MonotonicTime> stated_at = server->limit.StatedAt();
-    if (!stated_at) continue;
-    const std::optional<double> limit = server->limit.Limit();
-    if (!limit && now - *stated_at > kWithdrawnLimitTime) continue;
-    limits.push_back({server->config.id, limit, *stated_at});
-  }
-  return limits;
-}
-
-size_t Balancer::LimitedServers() const {
-  return static_cast<size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& item) {
-    return item.second->listed && item.second->limit.Limit();
-  }));
-}
-
-// How fast a request runs depends on its host's speed when the request started. A request that was
-// assigned after the host had turned slow, but before a report showed that, will therefore be late.
-void Balancer::RecordSlowStarts(Server& server) {
-  const std::optional<MonotonicTime> changed = server.load.LatestTimeOfLastChange();
-  if (!changed) return;
-  for (const AssignmentId id : server.open_requests) {
-    Request& request = requests_.at(id);
-    const bool assigned_unaware =
-        request.assignment.slowdown < kSlowHostThreshold && request.assigned_at >= *changed;
-    if (!assigned_unaware) continue;
-    request.assignment.slowdown = kSlowHostThreshold;  // Each slow start is reported only once.
-    request.host_speed_known = false;
-    started_slow_.push_back(id);
-  }
-}
-
-void Balancer::OnMissedProbe(const BackendServerId& id, MonotonicTime now) {
-  const auto it = servers_.find(id);
-  if (it == servers_.end()) return;
-  const bool was_down = it->second->health.IsDown(now);
-  it->second->health.OnMissedProbe();
-  if (!was_down && it->second->health.IsDown(now)) {
-    health_changes_.push_back({id, HealthChange::Cause::kMissedProbes});
-  }
-}
-
-MonotonicTime Balancer::NextProbe(const BackendServerId& id, MonotonicTime probed) const {
-  const auto it = servers_.find(id);
-  if (it == servers_.end()) return probed + kProbeInterval;
-  const Server& server = *it->second;
-  if (server.health.HasMissedProbe() || !server.load.HasReport()) return probed + kProbeInterval;
-  const std::optional<MonotonicTime> step = server.load.NextStepProbe(host_interval_.Interval());
-  if (step) return std::clamp(*step + kStepDelay, probed + kStepDelay, probed + kMaxProbeInterval);
-  const bool quiet = probed - server.cell->last_speed_change > kQuietPeriod;
-  return probed + (quiet ? kMaxProbeInterval : kProbeInterval);
-}
-
 size_t Balancer::Waiting() const {
   size_t n = 0;
   for (const auto& [id, cell] : cells_) n += cell->queue.size();
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -19,7 +19,7 @@
 //     try (caller_elapsed_estimate.h). This handles lasting overload, and the time after an outage.
 //   - A server that names a limit gets at most that many requests a second, out of a token bucket
 //     (server_limit.h). Queued requests wait for its tokens as they wait for slots. This handles
-//     servers in need.
+//     servers in need. Servers in warm-up have a limit by their service's rule (server_warmup.h).
 //   - A request that can't be answered before its deadline is declined at once, with the time
 //     after which the queue should be shorter.
 //
@@ -133,7 +133,7 @@
   std::vector<HealthChange> TakeHealthChanges() { return std::exchange(health_changes_, {}); }
   // Servers to probe at once, because requests queued since the last call wait for their reports.
   std::vector<BackendServerId> TakeServersToProbe() { return std::exchange(servers_to_probe_, {}); }
-  // Whether requests may be assigned to servers of the cell that name a limit. Only one of the
+  // Whether requests may be assigned to servers of the cell that have a limit. Only one of the
   // balancers that know the cell may share out its limits. True unless it is set to false.
   void SetSharesLimits(const CellId& cell, bool shares, MonotonicTime now);
   // Handles what another balancer knows about a server's limit.
@@ -150,6 +150,22 @@
   // Number of changes of limits that this balancer learned from answers and reports.
   uint64_t LimitChangesSeen() const { return limit_changes_seen_; }
   bool SawLimits() const { return saw_limits_; }  // Whether any server has ever named a limit.
+
+  // Sets the rules of the services whose servers are limited in warm-up.
+  void SetWarmupRules(std::map<ServiceId, WarmupRule> rules, MonotonicTime now);
+  bool HasWarmupRules() const { return !warmup_rules_.empty(); }
+  // Handles what another balancer knows about a server in warm-up.
+  void OnWarmupStatement(const WarmupStatement& statement, MonotonicTime now);
+  // The servers of the cell that are in warm-up.
+  std::vector<WarmupStatement> WarmupsOf(const CellId& cell, MonotonicTime now) const;
+  // The warm-ups that began or ended since the last call.
+  std::vector<WarmupChange> TakeWarmupChanges(MonotonicTime now);
+  // Number of warm-ups that have begun, as far as is known here.
+  uint64_t WarmupsBegun() const { return warmups_begun_; }
+  size_t ServersInWarmup() const { return in_warmup_.size(); }
+  uint64_t AssignedInWarmup() const { return assigned_in_warmup_; }
+  // Whether the cell has servers and all of them are limited, but shared out elsewhere.
+  bool AllLimitedElsewhere(const CellId& cell, MonotonicTime now) const;
   // Assignments whose host was already slow when they started, as reports received since the last
   // call show.
   std::vector<AssignmentId> TakeStartedSlow() { return std::exchange(started_slow_, {}); }
@@ -209,8 +225,9 @@
   bool CanMeetTarget(const Request& request, Duration service_time, MonotonicTime now) const;
   bool MayQueue(Cell& cell, const Request& request, Duration service_time, MonotonicTime now);
   static bool MayAssign(const Cell& cell, Server& server, MonotonicTime now);
-  bool HasLimits(const Cell& cell) const;
-  bool IsShortOfTokens(const Cell& cell, double effective_slots) const;
+  bool HasNamedLimits(const Cell& cell) const;
+  bool HasLimits(const Cell& cell, MonotonicTime now) const;
+  bool IsShortOfTokens(const Cell& cell, double effective_slots, MonotonicTime now) const;
   static bool IsHeldBackByLimits(const Cell& cell, MonotonicTime now);
   double EffectiveSlots(Cell& cell, bool fast_only, Duration service_time, MonotonicTime now) const;
   Declined Decline(const Request& request, RefusalCause cause, MonotonicTime now);
@@ -220,6 +237,9 @@
   // Calls `update` with the server's limit and records the change that this makes.
   template <typename Update>
   void UpdateLimit(Server& server, Update update);
+  // To be called after each change of the server's warm-up or its service's rule.
+  void UpdateWarmup(Server& server, MonotonicTime now);
+  const WarmupRule* WarmupRuleOf(const Server& server) const;  // Null if it has none.
 
   std::mt19937_64 random_;
   HostIntervalEstimate host_interval_;
@@ -234,6 +254,11 @@
   uint64_t limit_changes_seen_ = 0;
   uint64_t assigned_within_limits_ = 0;
   uint64_t declined_by_limits_ = 0;
+  std::map<ServiceId, WarmupRule> warmup_rules_;  // Those with a rate.
+  std::set<BackendServerId> in_warmup_;           // Servers that are limited by their warm-up.
+  std::vector<WarmupChange> warmup_changes_;
+  uint64_t warmups_begun_ = 0;
+  uint64_t assigned_in_warmup_ = 0;
   std::vector<BackendServerId> servers_to_probe_;
   uint64_t next_probe_changes_ = 0;
 };
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -630,6 +630,12 @@
   set("cowsliphill_requests_refused_by_limits",
       "Requests that this entry VM's scheduler refused because limits of servers were used up",
       scheduling_.DeclinedByLimits());
+  set("cowsliphill_servers_in_warmup",
+      "Backend servers that get a limited number of requests because they are in warm-up",
+      scheduling_.ServersInWarmup());
+  set("cowsliphill_requests_in_warmup",
+      "Requests that this entry VM's scheduler assigned to servers in warm-up",
+      scheduling_.AssignedInWarmup());
   set("cowsliphill_leaving_by_answer",
       "Backend servers known from their responses to be leaving, before the list told",
       scheduling_.LeavingByAnswer());
--- a/src/cli/routed_entry_servers.cc
+++ b/src/cli/routed_entry_servers.cc
@@ -164,6 +164,13 @@
                 {"per_second", change.after.value_or(0)},
                 {"per_second_before", change.before.value_or(0)}});
   };
+  listener.on_warmup = [this](const WarmupChange& change) {
+    if (!event_log_budget_.Allow(clock_.Now())) return;
+    log_.Write(LogLevel::kInfo, "backend server warm-up",
+               {{"backend_server", change.server.Text()},
+                {"change", std::string(change.begins ? "begins" : "completed")},
+                {"left_ms", change.left.count()}});
+  };
   listener.on_leaving = [this](const BackendServerId& server) {
     if (!event_log_budget_.Allow(clock_.Now())) return;
     log_.Write(LogLevel::kInfo, "backend server",
--- a/src/measure/report.h
+++ b/src/measure/report.h
@@ -25,6 +25,8 @@
   bool shedding = false;  // The server rejects requests because it is overloaded.
   // The server wants no more requests from this entry VM for this time.
   std::optional<std::chrono::milliseconds> pause = {};
+  // Time for which the server is still in warm-up. Only responses to probes state it.
+  std::optional<std::chrono::milliseconds> warmup = {};
   std::string unreadable = {};  // Describes headers that can't be read, for logs; may be empty.
 };
 
--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -24,7 +24,8 @@
 constexpr char kCellUpdate = 'N';
 constexpr char kLimitUpdate = 'L';
 constexpr char kServerNotice = 'D';
-constexpr std::string_view kFirstBytes = "AJRESNLD";
+constexpr char kWarmupUpdate = 'H';
+constexpr std::string_view kFirstBytes = "AJRESNLDH";
 
 constexpr uint32_t kBulk = 1;
 constexpr uint32_t kHedge = 2;
@@ -39,6 +40,8 @@
 constexpr uint32_t kHasLimit = 32;
 constexpr uint32_t kLeaving = 1;
 constexpr uint32_t kPause = 2;
+constexpr uint32_t kShares = 1;
+constexpr uint32_t kReplyOnly = 2;
 constexpr double kPercent = 100.0;
 constexpr double kMilli = 1000.0;  // Limits are encoded in requests per 1000 s.
 
@@ -128,6 +131,19 @@
   }
 }
 
+void Put(PackedWriter& out, const WarmupUpdate& update) {
+  out.Number(static_cast<unsigned char>(kWarmupUpdate), 1).Number(update.service, 4);
+  out.Number(update.failure_domain, 4);
+  out.Number((update.shares ? kShares : 0) | (update.reply ? kReplyOnly : 0), 1);
+  const size_t n = std::min(update.servers.size(), kMaxLimits);
+  out.Number(n, 2);
+  for (size_t i = 0; i < n; ++i) {
+    const WarmupUpdate::Server& it = update.servers[i];
+    out.Number(it.server, 4).Number(Millis(it.left), 4).Number(it.age ? 1 : 0, 1);
+    if (it.age) out.Number(Millis(*it.age), 3);
+  }
+}
+
 std::optional<ScheduleMessage> ReadRequest(PackedReader& in, bool has_workspace) {
   ScheduleRequest request;
   request.id = in.Number(4);
@@ -226,6 +242,24 @@
   return update;
 }
 
+std::optional<ScheduleMessage> ReadWarmupUpdate(PackedReader& in) {
+  WarmupUpdate update;
+  update.service = in.Number(4);
+  update.failure_domain = in.Number(4);
+  const uint32_t flags = in.Number(1);
+  update.shares = (flags & kShares) != 0;
+  update.reply = (flags & kReplyOnly) != 0;
+  const size_t n = in.Number(2);
+  if (n > kMaxLimits) return std::nullopt;
+  for (size_t i = 0; i < n; ++i) {
+    WarmupUpdate::Server& it = update.servers.emplace_back();
+    it.server = in.Number(4);
+    it.left = milliseconds(in.Number(4));
+    if (in.Number(1) != 0) it.age = milliseconds(in.Number(3));
+  }
+  return update;
+}
+
 std::optional<ScheduleMessage> ReadServerNotice(PackedReader& in) {
   ServerNotice notice;
   notice.server = in.Number(4);
@@ -257,6 +291,8 @@
       return ReadCellUpdate(in);
     case kLimitUpdate:
       return ReadLimitUpdate(in);
+    case kWarmupUpdate:
+      return ReadWarmupUpdate(in);
     case kServerNotice:
       return ReadServerNotice(in);
     default:
--- a/src/schedule/schedule_message.h
+++ b/src/schedule/schedule_message.h
@@ -104,7 +104,25 @@
   bool shares = false;  // The sender shares out the limits of the cell.
   std::vector<Limit> limits;
 };
-inline constexpr size_t kMaxLimits = 1000;  // In one LimitUpdate.
+inline constexpr size_t kMaxLimits = 1000;  // In one LimitUpdate or WarmupUpdate.
+
+// What the sender knows about the servers of one cell that are in warm-up, and limited by it. The
+// scheduler that shares out the cell's limits sends it like LimitUpdate. The cell's other
+// schedulers reply with an empty one: a scheduler that hears from none of them may be cut off.
+struct WarmupUpdate {
+  struct Server {
+    NameHash server = 0;
+    std::chrono::milliseconds left{0};  // Remaining time of the warm-up.
+    // Time since the server stated this in a response to a probe; nullopt: see
+    // WarmupStatement::stated_at.
+    std::optional<std::chrono::milliseconds> age;
+  };
+  NameHash service = 0;
+  NameHash failure_domain = 0;
+  bool shares = false;  // The sender shares out the limits of the cell.
+  bool reply = false;   // The only purpose is to show that the sender is reached.
+  std::vector<Server> servers;
+};
 
 // What a backend server has stated in a response to the sender, or to an entry VM that told it. The
 // entry VM that got the response sends it to the schedulers of the server's cell, and to the entry
@@ -120,7 +138,7 @@
 };
 
 using ScheduleMessage = std::variant<ScheduleRequest, ScheduleReply, ScheduleEnd, SlowHost,
-                                     CellUpdate, LimitUpdate, ServerNotice>;
+                                     CellUpdate, LimitUpdate, ServerNotice, WarmupUpdate>;
 
 // Whether the first byte, which no other kind of datagram starts with, is that of a schedule
 // message.
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -101,6 +101,8 @@
     scheduler_.OnCellUpdate(*update, now);
   } else if (const auto* limits = std::get_if<LimitUpdate>(&message)) {
     scheduler_.OnLimitUpdate(from, *limits, now);
+  } else if (const auto* warmups = std::get_if<WarmupUpdate>(&message)) {
+    scheduler_.OnWarmupUpdate(from, *warmups, now);
   } else if (const auto* notice = std::get_if<ServerNotice>(&message)) {
     planner_.OnNotice(*notice, now);
     scheduler_.OnNotice(*notice, now);
@@ -126,6 +128,7 @@
   }
   flushing_ = false;
   for (const LimitChange& change : scheduler_.TakeLimitChanges()) listener_.on_limit(change);
+  for (const WarmupChange& change : scheduler_.TakeWarmupChanges()) listener_.on_warmup(change);
   for (const BackendServerId& it : planner_.TakeNewlyLeaving()) listener_.on_leaving(it);
   for (const PauseBegin& it : planner_.TakeNewPauses()) listener_.on_pause(it);
   for (const ServerHealthReport& it : scheduler_.TakeHealthReports()) listener_.on_health(it);
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -28,6 +28,8 @@
   std::function<void(const std::string& event, const std::string& detail)> on_event;
   // Called for each change of the limit that a backend server names.
   std::function<void(const LimitChange&)> on_limit;
+  // Called when a server of a cell that this entry VM schedules enters or completes a warm-up.
+  std::function<void(const WarmupChange&)> on_warmup;
   // Called when this entry VM comes to know from a response, to itself or to another entry VM, that
   // a server is leaving.
   std::function<void(const BackendServerId&)> on_leaving;
@@ -64,6 +66,8 @@
   size_t LimitedServers() const { return scheduler_.LimitedServers(); }
   uint64_t AssignedWithinLimits() const { return scheduler_.AssignedWithinLimits(); }
   uint64_t DeclinedByLimits() const { return scheduler_.DeclinedByLimits(); }
+  size_t ServersInWarmup() const { return scheduler_.ServersInWarmup(); }
+  uint64_t AssignedInWarmup() const { return scheduler_.AssignedInWarmup(); }
   uint64_t PausesBegun() const { return planner_.PausesBegun(); }
   size_t PausingServers() const { return planner_.PausingServers(clock_.Now()); }
   uint64_t LeavingByAnswer() const { return planner_.LeavingByAnswer(); }
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -6,7 +6,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 // Free slots that another cell must have reported before a request is forwarded to it: some more
@@ -15,7 +14,7 @@
 constexpr milliseconds kExpiryInterval{500};  // Interval at which expired requests are erased.
 
 milliseconds AsMillis(Duration duration) {
-  return duration_cast<milliseconds>(std::max(duration, Duration{}));
+  return std::chrono::duration_cast<milliseconds>(std::max(duration, Duration{}));
 }
 
 ScheduleReply ToReply(ScheduleRequestId id, const Assigned& assigned) {
@@ -68,11 +67,18 @@
     for (const BackendServer& server : balancer_.Servers()) AddServer(server, now);
   }
   if (regrouped || cells_.size() != cells_before) UpdatePrimaries(now);
+  if (balancer_.HasWarmupRules()) UpdateLimits(now);
 }
 
-void Scheduler::ApplyManifest(const Manifest& manifest, MonotonicTime) {
+void Scheduler::ApplyManifest(const Manifest& manifest, MonotonicTime now) {
   workspaces_.clear();
   for (const Workspace& it : manifest.workspaces) workspaces_[HashName(it.id.Text())] = it.id;
+  std::map<ServiceId, WarmupRule> rules;
+  for (const Service& it : manifest.services) {
+    if (it.warmup_rate > 0) rules[it.id] = {it.warmup, it.warmup_rate};
+  }
+  balancer_.SetWarmupRules(std::move(rules), now);
+  if (balancer_.HasWarmupRules()) UpdateLimits(now);
 }
 
 void Scheduler::AddServer(const BackendServer& server, MonotonicTime now) {
@@ -110,6 +116,7 @@
                             [this](const Member& it) { return it.peer == self_ && it.links_lost; });
   entry_vms_.clear();
   for (const Member& member : members) entry_vms_.push_back(member.peer);
+  lease_.OnMembers(members.size(), now);
   for (const Member& member : members) {
     failure_domains_[HashName(member.failure_domain.Text())] = member.failure_domain;
   }
@@ -176,6 +183,7 @@
 
 void Scheduler::OnScheduleRequest(const Endpoint& from, const ScheduleRequest& message,
                                   MonotonicTime now) {
+  OnMessageFrom(from, now);
   const Endpoint entry_vm = message.forwarded_for.value_or(from);
   const auto known = assignment_ids_.find({entry_vm, message.id});
   if (known != assignment_ids_.end()) {
@@ -216,6 +224,9 @@
     const std::optional<CellId> other =
         may_forward ? CellWithFreeSlots(request.cell, now) : std::optional<CellId>();
     if (other) return Forward(*other, entry_vm, message);
+    if (availability == Availability::kLate && balancer_.AllLimitedElsewhere(request.cell, now)) {
+      MoveToOtherCell(request, now);
+    }
   }
   request.id = next_id_++;
   assignment_ids_[{entry_vm, message.id}] = request.id;
@@ -309,6 +320,7 @@
 }
 
 void Scheduler::OnEnd(const Endpoint& from, const ScheduleEnd& end, MonotonicTime now) {
+  OnMessageFrom(from, now);
   const auto it = assignment_ids_.find({from, end.id});
   if (it == assignment_ids_.end()) return;
   const AssignmentId id = it->second;
@@ -435,6 +447,7 @@
   } else {
     balancer_.OnMissedProbe(server, now);
   }
+  if (balancer_.WarmupsBegun() != warmups_begun_) UpdateLimits(now, false);
   RecordHealthChanges(self_);
   OnServerChanged(server, now);
   SendDecisions(now);
@@ -491,89 +504,6 @@
   }
 }
 
-// ---- Limits of servers --------------------------------------------------------------------------
-
-// One scheduler at a time shares out the limits of a cell. The others assign no requests to servers
-// with a limit, whoever asks them.
-bool Scheduler::SharesLimits(const Cell& cell, MonotonicTime now) const {
-  const std::optional<MonotonicTime> takeover = LimitTakeover(cell);
-  return takeover && settled_ && now >= *takeover;
-}
-
-// When this scheduler begins to share out the cell's limits, unless one before it does; nullopt if
-// it is none of the cell's schedulers.
-std::optional<MonotonicTime> Scheduler::LimitTakeover(const Cell& cell) const {
-  const auto it = std::find(cell.schedulers.begin(), cell.schedulers.end(), self_);
-  if (it == cell.schedulers.end()) return std::nullopt;
-  const auto position = it - cell.schedulers.begin();
-  if (position == 0) return MonotonicTime{};
-  return cell.limits_shared_at + kLimitTakeoverTime * position;
-}
-
-// Finds out which cells' limits this scheduler shares out, and sends the LimitUpdates that are due.
-void Scheduler::UpdateLimits(MonotonicTime now) {
-  if (!balancer_.SawLimits()) return;
-  const bool changed = limit_changes_sent_ != balancer_.LimitChangesSeen();
-  limit_changes_sent_ = balancer_.LimitChangesSeen();
-  for (auto& [id, cell] : cells_) {
-    const std::vector<LimitStatement> limits = balancer_.LimitsOf(id, now);
-    const bool is_new = !limits.empty() && !cell.has_limits;
-    const bool reordered = cell.schedulers != order_.SchedulersFor(id);
-    cell.has_limits = !limits.empty();
-    cell.schedulers = order_.SchedulersFor(id);
-    if (is_new || reordered) cell.limits_shared_at = now;
-    cell.shares_limits = SharesLimits(cell, now);
-    balancer_.SetSharesLimits(id, cell.shares_limits, now);
-    const bool due = cell.shares_limits && now >= cell.next_limit_update;
-    if (limits.empty() || !(due || changed || reordered)) continue;
-    const bool to_all =
-        cell.shares_limits && (changed || cell.limit_updates % kLimitUpdatesPerBroadcast == 0);
-    SendLimitUpdate(id, cell, limits, to_all, now);
-    cell.next_limit_update = now + kLimitUpdateInterval;
-    ++cell.limit_updates;
-  }
-}
-
-void Scheduler::SendLimitUpdate(const CellId& id, const Cell& cell,
-                                const std::vector<LimitStatement>& limits, bool to_all,
-                                MonotonicTime now) {
-  LimitUpdate update;
-  update.service = HashName(id.service.Text());
-  update.failure_domain = HashName(id.failure_domain.Text());
-  update.shares = cell.shares_limits;
-  for (const LimitStatement& it : limits) {
-    update.limits.push_back({HashName(it.server.Text()), it.limit, AsMillis(now - it.stated_at)});
-  }
-  for (const Endpoint& to : to_all ? entry_vms_ : cell.schedulers) {
-    if (to != self_) outbox_.push_back({to, update});
-  }
-}
-
-void Scheduler::OnLimitUpdate(const Endpoint& from, const LimitUpdate& update, MonotonicTime now) {
-  for (const LimitUpdate::Limit& limit : update.limits) {
-    const auto server = servers_.find(limit.server);
-    if (server == servers_.end()) continue;
-    balancer_.OnLimitStatement({server->second, limit.per_second, now - limit.age});
-  }
-  for (auto& [id, cell] : cells_) {
-    if (HashName(id.service.Text()) != update.service ||
-        HashName(id.failure_domain.Text()) != update.failure_domain) {
-      continue;
-    }
-    const std::vector<Endpoint>& order = order_.SchedulersFor(id);
-    const auto sender = std::find(order.begin(), order.end(), from);
-    const bool precedes_self = sender < std::find(order.begin(), order.end(), self_);
-    if (update.shares && precedes_self) cell.limits_shared_at = now;
-  }
-  UpdateLimits(now);
-}
-
-size_t Scheduler::CellsWithSharedLimits() const {
-  return static_cast<size_t>(std::count_if(cells_.begin(), cells_.end(), [](const auto& item) {
-    return item.second.has_limits && item.second.shares_limits;
-  }));
-}
-
 // ---- Timers -------------------------------------------------------------------------------------
 
 void Scheduler::EraseExpired(MonotonicTime now) {
@@ -589,10 +519,11 @@
 }
 
 void Scheduler::Tick(MonotonicTime now) {
+  NoteRun(now);
   if (!settled_ && now >= SettledAt()) UpdatePrimaries(now);
   if (now >= next_expiry_) EraseExpired(now);
   if (now >= next_cell_update_) SendCellUpdates(now);
-  UpdateLimits(now);
+  if (balancer_.SawLimits() || has_warmups_) UpdateLimits(now, balancer_.SawLimits());
   SendDecisions(now);
 }
 
@@ -603,9 +534,13 @@
   bool any_primary = false;
   for (const auto& [id, cell] : cells_) {
     any_primary = any_primary || cell.is_primary;
-    if (cell.has_limits && cell.shares_limits) wake_by(cell.next_limit_update);
+    if (cell.has_limits && (cell.shares_limits || cell.would_share)) {
+      wake_by(cell.next_limit_update);
+    }
     const auto takeover = cell.has_limits ? LimitTakeover(cell) : std::nullopt;
-    if (takeover && settled_ && !cell.shares_limits) wake_by(*takeover);
+    if (takeover && settled_ && !cell.shares_limits && !cell.would_share) wake_by(*takeover);
+    // So that a pause of this process is noticed; see LimitLease.
+    if (takeover && has_warmups_) wake_by(now + kLimitUpdateInterval);
     if (const std::optional<MonotonicTime> due = cell.probe_queue.Next()) wake_by(*due);
   }
   if (any_primary) wake_by(next_cell_update_);
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -20,6 +20,7 @@
 
 #include "src/balance/balancer.h"
 #include "src/members/peer.h"
+#include "src/schedule/limit_lease.h"
 #include "src/schedule/pause_list.h"
 #include "src/schedule/probe_queue.h"
 #include "src/schedule/schedule_message.h"
@@ -89,6 +90,7 @@
   void OnEnd(const Endpoint& from, const ScheduleEnd& end, MonotonicTime now);
   void OnCellUpdate(const CellUpdate& update, MonotonicTime now);
   void OnLimitUpdate(const Endpoint& from, const LimitUpdate& update, MonotonicTime now);
+  void OnWarmupUpdate(const Endpoint& from, const WarmupUpdate& update, MonotonicTime now);
   void OnNotice(const ServerNotice& notice, MonotonicTime now);
 
   // Whether queued requests wait for reports of servers that TakeServersToProbe has not returned
@@ -112,6 +114,10 @@
   size_t LimitedServers() const { return balancer_.LimitedServers(); }
   uint64_t AssignedWithinLimits() const { return balancer_.AssignedWithinLimits(); }
   uint64_t DeclinedByLimits() const { return balancer_.DeclinedByLimits(); }
+  // Changes at servers of cells that this scheduler is the primary of.
+  std::vector<WarmupChange> TakeWarmupChanges() { return std::exchange(warmup_changes_, {}); }
+  size_t ServersInWarmup() const { return balancer_.ServersInWarmup(); }
+  uint64_t AssignedInWarmup() const { return balancer_.AssignedInWarmup(); }
   // Number of cells with limits that this scheduler shares out.
   size_t CellsWithSharedLimits() const;
   size_t Waiting() const { return balancer_.Waiting(); }
@@ -145,12 +151,18 @@
     uint32_t requests = 0;  // Assignment requests since the cell came into use.
     // The cell's schedulers when UpdateLimits last ran.
     std::vector<Endpoint> schedulers;
-    bool has_limits = false;     // A server of the cell names a limit, or has just withdrawn it.
+    // A server of the cell names a limit, or has just withdrawn it, or it is limited in warm-up.
+    bool has_limits = false;
+    bool would_share = false;    // By the order of schedulers, this one is to share out the limits.
     bool shares_limits = false;  // This scheduler shares out the limits; they are as below.
     // Time of the last LimitUpdate from a scheduler before this one that shares out the limits, or
     // from which such updates are expected.
     MonotonicTime limits_shared_at{};
+    // Another entry VM, not one of the cell's schedulers as far as is known here, shares out the
+    // limits until then.
+    MonotonicTime yields_until{};
     MonotonicTime next_limit_update{};
+    size_t warmups = 0;                       // Servers in warm-up in the last WarmupUpdate.
     uint32_t limit_updates = 0;               // Number of LimitUpdates sent.
     std::map<BackendServerId, Probe> probes;  // Probes of the servers that are not leaving.
     ProbeMode probe_mode = ProbeMode::kNone;  // As of the last UpdateProbeMode.
@@ -196,9 +208,19 @@
   void SendDecisions(MonotonicTime now);
   void QueueServersToProbe(MonotonicTime now);
   void SendCellUpdates(MonotonicTime now);
-  void UpdateLimits(MonotonicTime now);
+  void UpdateLimits(MonotonicTime now, bool all = true);
   bool SharesLimits(const Cell& cell, MonotonicTime now) const;
   std::optional<MonotonicTime> LimitTakeover(const Cell& cell) const;
+  Cell* OnLimitClaim(const Endpoint& from, NameHash service, NameHash failure_domain, bool shares,
+                     MonotonicTime now);
+  // To be called for each event, and for each message.
+  void NoteRun(MonotonicTime now);
+  void OnMessageFrom(const Endpoint& from, MonotonicTime now);
+  void RecordWarmupChanges(MonotonicTime now);
+  void SendWarmupUpdate(const CellId& id, const Cell& cell,
+                        const std::vector<WarmupStatement>& warmups, bool to_all,
+                        MonotonicTime now);
+  void MoveToOtherCell(AssignmentRequest& request, MonotonicTime now);
   void SendLimitUpdate(const CellId& id, const Cell& cell,
                        const std::vector<LimitStatement>& limits, bool to_all, MonotonicTime now);
   void EraseExpired(MonotonicTime now);
@@ -228,6 +250,10 @@
   std::map<Endpoint, EntryVmId> ids_by_peer_;  // Live entry VMs. A restarted one has another id.
   std::vector<Endpoint> entry_vms_;            // Peer addresses of the live entry VMs.
   uint64_t limit_changes_sent_ = 0;  // Balancer::LimitChangesSeen() at the last LimitUpdate.
+  LimitLease lease_;
+  bool has_warmups_ = false;    // Servers were in warm-up when UpdateLimits last ran.
+  uint64_t warmups_begun_ = 0;  // Balancer::WarmupsBegun() then.
+  std::vector<WarmupChange> warmup_changes_;
   AssignmentId next_id_ = 1;
   std::vector<BackendServerId> servers_to_probe_;  // Queued requests wait for their reports.
   MonotonicTime next_cell_update_{};
--- a/tests/schedule_fleet.h
+++ b/tests/schedule_fleet.h
@@ -219,6 +219,10 @@
         vm.planner->OnReply(it.from, *reply, now_);
       } else if (const auto* slow = std::get_if<SlowHost>(&message)) {
         vm.planner->OnSlowHost(*slow, now_);
+      } else if (const auto* limits = std::get_if<LimitUpdate>(&message)) {
+        vm.scheduler->OnLimitUpdate(it.from, *limits, now_);
+      } else if (const auto* warmups = std::get_if<WarmupUpdate>(&message)) {
+        vm.scheduler->OnWarmupUpdate(it.from, *warmups, now_);
       } else if (const auto* notice = std::get_if<ServerNotice>(&message)) {
         vm.planner->OnNotice(*notice, now_);
         vm.scheduler->OnNotice(*notice, now_);
