Evacuate failure domains named by rows of table op

Operators had no way to take a whole failure domain out of use: its servers got requests, retries, hedges, probes and connections until each of them left by itself.

While the row evacuate/NAME exists, nothing is sent to the servers of failure domain NAME. The rows are in the manifest's table, so they come with its reads and changes. Catalog updates carry the whole set with the table's version, so that entry VMs which lost updates, or which the store refuses, have it too. Planners give back assignments to evacuated servers; schedulers neither probe nor assign them, and pass on what is queued for them; a service without other servers is refused at once. A server that comes back is not judged by its earlier reports.

Requests that were assigned but not sent move without retry budget, because no attempt of them has run.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -42,6 +42,7 @@
   BackendServer config;
   Cell* cell = nullptr;
   bool listed = true;        // False: not in the last list; kept until its requests end.
+  bool evacuated = false;    // Its failure domain is evacuated.
   bool leaving = false;      // The server or the platform reported that it accepts no new requests.
   MonotonicTime warmup_end;  // Time from which the server runs at full speed.
   ServerLoad load;
@@ -51,7 +52,7 @@
 };
 
 struct Balancer::Cell {
-  std::vector<Server*> servers;  // Servers that accept new requests.
+  std::vector<Server*> servers;  // Servers that accept new requests and are not evacuated.
   std::map<RequestKind, ServiceTimeEstimate> service_times;
   std::set<QueueKey> queue;
   std::map<uint32_t, size_t> queued_by_rank;
@@ -109,7 +110,8 @@
 void Balancer::AddToCell(Server& server, const CellMap& cells) {
   const BackendServer& config = server.config;
   server.cell = &FindOrCreateCell(cells.CellOf(config.service, config.failure_domain));
-  if (!server.leaving) server.cell->servers.push_back(&server);
+  server.evacuated = evacuated_.count(config.failure_domain) > 0;
+  if (!server.leaving && !server.evacuated) server.cell->servers.push_back(&server);
 }
 
 void Balancer::RemoveFromCell(Server& server) {
@@ -124,6 +126,29 @@
   }
 }
 
+void Balancer::SetEvacuated(const EvacuatedDomains& domains, const CellMap& cells) {
+  evacuated_ = domains;
+  for (auto& [id, server] : servers_) {
+    const bool was_evacuated = server->evacuated;
+    const bool is_evacuated = domains.count(server->config.failure_domain) > 0;
+    if (!server->listed || was_evacuated == is_evacuated) continue;
+    RemoveFromCell(*server);
+    // Its host's speed and its load are those of the time before, or those under the requests that
+    // were still running there.
+    if (was_evacuated) server->load.ForgetReports();
+    AddToCell(*server, cells);
+  }
+}
+
+std::vector<AssignmentId> Balancer::QueuedWithoutServers() const {
+  std::vector<AssignmentId> queued;
+  for (const auto& [id, cell] : cells_) {
+    if (!cell->servers.empty()) continue;
+    for (const QueueKey& key : cell->queue) queued.push_back(std::get<2>(key));
+  }
+  return queued;
+}
+
 std::vector<BackendServer> Balancer::Servers() const {
   std::vector<BackendServer> servers;
   for (const auto& [id, server] : servers_) {
@@ -601,7 +626,8 @@
 
 bool Balancer::MayServe(const BackendServerId& server, MonotonicTime now) const {
   const auto it = servers_.find(server);
-  return it != servers_.end() && !it->second->leaving && !it->second->health.IsDown(now);
+  return it != servers_.end() && !it->second->leaving && !it->second->evacuated &&
+         !it->second->health.IsDown(now);
 }
 
 bool Balancer::MarkLeaving(const BackendServerId& id, uint64_t started) {
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -48,6 +48,7 @@
 #include "src/balance/server_limit.h"
 #include "src/balance/server_load.h"
 #include "src/balance/service_time_estimate.h"
+#include "src/manifest/evacuated_domains.h"
 #include "src/manifest/manifest.h"
 
 namespace cowsliphill {
@@ -103,6 +104,9 @@
   void Regroup(const CellMap& cells);
   // The servers that are in the list.
   std::vector<BackendServer> Servers() const;
+  // Replaces the set of evacuated failure domains, whose servers are assigned no requests. What
+  // they reported before they come back is forgotten.
+  void SetEvacuated(const EvacuatedDomains& domains, const CellMap& cells);
 
   // Moves the target of a request that its caller retries back to the target of the first try. To
   // be called once for each attempt, before any other call for it.
@@ -118,6 +122,8 @@
   Availability AvailabilityOf(const AssignmentRequest& request, MonotonicTime now);
   // Free slots of a cell at servers of usual speed, minus queued requests; may be negative.
   int32_t FreeSlots(const CellId& cell, MonotonicTime now);
+  // Queued requests of cells none of whose servers accepts requests.
+  std::vector<AssignmentId> QueuedWithoutServers() const;
 
   // Handles a report from the server. Its values are taken to hold at `received_at`, the time at
   // which it arrived.
@@ -125,7 +131,7 @@
   // The server accepts no new requests in that lifetime. Returns whether this is new.
   bool MarkLeaving(const BackendServerId& server, uint64_t started);
   bool IsLeaving(const BackendServerId& server) const;
-  // Whether the server is neither leaving nor held to be down.
+  // Whether the server is neither leaving, nor held to be down, nor evacuated.
   bool MayServe(const BackendServerId& server, MonotonicTime now) const;
   const BackendServer* FindServer(const BackendServerId& server) const;  // Null if it is unknown.
   void OnMissedProbe(const BackendServerId& server, MonotonicTime now);
@@ -226,6 +232,7 @@
   std::map<CellId, std::unique_ptr<Cell>> cells_;
   std::unordered_map<BackendServerId, std::unique_ptr<Server>> servers_;
   std::unordered_map<AssignmentId, Request> requests_;
+  EvacuatedDomains evacuated_;
   std::vector<QueueDecision> decisions_;  // Decisions since the last TakeQueueDecisions.
   std::vector<AssignmentId> started_slow_;
   std::vector<LimitChange> limit_changes_;
--- a/src/balance/server_load.h
+++ b/src/balance/server_load.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "src/balance/host_steps.h"
@@ -63,6 +64,12 @@
     if (it != open_assignments_.end()) open_assignments_.erase(it);
     if (assigned_at + kTransitTime <= received_at_) ++ended_since_;
   }
+  // Forgets what the server has reported, but not the assignments that are open.
+  void ForgetReports() {
+    std::vector<MonotonicTime> open = std::move(open_assignments_);
+    *this = ServerLoad();
+    open_assignments_ = std::move(open);
+  }
   // The server refused a request because it was full: it counts as full until its next report.
   void OnFull(uint32_t requests) { reported_in_flight_ = std::max(reported_in_flight_, requests); }
 
--- a/src/catalog/catalog.h
+++ b/src/catalog/catalog.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "src/base/result.h"
+#include "src/manifest/evacuated_domains.h"
 #include "src/manifest/manifest.h"
 
 namespace cowsliphill {
@@ -46,6 +47,11 @@
 struct ManifestAnswer {
   uint64_t version = 0;
   std::shared_ptr<const Manifest> manifest;  // Null if the store has none or it did not change.
+  // All evacuated failure domains after ReadManifest; those added and removed after WatchManifest.
+  EvacuatedDomains evacuated = {};
+  EvacuatedDomains evacuation_ended = {};
+  // Those whose rows could not be read. They stay as they were before.
+  EvacuatedDomains evacuation_unreadable = {};
 };
 struct ServersAnswer {
   uint64_t version = 0;
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -16,6 +16,7 @@
 
 #include "src/base/clock.h"
 #include "src/catalog/catalog.h"
+#include "src/catalog/evacuation_set.h"
 #include "src/catalog/server_list.h"
 #include "src/catalog/table_watch.h"
 #include "src/datagram/catalog_message.h"
@@ -26,6 +27,8 @@
 struct CatalogListener {
   std::function<void(const std::shared_ptr<const Manifest>&)> on_manifest;
   std::function<void(const ServerChanges&)> on_servers;
+  // Called when the set of evacuated failure domains has changed; may be empty.
+  std::function<void(const EvacuatedDomains&)> on_evacuated = {};
   // Sends the update to all other entry VMs.
   std::function<void(const CatalogUpdate&)> send_update;
   // Sends the request to one other entry VM, a different one each time. The callee fills in
@@ -132,6 +135,7 @@
     update.revision = manifest_ ? manifest_->revision : 0;
     update.manifest_too_large = manifest_bytes_.size() > kMaxManifestBytesInUpdate;
     update.manifest_version = manifest_watch_.Version();
+    if (evacuated_.IsKnownAt(update.manifest_version)) update.evacuated = evacuated_.Domains();
     update.manifest_age = millis(now - manifest_watch_.Confirmed());
     update.servers_version = servers_watch_.Version();
     update.servers_age = millis(now - servers_watch_.Confirmed());
@@ -247,11 +251,14 @@
 
   void Receive(const CatalogUpdate& update, bool from_predecessor, MonotonicTime now) {
     ApplyReceivedManifest(update);
+    if (update.evacuated) {
+      Report(evacuated_.Replace(*update.evacuated, update.manifest_version));
+    }
     if (update.is_snapshot) return OnSnapshot(update, from_predecessor, now);
     // The manifest's table has other rows too, so its version may grow without a new manifest.
     const bool same = manifest_ != nullptr && update.revision <= manifest_->revision;
     TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
-    manifest.is_caught_up = same;
+    manifest.is_caught_up = same && HasEvacuatedOf(update);
     manifest_watch_.OnTableUpdate(manifest, now);
     const uint64_t before = servers_watch_.Version();
     const bool is_caught_up = update.servers_base_version <= before;
@@ -266,6 +273,13 @@
     Tick();
   }
 
+  // Whether the set of evacuated failure domains is known as of the update's version. A build
+  // before evacuations does not send the set; it then counts as known until this entry VM reads the
+  // store.
+  bool HasEvacuatedOf(const CatalogUpdate& update) const {
+    return !update.evacuated || evacuated_.IsKnownAt(update.manifest_version);
+  }
+
   void UseStaleSnapshot() {
     StaleSnapshot stale = std::move(*stale_snapshot_);
     stale_snapshot_.reset();
@@ -286,7 +300,7 @@
     const bool same =
         update.revision == manifest_->revision;  // Otherwise the newer manifest was not included.
     TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
-    manifest.is_snapshot = same;
+    manifest.is_snapshot = same && HasEvacuatedOf(update);
     manifest_watch_.OnTableUpdate(manifest, now);
     servers_watch_.NoteVersion(update.servers_version, now);
     if (newer) {
@@ -314,32 +328,39 @@
     if (step == Step::kNone) return;
     if (step == Step::kRequestFromPeer) return SendRequest();
     // The changes contain every revision since the last answer, the table only the newest.
-    const bool reads_table = step == Step::kReadTable || manifest_watch_.MayLackChanges();
+    // Builds before evacuations may have brought versions without the set of evacuated domains.
+    const bool reads_table = step == Step::kReadTable || manifest_watch_.MayLackChanges() ||
+                             !evacuated_.IsKnownAt(manifest_watch_.Version());
     if (!reads_table) return ReadManifestChanges(LongPollTimeout(step));
     store_.ReadManifest([this, step](const Result<ManifestAnswer, CatalogError>& result) {
       // If the newest revision is unreadable, an earlier one may be among the changes.
       const bool is_unreadable = Ok(result) && !ValueOf(result).manifest;
       if (is_unreadable && step != Step::kReadTable) {
+        Report(evacuated_.Apply(ValueOf(result), std::nullopt));
         return ReadManifestChanges(std::chrono::milliseconds(0));
       }
-      OnManifestAnswer("table", result);
+      OnManifestAnswer(std::nullopt, result);
     });
   }
 
   void ReadManifestChanges(std::chrono::milliseconds wait) {
-    store_.WatchManifest(manifest_watch_.Version(), wait,
-                         [this](const Result<ManifestAnswer, CatalogError>& result) {
-                           OnManifestAnswer("changes", result);
+    const uint64_t after = manifest_watch_.Version();
+    store_.WatchManifest(after, wait,
+                         [this, after](const Result<ManifestAnswer, CatalogError>& result) {
+                           OnManifestAnswer(after, result);
                          });
   }
 
-  // `call`: what was read, for on_store_call_failed.
-  void OnManifestAnswer(const char* call, const Result<ManifestAnswer, CatalogError>& result) {
+  // `after`: the version after which changes were read; nullopt: the table was read.
+  void OnManifestAnswer(std::optional<uint64_t> after,
+                        const Result<ManifestAnswer, CatalogError>& result) {
+    const char* call = after ? "changes" : "table";
     const MonotonicTime now = clock_.Now();
     if (!Ok(result)) return OnStoreFailure("manifest", call, manifest_watch_, ErrorOf(result), now);
     const ManifestAnswer& answer = ValueOf(result);
     OnStoreReached("manifest", manifest_calls_fail_);
     manifest_watch_.OnAnswer(answer.version, now);
+    Report(evacuated_.Apply(answer, after));
     if (answer.manifest && (!manifest_ || answer.manifest->revision > manifest_->revision)) {
       ApplyManifest(answer.manifest, "");
     }
@@ -415,6 +436,9 @@
     if (nothing) return;
     Report(servers_.Apply(answer, RecentOutage(now), now));
   }
+  void Report(bool evacuated_changed) const {
+    if (evacuated_changed && listener_.on_evacuated) listener_.on_evacuated(evacuated_.Domains());
+  }
   void Report(const ServerChanges& changes) const {
     if (!changes.Empty()) listener_.on_servers(changes);
   }
@@ -496,6 +520,7 @@
   TableWatch manifest_watch_;
   TableWatch servers_watch_;
   ServerList servers_;
+  EvacuationSet evacuated_;
   std::shared_ptr<const Manifest> manifest_;   // The manifest in force; null until there is one.
   std::string manifest_bytes_;                 // manifest_ encoded; empty until it is needed.
   size_t manifest_transmissions_left_ = 0;     // Number of updates that will still carry manifest_.
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -97,8 +97,7 @@
       lookup_server_(io_, [this](const PlainRequest& request) { return ServeLookup(request); }),
       readiness_server_(
           io_, [this](const PlainRequest& request) { return ServeReadiness(request.path); }),
-      metrics_server_(io_,
-                      [this](const PlainRequest& request) { return ServeMetrics(request.path); }),
+      metrics_server_(io_, [this](const PlainRequest& request) { return ServeMetrics(request); }),
       peers_(io_, clock_, id_, settings_.peer),
       tunnels_(io_, clock_, settings_.backend, settings_.capacity, MakeTunnelListener()),
       datagrams_(
@@ -186,6 +185,7 @@
     OnManifest(manifest);
   };
   listener.on_servers = [this](const ServerChanges& changes) { OnServers(changes); };
+  listener.on_evacuated = [this](const EvacuatedDomains& domains) { OnEvacuated(domains); };
   listener.send_update = [this](const CatalogUpdate& update) { SendCatalogUpdate(update); };
   listener.send_request = [this](CatalogRequest request) {
     SendCatalogRequest(std::move(request));
@@ -285,6 +285,12 @@
   dispatcher_.PollSoon();
 }
 
+void RoutedEntry::OnEvacuated(const EvacuatedDomains& domains) {
+  scheduling_.ApplyEvacuated(domains);
+  connector_.SetServers(LinkedServers());
+  dispatcher_.PollSoon();
+}
+
 void RoutedEntry::LogServerChanges(const ServerChanges& changes) {
   const auto write = [this](const BackendServerId& id, const char* change) {
     if (!event_log_budget_.Allow(clock_.Now())) return;
@@ -496,8 +502,9 @@
                  : PlainResponse{503, "text/plain", "not ready\n"};
 }
 
-PlainResponse RoutedEntry::ServeMetrics(const std::string& path) {
-  if (path != "/metrics") return {404, "text/plain", "not found\n"};
+PlainResponse RoutedEntry::ServeMetrics(const PlainRequest& request) {
+  if (request.path == "/v1/status") return {200, "application/json", StatusJson()};
+  if (request.path != "/metrics") return {404, "text/plain", "not found\n"};
   SetGauges();
   return {200, "text/plain; version=0.0.4", metrics_.Serialize()};
 }
@@ -638,6 +645,14 @@
       scheduling_.PausingServers());
   set("cowsliphill_server_pauses", "Pauses that backend servers have asked this entry VM for",
       scheduling_.PausesBegun());
+  const std::vector<EvacuationState> evacuations = scheduling_.Evacuations();
+  size_t running = 0;
+  for (const EvacuationState& it : evacuations) running += it.running;
+  set("cowsliphill_evacuated_failure_domains", "Failure domains to which nothing is sent",
+      evacuations.size());
+  set("cowsliphill_requests_in_evacuated_domains",
+      "Attempts of this entry VM that began before and still run in evacuated failure domains",
+      running);
   set("cowsliphill_server_crashes", "Backend servers that crashed under requests of this entry VM",
       poison_.Crashes());
   set("cowsliphill_suspect_requests", "Requests under which one or two servers have crashed",
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -78,6 +78,7 @@
   // 2. Catalog and members
   void OnManifest(const std::shared_ptr<const Manifest>& manifest);
   void OnServers(const ServerChanges& changes);
+  void OnEvacuated(const EvacuatedDomains& domains);
   void LogServerChanges(const ServerChanges& changes);
   void LogMemberChange(const MemberChange& change);
   void LogStoreReaderChange();
@@ -96,7 +97,8 @@
   void NoteRunning();
   PlainResponse ServeLookup(const PlainRequest& request);
   PlainResponse ServeReadiness(const std::string& path);
-  PlainResponse ServeMetrics(const std::string& path);
+  PlainResponse ServeMetrics(const PlainRequest& request);
+  std::string StatusJson();
   void OnDatagram(const Endpoint& from, const std::string& payload);
   void OnMessage(const Endpoint& from, const std::string& payload);
 
@@ -111,6 +113,7 @@
   void OnLinksChanged();
   void SendStuckRequestsAgain();
   ScheduleListener MakeScheduleListener();
+  void LogEvacuation(const EvacuationEvent& event);
   ProbeClient::ReadReport MakeReportReader() const;
   PoisonListener MakePoisonListener();
 
--- a/src/cli/routed_entry_servers.cc
+++ b/src/cli/routed_entry_servers.cc
@@ -2,6 +2,7 @@
 // requests that crash them.
 
 #include <asio/post.hpp>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "src/cli/routed_entry.h"
@@ -75,6 +76,8 @@
   if (server == nullptr || server->started != request.started) return TunnelError::kServerUnknown;
   if (planner.IsLeavingOrUnknown(server->id)) return TunnelError::kServerLeaving;
   if (planner.IsPausing(server->id, clock_.Now())) return TunnelError::kBusy;
+  // Not kServerLeaving: the server is used again after the evacuation.
+  if (planner.IsEvacuated(server->id)) return TunnelError::kBusy;
   if (connector_.Links().PathTo(server->id, clock_.Now()) == ServerPath::kTunnel) {
     return TunnelError::kNoLink;
   }
@@ -174,6 +177,7 @@
     log_.Write(LogLevel::kInfo, "backend server pause",
                {{"backend_server", it.server.Text()}, {"asked_ms", Millis(it.pause)}});
   };
+  listener.on_evacuation = [this](const EvacuationEvent& event) { LogEvacuation(event); };
   listener.on_health = [this](const ServerHealthReport& report) {
     if (!event_log_budget_.Allow(clock_.Now())) return;
     using Cause = HealthChange::Cause;
@@ -189,6 +193,50 @@
   return listener;
 }
 
+// Operators cause these lines, and few of them, so they need no log budget.
+void RoutedEntry::LogEvacuation(const EvacuationEvent& event) {
+  const bool unknown = event.kind == EvacuationEvent::Kind::kUnknownDomain;
+  const auto change = [&event]() -> std::string {
+    switch (event.kind) {
+      case EvacuationEvent::Kind::kBegun:
+        return "begun";
+      case EvacuationEvent::Kind::kIdle:
+        return "no request left";
+      case EvacuationEvent::Kind::kEnded:
+        return "ended";
+      case EvacuationEvent::Kind::kUnknownDomain:
+        return "unknown failure domain";
+    }
+    return "";
+  };
+  log_.Write(unknown ? LogLevel::kWarning : LogLevel::kInfo, "evacuation",
+             {{"failure_domain", event.failure_domain.Text()},
+              {"change", change()},
+              {"running_attempts", static_cast<int64_t>(event.running)},
+              {"since_ms", Millis(event.since)},
+              {"manifest_age_ms", Millis(follower_.ManifestAge())}});
+}
+
+// For `cowsliphill status`.
+std::string RoutedEntry::StatusJson() {
+  nlohmann::json evacuated = nlohmann::json::array();
+  for (const EvacuationState& it : scheduling_.Evacuations()) {
+    evacuated.push_back({{"failure_domain", it.failure_domain.Text()},
+                         {"running_attempts", it.running},
+                         {"since_ms", Millis(it.since)}});
+  }
+  const nlohmann::json status = {{"entry_vm", id_.Text()},
+                                 {"failure_domain", settings_.failure_domain.Text()},
+                                 {"ready", Ready()},
+                                 {"revision", manifest_->revision},
+                                 {"manifest_age_ms", Millis(follower_.ManifestAge())},
+                                 {"servers_age_ms", Millis(follower_.ServersAge())},
+                                 {"backend_servers", follower_.ServerCount()},
+                                 {"members", members_->Live().size()},
+                                 {"evacuated", std::move(evacuated)}};
+  return status.dump(2) + "\n";
+}
+
 ProbeClient::ReadReport RoutedEntry::MakeReportReader() const {
   return [this](const HttpHead& response, const ProbeTarget& target) {
     std::optional<Report> report = adapter_.probe_report(response, target.server);
@@ -212,7 +260,8 @@
     return scheduling_.ProbeTargetOf(server);
   };
   listener.is_leaving = [this](const BackendServerId& server) {
-    return scheduling_.Planner()->IsLeavingOrUnknown(server);
+    const RequestPlanner& planner = *scheduling_.Planner();
+    return planner.IsLeavingOrUnknown(server) || planner.IsEvacuated(server);
   };
   listener.on_verified = [this](const LostAttempt& lost, bool crashed, const std::string& detail) {
     if (!event_log_budget_.Allow(clock_.Now())) return;
--- a/src/datagram/catalog_message.cc
+++ b/src/datagram/catalog_message.cc
@@ -91,6 +91,11 @@
   for (const BackendServer& server : update.changed) changed.push_back(Encode(server));
   json removed = json::array();
   for (const BackendServerId& id : update.removed) removed.push_back(id.Text());
+  json evacuated;  // Null: unknown.
+  if (update.evacuated) {
+    evacuated = json::array();
+    for (const FailureDomainId& id : *update.evacuated) evacuated.push_back(id.Text());
+  }
   return {kUpdateKind,
           update.manifest_version,
           update.manifest_age.count(),
@@ -105,7 +110,8 @@
           json::binary(std::vector<uint8_t>(update.manifest.begin(), update.manifest.end())),
           update.is_snapshot,
           update.manifest_too_large,
-          update.sender_rank};
+          update.sender_rank,
+          std::move(evacuated)};
 }
 
 CatalogMessage DecodeFields(const json& message) {
@@ -137,6 +143,13 @@
   update.is_snapshot = message.at(12).get<bool>();
   update.manifest_too_large = message.at(13).get<bool>();
   update.sender_rank = message.at(14).get<uint64_t>();
+  // Builds before evacuations send a shorter array.
+  if (message.size() > 15 && message.at(15).is_array()) {
+    update.evacuated.emplace();
+    for (const json& id : message.at(15)) {
+      update.evacuated->emplace(id.get<std::string>());
+    }
+  }
   return update;
 }
 
--- a/src/datagram/catalog_message.h
+++ b/src/datagram/catalog_message.h
@@ -37,6 +37,8 @@
   std::string manifest;  // The manifest by EncodeManifest; empty if this update does not carry it.
   // The manifest is too large for updates; receivers read it from the store.
   bool manifest_too_large = false;
+  // All evacuated failure domains as of manifest_version; unset if the sender does not know them.
+  std::optional<EvacuatedDomains> evacuated;
   bool is_snapshot = false;  // `changed` lists all servers; servers_base_version has no meaning.
 };
 
--- a/src/datagram/catalog_message_test.cc
+++ b/src/datagram/catalog_message_test.cc
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(Update_WithManyRoutes_ShrinksToAQuarter);
   CPPUNIT_TEST(Decode_WrongUncompressedSize_IsRejected);
   CPPUNIT_TEST(Request_EncodedAndDecoded_IsUnchanged);
+  CPPUNIT_TEST(Update_WithoutEvacuations_LeavesThemUnknown);
   CPPUNIT_TEST(Pending_EncodedAndDecoded_IsRecognized);
   CPPUNIT_TEST(Decode_DamagedBytes_NeverThrows);
   CPPUNIT_TEST_SUITE_END();
@@ -33,6 +34,7 @@
     update.servers_age = milliseconds(40);
     update.is_snapshot = true;
     update.manifest_too_large = true;
+    update.evacuated = EvacuatedDomains{FailureDomainId("d-1"), FailureDomainId("d-2")};
     update.manifest = std::string("\0\xff bytes", 8);
     BackendServer server;
     server.id = BackendServerId("a");
@@ -52,6 +54,19 @@
     CPPUNIT_ASSERT(decoded.reaches_store && decoded.is_snapshot && decoded.manifest_too_large);
     CPPUNIT_ASSERT(decoded.servers_age == milliseconds(40));
     CPPUNIT_ASSERT_EQUAL(update.manifest, decoded.manifest);
+    CPPUNIT_ASSERT(decoded.evacuated == update.evacuated);
+  }
+
+  // Builds without evacuations send a shorter array.
+  void Update_WithoutEvacuations_LeavesThemUnknown() {
+    const std::string bytes = EncodeCatalogMessage(CatalogUpdate());
+    CPPUNIT_ASSERT_EQUAL(0xc0, int{static_cast<unsigned char>(bytes.back())});  // Null.
+    // An array of 16 items has its size in two bytes, one of 15 has it in the first byte.
+    const std::string earlier = "\x9f" + bytes.substr(3, bytes.size() - 4);
+    for (const std::string& it : {bytes, earlier}) {
+      const auto message = DecodeCatalogMessage(it);
+      CPPUNIT_ASSERT(message && !std::get<CatalogUpdate>(*message).evacuated);
+    }
   }
 
   void Request_EncodedAndDecoded_IsUnchanged() {
--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -58,11 +58,15 @@
     server.config = config;
     server_ids_by_hash_[HashName(config.id.Text())] = config.id;
   }
+  UpdateEvacuations();
 }
 
 void RequestPlanner::SetMembers(const std::vector<Member>& members) {
   order_.SetMembers(members);
   entry_vms_ = std::max<size_t>(members.size(), 1);
+  members_domains_.clear();
+  for (const Member& it : members) members_domains_.insert(it.failure_domain);
+  UpdateEvacuations();
 }
 
 const BackendServer* RequestPlanner::FindServer(const BackendServerId& server) const {
@@ -148,12 +152,14 @@
 bool RequestPlanner::MaySend(const SendTo& target, MonotonicTime now) const {
   const auto it = servers_.find(target.server);
   return it != servers_.end() && !it->second.leaving && !IsPausing(target.server, now) &&
-         it->second.config.started == target.started;
+         it->second.config.started == target.started && !IsEvacuated(target.server);
 }
 
 std::vector<BackendServerId> RequestPlanner::ServerIds() const {
   std::vector<BackendServerId> ids;
-  for (const auto& [id, server] : servers_) ids.push_back(id);
+  for (const auto& [id, server] : servers_) {
+    if (!evacuations_.IsEvacuated(server.config.failure_domain)) ids.push_back(id);
+  }
   return ids;
 }
 
@@ -189,6 +195,9 @@
     return GiveUp(request, attempt, {0, RefusalCause::kServerPause, TimeLeft(*pause_end, now)},
                   now);
   }
+  if (services_without_servers_.count(request.params.service) > 0) {
+    return GiveUp(request, attempt, {0, RefusalCause::kNoBackendServer, kDefaultRetryAfter}, now);
+  }
   ++attempt.requests_sent;
   attempt.scheduler = SchedulerFor(request.params.service, now);
   ScheduleRequest message;
@@ -309,6 +318,9 @@
       WithdrawRequest(*request, *attempt);
       return RequestAssignment(*request, *attempt, now);
     case ScheduleReply::Kind::kRefused:
+      if (reply.cause == RefusalCause::kNoBackendServer && AsksAgain(*request, *attempt, now)) {
+        return;
+      }
       return GiveUp(*request, *attempt,
                     {0, reply.cause, reply.retry_after, "refused_by=" + from.ToString()}, now);
   }
@@ -319,7 +331,9 @@
   const auto id = server_ids_by_hash_.find(reply.server);
   const auto server = id == server_ids_by_hash_.end() ? servers_.end() : servers_.find(id->second);
   const bool known = server != servers_.end();
-  const auto pause_end = pauses_.End(known ? id->second : BackendServerId(), now);
+  std::optional<MonotonicTime> pause_end = pauses_.End(known ? id->second : BackendServerId(), now);
+  // The scheduler does not know of the evacuation yet.
+  if (known && IsEvacuated(id->second)) pause_end = now + kEvacuationPause;
   if (!known || server->second.leaving || pause_end ||
       server->second.config.service != request.params.service) {
     // This entry VM may have acknowledged that the server is leaving, so its own knowledge
@@ -350,7 +364,7 @@
   attempt.scheduler = from;
   attempt.server = id->second;
   attempt.server_started = server->second.config.started;
-  const bool first = request.attempts.size() == 1;
+  const bool first = request.attempts.size() <= request.moved_attempts + 1;
   if (!first) budgets_.at(request.params.service).OnExtraAttempt(now);
   if (request.params.repeatable) {
     const MonotonicTime target = request.params.target.value_or(request.params.deadline);
@@ -422,18 +436,20 @@
 // ---- Attempts -----------------------------------------------------------------------------------
 
 void RequestPlanner::OnEnded(Ticket ticket, const BackendServerId& server,
-                             const AttemptResult& result, MonotonicTime) {
+                             const AttemptResult& result, MonotonicTime now) {
   const auto it = requests_.find(ticket);
   if (it == requests_.end()) return;
   for (Attempt& attempt : it->second.attempts) {
     if (attempt.stage != Stage::kSent || attempt.server != server) continue;
-    EndAttempt(attempt, result);
+    it->second.must_move = result.end == AttemptEnd::kCancelled && IsEvacuated(server);
+    if (it->second.must_move) ++it->second.moved_attempts;
+    EndAttempt(attempt, result, now);
     break;
   }
   EraseIfDone(ticket);
 }
 
-void RequestPlanner::EndAttempt(Attempt& attempt, const AttemptResult& result) {
+void RequestPlanner::EndAttempt(Attempt& attempt, const AttemptResult& result, MonotonicTime now) {
   ScheduleEnd end;
   end.id = attempt.request_id;
   end.end = result.end;
@@ -447,6 +463,7 @@
   }
   outbox_.push_back({attempt.scheduler, end});
   if (attempt.stage != Stage::kSent) StopTimer(attempt);
+  if (!evacuations_.Empty()) evacuations_.OnAttemptEnded(attempt.request_id, now);
   attempt.stage = Stage::kEnded;
   tickets_by_request_id_.erase(attempt.request_id);
 }
@@ -454,8 +471,11 @@
 Choice RequestPlanner::Retry(Ticket ticket, MonotonicTime now) {
   Request& request = requests_.at(ticket);
   const uint32_t max_attempts = request.params.max_attempts;
-  const bool may_retry = max_attempts == 0 || request.attempts.size() < max_attempts;
-  if (!may_retry || !budgets_.at(request.params.service).Affordable(entry_vms_, now)) {
+  const size_t attempts = request.attempts.size() - request.moved_attempts;
+  const bool may_retry = max_attempts == 0 || attempts < max_attempts;
+  const bool affordable = std::exchange(request.must_move, false) ||
+                          budgets_.at(request.params.service).Affordable(entry_vms_, now);
+  if (!may_retry || !affordable) {
     return Refuse{ticket, RefusalCause::kRetryBudget, kDefaultRetryAfter};
   }
   StartAttempt(request, false, now);
@@ -482,12 +502,12 @@
   return std::nullopt;
 }
 
-void RequestPlanner::Finish(Ticket ticket, MonotonicTime) {
+void RequestPlanner::Finish(Ticket ticket, MonotonicTime now) {
   const auto it = requests_.find(ticket);
   if (it == requests_.end()) return;
   it->second.finished = true;
   for (Attempt& attempt : it->second.attempts) {
-    if (attempt.AwaitsAssignment()) EndAttempt(attempt, {AttemptEnd::kCancelled, {}, {}});
+    if (attempt.AwaitsAssignment()) EndAttempt(attempt, {AttemptEnd::kCancelled, {}, {}}, now);
   }
   EraseIfDone(ticket);
 }
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -23,6 +23,7 @@
 
 #include "src/balance/shared_retry_budget.h"
 #include "src/choose/chooser.h"
+#include "src/schedule/evacuation_watch.h"
 #include "src/schedule/pause_list.h"
 #include "src/schedule/scheduler.h"
 
@@ -66,6 +67,13 @@
   // slots come free about as often. Trying again moves a request away from a server that hangs,
   // even if the request can't meet its target any more.
   static constexpr std::chrono::milliseconds kHedgeRetryInterval{100};
+  // Time after a change of the evacuated failure domains in which schedulers may not know of it: a
+  // refusal for lack of servers is not final, and the assignment is requested again.
+  static constexpr std::chrono::milliseconds kEvacuationSpreadTime{2000};
+  static constexpr std::chrono::milliseconds kEvacuationRetryInterval{20};
+  // For this time a scheduler that has assigned a server of an evacuated failure domain is told to
+  // assign it to this entry VM no more. It knows of the evacuation by then.
+  static constexpr std::chrono::milliseconds kEvacuationPause{500};
   // Retry-after time of a refusal when no scheduler gave one. It is short because a server has
   // failed, and a caller that comes back soon gets another one.
   static constexpr std::chrono::milliseconds kDefaultRetryAfter{50};
@@ -77,6 +85,14 @@
   void ApplyServers(const ServerChanges& changes);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const std::vector<Member>& members);
+  // Replaces the set of evacuated failure domains. Their servers get no new requests. If a service
+  // has no other servers, its requests are refused at once.
+  void SetEvacuated(const EvacuatedDomains& domains, MonotonicTime now);
+  bool IsEvacuated(const BackendServerId& server) const;
+  std::vector<EvacuationState> Evacuations(MonotonicTime now) const {
+    return evacuations_.States(now);
+  }
+  std::vector<EvacuationEvent> TakeEvacuationEvents() { return evacuations_.TakeEvents(); }
 
   // The same calls as in Chooser, except that Choose, Retry and Hedge never return a SendTo:
   // TakeReady returns it later. That of a hedge may come while an earlier attempt of the ticket is
@@ -126,7 +142,7 @@
   std::vector<PauseBegin> TakeNewPauses() { return std::exchange(new_pauses_, {}); }
   uint64_t PausesBegun() const { return pauses_begun_; }
   size_t PausingServers(MonotonicTime now) const { return pauses_.Count(now); }
-  std::vector<BackendServerId> ServerIds() const;
+  std::vector<BackendServerId> ServerIds() const;  // Servers that are not evacuated.
   // Whether this entry VM sends the server no new work: it is known to be leaving, or is unknown.
   bool IsLeavingOrUnknown(const BackendServerId& server) const;
   // How many times a scheduler was found to be unresponsive.
@@ -169,8 +185,11 @@
     ChoiceRequest params;
     std::vector<Attempt> attempts;
     std::vector<NameHash> rejected_servers;  // Assigned, but leaving or unknown here.
-    bool charged = false;   // A scheduler has assigned a server: the workspace's limit is charged.
-    bool finished = false;  // The caller is done; kept until its open attempts end.
+    // Attempts whose server was evacuated before the request was sent. They count as none.
+    size_t moved_attempts = 0;
+    bool must_move = false;  // The last attempt was one of these; the next one is not a retry.
+    bool charged = false;    // A scheduler has assigned a server: the workspace's limit is charged.
+    bool finished = false;   // The caller is done; kept until its open attempts end.
   };
   using Timer = std::pair<MonotonicTime, ScheduleRequestId>;
   using HedgeTime = std::pair<MonotonicTime, Ticket>;
@@ -191,7 +210,11 @@
                   const ScheduleReply& reply, MonotonicTime now);
   void WithdrawRequest(Request& request, Attempt& attempt);
   void ChangeRequestId(Request& request, Attempt& attempt);
-  void EndAttempt(Attempt& attempt, const AttemptResult& result);
+  void EndAttempt(Attempt& attempt, const AttemptResult& result, MonotonicTime now);
+  void UpdateEvacuations();
+  void TakeBackUnsent(MonotonicTime now);
+  std::set<ScheduleRequestId> RunningIn(const FailureDomainId& domain) const;
+  bool AsksAgain(Request& request, Attempt& attempt, MonotonicTime now);
   void GiveUp(Request& request, Attempt& attempt, const Refuse& refuse, MonotonicTime now);
   Attempt* FindAttempt(ScheduleRequestId request_id, Request** request);
   void EraseIfDone(Ticket ticket);
@@ -215,6 +238,11 @@
   PauseList<BackendServerId> pauses_;
   std::vector<PauseBegin> new_pauses_;
   uint64_t pauses_begun_ = 0;
+  EvacuationWatch evacuations_;
+  std::optional<MonotonicTime> evacuations_changed_;  // When SetEvacuated was last called.
+  // Services all of whose servers are evacuated or leaving.
+  std::set<ServiceId> services_without_servers_;
+  std::set<FailureDomainId> members_domains_;  // Failure domains of the live entry VMs.
   std::unordered_map<Ticket, Request> requests_;
   std::unordered_map<ScheduleRequestId, Ticket> tickets_by_request_id_;
   std::set<Timer> timers_;  // Reply deadlines of the attempts that await an assignment.
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -46,14 +46,23 @@
 }
 
 void ScheduleNode::ApplyServers(const ServerChanges& changes) {
+  const MonotonicTime now = clock_.Now();
   planner_.ApplyServers(changes);
-  scheduler_.ApplyServers(changes, clock_.Now());
+  scheduler_.ApplyServers(changes, now);
+  Flush();
+}
+
+void ScheduleNode::ApplyEvacuated(const EvacuatedDomains& domains) {
+  const MonotonicTime now = clock_.Now();
+  // First, so that the replies about moved requests find the planner prepared.
+  planner_.SetEvacuated(domains, now);
+  scheduler_.SetEvacuated(domains, now);
   Flush();
 }
 
 std::optional<ProbeTarget> ScheduleNode::ProbeTargetOf(const BackendServerId& id) const {
   const BackendServer* server = planner_.FindServer(id);
-  if (server == nullptr) return std::nullopt;
+  if (server == nullptr || planner_.IsEvacuated(id)) return std::nullopt;
   ProbeTarget target;
   target.server = id;
   target.endpoint = server->endpoint;
@@ -64,8 +73,9 @@
 }
 
 void ScheduleNode::SetMembers(const std::vector<Member>& members) {
+  const MonotonicTime now = clock_.Now();
   planner_.SetMembers(members);
-  scheduler_.SetMembers(members, clock_.Now());
+  scheduler_.SetMembers(members, now);
   ReportEvents();
 }
 
@@ -129,6 +139,7 @@
   for (const BackendServerId& it : planner_.TakeNewlyLeaving()) listener_.on_leaving(it);
   for (const PauseBegin& it : planner_.TakeNewPauses()) listener_.on_pause(it);
   for (const ServerHealthReport& it : scheduler_.TakeHealthReports()) listener_.on_health(it);
+  for (const EvacuationEvent& it : planner_.TakeEvacuationEvents()) listener_.on_evacuation(it);
   if (scheduler_.HasServersToProbe()) SendProbes();
   if (dispatcher_ != nullptr && planner_.HasReady()) dispatcher_->PollSoon();
   // The timer may be set to the next probe, but a queue that has just formed must be processed
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -35,6 +35,8 @@
   std::function<void(const PauseBegin&)> on_pause;
   // Called when this entry VM's scheduler begins or ceases to hold a server to be down.
   std::function<void(const ServerHealthReport&)> on_health;
+  // Called for each step of an evacuation, and for a name that is not a known failure domain.
+  std::function<void(const EvacuationEvent&)> on_evacuation;
 };
 
 class ScheduleNode {
@@ -48,6 +50,8 @@
 
   void ApplyManifest(const Manifest& manifest);
   void ApplyServers(const ServerChanges& changes);
+  // Replaces the set of evacuated failure domains.
+  void ApplyEvacuated(const EvacuatedDomains& domains);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const std::vector<Member>& members);
   // Returns false if the datagram is not a valid message of schedule_message.h.
@@ -69,7 +73,8 @@
   uint64_t LeavingByAnswer() const { return planner_.LeavingByAnswer(); }
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
-  // Where to probe a server; nullopt if it is unknown.
+  std::vector<EvacuationState> Evacuations() const { return planner_.Evacuations(clock_.Now()); }
+  // Where to probe a server; nullopt if it is unknown or evacuated.
   std::optional<ProbeTarget> ProbeTargetOf(const BackendServerId& server) const;
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
 
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -79,9 +79,8 @@
   services_[HashName(server.service.Text())] = server.service;
   failure_domains_[HashName(server.failure_domain.Text())] = server.failure_domain;
   servers_[HashName(server.id.Text())] = server.id;
-  if (server.state == BackendState::kLeaving || balancer_.IsLeaving(server.id)) {
-    return RemoveServer(server.id);
-  }
+  const bool leaving = server.state == BackendState::kLeaving || balancer_.IsLeaving(server.id);
+  if (leaving || evacuated_.count(server.failure_domain) > 0) return RemoveServer(server.id);
   Cell& cell = cells_[cell_map_.CellOf(server.service, server.failure_domain)];
   const auto it = cells_by_server_.find(server.id);
   if (it != cells_by_server_.end() && it->second == &cell) {
@@ -219,8 +218,12 @@
   }
   request.id = next_id_++;
   assignment_ids_[{entry_vm, message.id}] = request.id;
-  requests_[request.id] = {entry_vm, message.id, request.deadline, std::nullopt};
-  Reply(request.id, balancer_.Assign(request, now));
+  requests_[request.id] = {entry_vm, message.id, request.deadline, std::nullopt, std::nullopt};
+  const Assignment decision = balancer_.Assign(request, now);
+  if (std::holds_alternative<Queued>(decision)) {
+    requests_[request.id].queued = {message, request.cell, now};
+  }
+  Reply(request.id, decision);
   SendDecisions(now);
 }
 
@@ -266,6 +269,7 @@
     if (id.service != home.service || id.failure_domain == home.failure_domain) continue;
     const auto it = remote_cells_.find(id);
     if (it == remote_cells_.end() || now - it->second.received_at > kMaxCellUpdateAge) continue;
+    if (IsEvacuated(id)) continue;  // Its scheduler may not know yet.
     if (it->second.free_slots <= most_free) continue;
     most_free = it->second.free_slots;
     best = id;
@@ -304,7 +308,10 @@
   const ScheduleReply reply =
       std::visit([reply_id](const auto& it) { return ToReply(reply_id, it); }, decision);
   Reply(open.entry_vm, reply);
-  if (reply.kind == ScheduleReply::Kind::kAssigned) open.assigned = reply;
+  if (reply.kind == ScheduleReply::Kind::kAssigned) {
+    open.assigned = reply;
+    open.queued.reset();
+  }
   if (reply.kind == ScheduleReply::Kind::kRefused) EraseRequest(id);
 }
 
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -80,6 +80,9 @@
   void ApplyServers(const ServerChanges& changes, MonotonicTime now);
   // Takes over what the manifest says about services and workspaces.
   void ApplyManifest(const Manifest& manifest, MonotonicTime now);
+  // Replaces the set of evacuated failure domains. Their servers are neither probed nor assigned
+  // requests, and requests that wait for them are passed on to other cells.
+  void SetEvacuated(const EvacuatedDomains& domains, MonotonicTime now);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving. If it lists
   // this one with lost links, requests are passed on to the scheduler that takes over.
   void SetMembers(const std::vector<Member>& members, MonotonicTime now);
@@ -151,17 +154,25 @@
     // from which such updates are expected.
     MonotonicTime limits_shared_at{};
     MonotonicTime next_limit_update{};
-    uint32_t limit_updates = 0;               // Number of LimitUpdates sent.
-    std::map<BackendServerId, Probe> probes;  // Probes of the servers that are not leaving.
+    uint32_t limit_updates = 0;  // Number of LimitUpdates sent.
+    // Probes of the servers that are neither leaving nor evacuated.
+    std::map<BackendServerId, Probe> probes;
     ProbeMode probe_mode = ProbeMode::kNone;  // As of the last UpdateProbeMode.
     ProbeQueue probe_queue;                   // When the servers in `probes` are due.
   };
+  // What is needed to pass on a queued request to another cell.
+  struct QueuedMessage {
+    ScheduleRequest message;
+    CellId cell;
+    MonotonicTime received_at;
+  };
   // An assignment request that is queued or assigned.
   struct OpenRequest {
     Endpoint entry_vm;
     ScheduleRequestId id = 0;
     MonotonicTime deadline;
     std::optional<ScheduleReply> assigned;  // The kAssigned reply; unset while queued.
+    std::optional<QueuedMessage> queued;    // Set while queued.
   };
   // Free slots that another cell last reported, less the requests forwarded to it since.
   struct RemoteCell {
@@ -206,6 +217,8 @@
   void AddServer(const BackendServer& server, MonotonicTime now);
   void RemoveServer(const BackendServerId& server);
   void UpdatePrimaries(MonotonicTime now);
+  bool IsEvacuated(const CellId& cell) const { return evacuated_.count(cell.failure_domain) > 0; }
+  void MoveQueued(MonotonicTime now);
   MonotonicTime SettledAt() const { return started_ + (alone_ ? kSettleTimeAlone : kSettleTime); }
 
   Endpoint self_;
@@ -213,6 +226,7 @@
   Balancer balancer_;
   SchedulerOrder order_;
   CellMap cell_map_;
+  EvacuatedDomains evacuated_;
   std::map<CellId, Cell> cells_;
   std::unordered_map<NameHash, ServiceId> services_;
   std::unordered_map<NameHash, FailureDomainId> failure_domains_;
--- a/tests/fleet_harness.cc
+++ b/tests/fleet_harness.cc
@@ -95,10 +95,10 @@
 }
 
 void Fleet::AddServer(const std::string& name, const Endpoint& address, uint32_t slots,
-                      uint64_t born) {
+                      uint64_t born, const std::string& place) {
   const json row = {{"service", "service-a"},
                     {"address", address.ToString()},
-                    {"zone", "place-a"},
+                    {"zone", place},
                     {"version", "v1"},
                     {"slots", slots},
                     {"state", "ready"},
--- a/tests/fleet_harness.h
+++ b/tests/fleet_harness.h
@@ -65,7 +65,7 @@
   // Registers a backend server that is not one of the stand-in's. Another value of `born`, in
   // milliseconds, means another lifetime.
   void AddServer(const std::string& name, const Endpoint& address, uint32_t slots = 3,
-                 uint64_t born = 1600000000000);
+                 uint64_t born = 1600000000000, const std::string& place = "place-a");
   void Control(const std::string& method, const std::string& path, const std::string& body = "");
   // `prefix` is the path prefix of the idempotent route. `further_routes` routes of another host
   // make the manifest larger, by some 200 bytes each.
