--- a/src/balance/balancer_state.h
+++ b/src/balance/balancer_state.h
@@ -20,6 +20,7 @@
   BackendServer config;
   Cell* cell = nullptr;
   bool listed = true;        // False: not in the last list; kept until its requests end.
+  bool evacuated = false;    // Its failure domain is evacuated.
   bool leaving = false;      // The server or the platform reported that it accepts no new requests.
   MonotonicTime warmup_end;  // Time from which the server runs at full speed.
   ServerLoad load;
@@ -30,7 +31,7 @@
 };
 
 struct Balancer::Cell {
-  std::vector<Server*> servers;  // Servers that accept new requests.
+  std::vector<Server*> servers;  // Servers that accept new requests and are not evacuated.
   std::map<RequestKind, ServiceTimeEstimate> service_times;
   std::set<QueueKey> queue;
   std::map<uint32_t, size_t> queued_by_rank;
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -40,6 +40,8 @@
   // Called when this entry VM's scheduler begins or ceases to refuse requests of a workspace for
   // its limit.
   std::function<void(const RefusalEvent&)> on_workspace_limit;
+  // Called for each step of an evacuation, and for a name that is not a known failure domain.
+  std::function<void(const EvacuationEvent&)> on_evacuation;
 };
 
 class ScheduleNode {
@@ -53,6 +55,8 @@
 
   void ApplyManifest(const Manifest& manifest);
   void ApplyServers(const ServerChanges& changes);
+  // Replaces the set of evacuated failure domains.
+  void ApplyEvacuated(const EvacuatedDomains& domains);
   // Replaces the list of live entry VMs, which includes this one unless it is leaving.
   void SetMembers(const std::vector<Member>& members);
   // Returns false if the datagram is not a valid message of schedule_message.h.
@@ -77,7 +81,8 @@
   const WorkspaceQuota& Quota() const { return scheduler_.Quota(); }
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
-  // Where to probe a server; nullopt if it is unknown.
+  std::vector<EvacuationState> Evacuations() const { return planner_.Evacuations(clock_.Now()); }
+  // Where to probe a server; nullopt if it is unknown or evacuated.
   std::optional<ProbeTarget> ProbeTargetOf(const BackendServerId& server) const;
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
 
