Workspaces within their share precede those over it in a cell's queue

When one workspace sent many times its usual load, the requests of all workspaces were refused alike, because the queue of a cell knew only ranks and targets.

The queue is ordered by rank, then by whether the workspace was over its share when the request arrived (FairShare), then by target. Estimates of the wait count only what is ahead in that order, so a long queue of one workspace does not refuse the others. Without workspaces nothing changes.

--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -17,10 +17,6 @@
 // limits the slots of slow hosts still serve some requests.
 constexpr double kMinEffectiveSlots = 1.0;
 constexpr double kMinLimitedSlots = 0.05;
-QueueKey QueueKeyOf(const AssignmentRequest& spec) {
-  return {spec.kind.rank, spec.target, spec.id};
-}
-
 }  // namespace
 
 Balancer::Balancer(uint64_t seed) : random_(seed) {}
@@ -133,6 +129,9 @@
       server.load.Slowdown(request.cell->mean_slowdown, now, host_interval_.Interval());
   assignment.report_age = server.load.HasReport() ? now - server.load.ReceivedAt() : Duration(-1);
   assignment.usable_servers = static_cast<uint32_t>(free.size());
+  if (!request.spec.hedge && !request.spec.workspace.Text().empty()) {
+    request.cell->shares.OnServed(request.spec.workspace);
+  }
   server.load.OnAssigned(now);
   server.limit.OnAssigned(now);
   if (server.limit.Limit()) ++assigned_within_limits_;
@@ -201,18 +200,40 @@
   return sum;
 }
 
-// Counts the queued requests that are as urgent as `rank` or more urgent.
-size_t Balancer::CountQueuedAhead(const Cell& cell, uint32_t rank) {
+// Returns the level at which a request that arrives now is queued.
+QueueLevel Balancer::LevelOf(Cell& cell, const AssignmentRequest& spec, MonotonicTime now) const {
+  const bool over =
+      !spec.workspace.Text().empty() && cell.shares.IsOver(spec.workspace, workspace_weights_, now);
+  return QueueLevel{spec.kind.rank} * 2 + (over ? 1 : 0);  // See IsOverShare.
+}
+
+void Balancer::SetWorkspaceWeights(WorkspaceWeights weights) {
+  workspace_weights_ = std::move(weights);
+  for (auto& [id, cell] : cells_) cell->shares.Reweigh();
+}
+
+// Counts the queued requests that precede one that arrives now at that level, or have its level.
+size_t Balancer::CountQueuedAhead(const Cell& cell, QueueLevel level) {
+  size_t n = 0;
+  for (const auto& [other, count] : cell.queued_by_level) n += other <= level ? count : 0;
+  return n;
+}
+
+// Counts the queued requests of all ranks; for a request that is within its share, without those
+// that are over it.
+size_t Balancer::CountQueuedBeside(const Cell& cell, QueueLevel level) {
   size_t n = 0;
-  for (const auto& [other, count] : cell.queued_by_rank) n += other <= rank ? count : 0;
+  for (const auto& [other, count] : cell.queued_by_level) {
+    n += IsOverShare(level) || !IsOverShare(other) ? count : 0;
+  }
   return n;
 }
 
-// Counts those of them that should still meet their target.
-size_t Balancer::CountOnTimeAhead(const Cell& cell, uint32_t rank) const {
+// Counts those of CountQueuedAhead that should still meet their target.
+size_t Balancer::CountOnTimeAhead(const Cell& cell, QueueLevel level) const {
   return static_cast<size_t>(
-      std::count_if(cell.queue.begin(), cell.queue.end(), [this, rank](const QueueKey& key) {
-        return std::get<0>(key) <= rank && !requests_.at(std::get<2>(key)).late;
+      std::count_if(cell.queue.begin(), cell.queue.end(), [this, level](const QueueKey& key) {
+        return std::get<0>(key) <= level && !requests_.at(std::get<2>(key)).late;
       }));
 }
 
@@ -220,16 +241,16 @@
 // number of requests ahead of it.
 bool Balancer::MayQueue(Cell& cell, const Request& request, Duration service_time,
                         MonotonicTime now) {
-  if (!CanMeetTarget(request, service_time, now) || cell.queue.size() >= kQueueLimit) return false;
-  const uint32_t rank = request.spec.kind.rank;
-  const size_t ahead = CountQueuedAhead(cell, rank);
+  if (!CanMeetTarget(request, service_time, now)) return false;
+  const size_t ahead = CountQueuedAhead(cell, request.level);
+  if (CountQueuedBeside(cell, request.level) >= kQueueLimit) return false;
   if (ahead == 0 && !HasLimits(cell, now)) return true;
   const double effective_slots = EffectiveSlots(cell, true, service_time, now);
   const Duration max_wait = request.spec.target - now - Times(service_time, kOnTimeMargin);
   if (IsShortOfTokens(cell, effective_slots, now)) {
     // Even the first request in the queue waits for a token. The rate of tokens is known, so the
     // expected wait needs no slack, and late requests get none before those that are on time.
-    const auto turn = static_cast<double>(CountOnTimeAhead(cell, rank) + 1);
+    const auto turn = static_cast<double>(CountOnTimeAhead(cell, request.level) + 1);
     return effective_slots > 0 && Times(service_time, turn / effective_slots) <= max_wait;
   }
   if (ahead == 0) return true;
@@ -261,11 +282,14 @@
     }
     return Decline(request, RefusalCause::kOverload, now);
   }
+  if (!spec.workspace.Text().empty()) cell.shares.OnRequest(spec.workspace, now);
+  request.level = LevelOf(cell, spec, now);
+  if (IsOverShare(request.level)) ++requests_over_share_;
   const bool late = !MayQueue(cell, request, ServiceTimeOf(cell, spec, now).Mean(), now);
   request.queued = true;
   request.late = late;
-  cell.queue.insert(QueueKeyOf(spec));
-  ++cell.queued_by_rank[spec.kind.rank];
+  cell.queue.insert({request.level, spec.target, spec.id});
+  ++cell.queued_by_level[request.level];
   ProcessQueue(cell, now);
   // A decision on this request is returned here, not by TakeQueueDecisions.
   const auto is_same_request = [&spec](const QueueDecision& decision) {
@@ -282,12 +306,12 @@
   if (!request.queued) return;
   request.queued = false;
   Cell& cell = *request.cell;
-  cell.queue.erase(QueueKeyOf(request.spec));
-  const auto it = cell.queued_by_rank.find(request.spec.kind.rank);
-  if (--it->second == 0) cell.queued_by_rank.erase(it);
+  cell.queue.erase({request.level, request.spec.target, request.spec.id});
+  const auto it = cell.queued_by_level.find(request.level);
+  if (--it->second == 0) cell.queued_by_level.erase(it);
 }
 
-// Assigns free slots to queued requests, the most urgent rank first. Within a rank, requests that
+// Assigns free slots to queued requests, the most urgent level first. Within a level, requests that
 // can meet their target get slots first, in queue order, and late ones take what is left.
 void Balancer::ProcessQueue(Cell& cell, MonotonicTime now) {
   if (cell.queue.empty()) return;
@@ -295,7 +319,7 @@
   std::vector<AssignmentId> late;
   const std::vector<QueueKey> queue(cell.queue.begin(), cell.queue.end());
   for (auto it = queue.begin(); it != queue.end(); ++it) {
-    const auto& [rank, target, id] = *it;
+    const auto& [level, target, id] = *it;
     Request& request = requests_.at(id);
     const Duration service_time = ServiceTimeOf(cell, request.spec, now).Mean();
     const auto best = SelectBest(free, request, service_time, now);
@@ -306,9 +330,9 @@
                (request.late || !CanMeetTarget(request, service_time, now))) {
       late.push_back(id);
     }
-    const bool is_last_of_rank =
-        std::next(it) == queue.end() || std::get<0>(*std::next(it)) != rank;
-    if (is_last_of_rank) AssignOrDeclineLate(cell, free, std::exchange(late, {}), now);
+    const bool is_last_of_level =
+        std::next(it) == queue.end() || std::get<0>(*std::next(it)) != level;
+    if (is_last_of_level) AssignOrDeclineLate(cell, free, std::exchange(late, {}), now);
   }
 }
 
@@ -337,9 +361,9 @@
   if (late.empty()) return;
   const double effective_slots = EffectiveSlots(
       cell, false, ServiceTimeOf(cell, requests_.at(late.front()).spec, now).Mean(), now);
-  // Queued requests of this or a more urgent rank that are not in `late`, plus those in `late` that
-  // stay queued below.
-  size_t ahead = CountQueuedAhead(cell, requests_.at(late.front()).spec.kind.rank) - late.size();
+  // Queued requests of this or a more urgent level that are not in `late`, plus those in `late`
+  // that stay queued below.
+  size_t ahead = CountQueuedAhead(cell, requests_.at(late.front()).level) - late.size();
   // Requests that are on time take every token of the limits, so none is left for late ones.
   const bool no_tokens_left = ahead > 0 && IsShortOfTokens(cell, effective_slots, now);
   for (const AssignmentId id : late) {
@@ -384,8 +408,8 @@
     declined.cause = RefusalCause::kServerLimit;
     ++declined_by_limits_;
   }
-  const Duration time_to_empty_queue =
-      Times(service_time, static_cast<double>(cell.queue.size()) / effective_slots);
+  const Duration time_to_empty_queue = Times(
+      service_time, static_cast<double>(CountQueuedBeside(cell, request.level)) / effective_slots);
   const Duration wait = std::max<Duration>({kMinRetryAfter, service_time, time_to_empty_queue});
   // Jitter, so that callers declined together don't retry together.
   std::uniform_real_distribution<double> spread(0.75, 1.75);
@@ -405,6 +429,7 @@
   request.cell = &FindOrCreateCell(spec.cell);
   request.received_at = now;
   Cell& cell = *request.cell;
+  request.level = LevelOf(cell, spec, now);
   const Duration mean = ServiceTimeOf(cell, spec, now).Mean();
   const Candidates free = FreeCandidates(cell, now);
   const auto best = SelectBest(free, request, mean, now);
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -12,6 +12,9 @@
 //     servers that slow down when nearly full.
 //   - A server gets at most as many requests as it has slots. Other requests queue here, ordered
 //     by rank and target, and take the first slot that comes free. This handles bursts.
+//   - Within a rank, requests of workspaces within their share precede those of workspaces over it
+//     (fair_share.h), which take the slots that the others leave. This handles workspaces that send
+//     many times their usual load.
 //   - A request that can no longer meet its target leaves the slots to those of its rank that can,
 //     and takes what is left over, such as slow hosts, if it has time to spare there. This handles
 //     overload.
@@ -44,6 +47,7 @@
 #include "src/balance/assignment.h"
 #include "src/balance/caller_elapsed_estimate.h"
 #include "src/balance/cell_map.h"
+#include "src/balance/fair_share.h"
 #include "src/balance/host_steps.h"
 #include "src/balance/server_limit.h"
 #include "src/balance/server_load.h"
@@ -52,6 +56,10 @@
 
 namespace cowsliphill {
 
+// Order of queued requests before their target: by rank, then by whether the workspace is over its
+// share.
+using QueueLevel = uint64_t;
+
 class Balancer {
  public:
   // Servers whose cost exceeds the lowest cost by at most this share of it count as equal.
@@ -119,6 +127,11 @@
   // Free slots of a cell at servers of usual speed, minus queued requests; may be negative.
   int32_t FreeSlots(const CellId& cell, MonotonicTime now);
 
+  // Sets the weights by which workspaces share the cells.
+  void SetWorkspaceWeights(WorkspaceWeights weights);
+  // Requests that were over the share of their workspace when they arrived.
+  uint64_t RequestsOverShare() const { return requests_over_share_; }
+
   // Handles a report from the server. Its values are taken to hold at `received_at`, the time at
   // which it arrived.
   void OnReport(const BackendServerId& server, const Report& report, MonotonicTime received_at);
@@ -186,6 +199,7 @@
   struct Cell;
   struct Request {
     AssignmentRequest spec;
+    QueueLevel level = 0;
     Cell* cell = nullptr;
     bool queued = false;
     bool probes_requested = false;  // Servers were probed for this request.
@@ -218,8 +232,11 @@
   void ProcessQueue(Cell& cell, MonotonicTime now);
   void AssignOrDeclineLate(Cell& cell, Candidates& free, const std::vector<AssignmentId>& late,
                            MonotonicTime now);
-  static size_t CountQueuedAhead(const Cell& cell, uint32_t rank);
-  size_t CountOnTimeAhead(const Cell& cell, uint32_t rank) const;
+  QueueLevel LevelOf(Cell& cell, const AssignmentRequest& spec, MonotonicTime now) const;
+  static bool IsOverShare(QueueLevel level) { return level % 2 != 0; }
+  static size_t CountQueuedAhead(const Cell& cell, QueueLevel level);
+  static size_t CountQueuedBeside(const Cell& cell, QueueLevel level);
+  size_t CountOnTimeAhead(const Cell& cell, QueueLevel level) const;
   static void RemoveFromQueue(Request& request);
   bool ShouldAwaitReports(const Candidates& free, Request& request, MonotonicTime now);
   bool CanMeetTarget(const Request& request, Duration service_time, MonotonicTime now) const;
@@ -257,6 +274,8 @@
   std::map<ServiceId, WarmupRule> warmup_rules_;  // Those with a rate.
   std::set<BackendServerId> in_warmup_;           // Servers that are limited by their warm-up.
   std::vector<WarmupChange> warmup_changes_;
+  WorkspaceWeights workspace_weights_;
+  uint64_t requests_over_share_ = 0;
   uint64_t warmups_begun_ = 0;
   uint64_t assigned_in_warmup_ = 0;
   std::vector<BackendServerId> servers_to_probe_;
--- a/src/balance/balancer_state.h
+++ b/src/balance/balancer_state.h
@@ -13,8 +13,8 @@
 
 namespace cowsliphill {
 
-// Position in a cell's queue: by rank, the most urgent first, then by target.
-using QueueKey = std::tuple<uint32_t, MonotonicTime, AssignmentId>;
+// Position in a cell's queue: by level, the most urgent first, then by target.
+using QueueKey = std::tuple<QueueLevel, MonotonicTime, AssignmentId>;
 
 struct Balancer::Server {
   BackendServer config;
@@ -33,7 +33,8 @@
   std::vector<Server*> servers;  // Servers that accept new requests.
   std::map<RequestKind, ServiceTimeEstimate> service_times;
   std::set<QueueKey> queue;
-  std::map<uint32_t, size_t> queued_by_rank;
+  std::map<QueueLevel, size_t> queued_by_level;
+  FairShare shares;
   std::map<RequestKind, CallerElapsedEstimate> caller_elapsed;
   NearCapacityEstimate near_capacity;
   bool shares_limits = true;          // See SetSharesLimits.
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -636,6 +636,10 @@
   set("cowsliphill_requests_in_warmup",
       "Requests that this entry VM's scheduler assigned to servers in warm-up",
       scheduling_.AssignedInWarmup());
+  set("cowsliphill_requests_over_share",
+      "Requests that this entry VM's scheduler placed behind those of workspaces within their "
+      "share",
+      scheduling_.RequestsOverShare());
   set("cowsliphill_leaving_by_answer",
       "Backend servers known from their responses to be leaving, before the list told",
       scheduling_.LeavingByAnswer());
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -67,6 +67,7 @@
   uint64_t AssignedWithinLimits() const { return scheduler_.AssignedWithinLimits(); }
   uint64_t DeclinedByLimits() const { return scheduler_.DeclinedByLimits(); }
   size_t ServersInWarmup() const { return scheduler_.ServersInWarmup(); }
+  uint64_t RequestsOverShare() const { return scheduler_.RequestsOverShare(); }
   uint64_t AssignedInWarmup() const { return scheduler_.AssignedInWarmup(); }
   uint64_t PausesBegun() const { return planner_.PausesBegun(); }
   size_t PausingServers() const { return planner_.PausingServers(clock_.Now()); }
--- a/src/schedule/scheduler.cc
+++ b/src/schedule/scheduler.cc
@@ -72,7 +72,12 @@
 
 void Scheduler::ApplyManifest(const Manifest& manifest, MonotonicTime now) {
   workspaces_.clear();
-  for (const Workspace& it : manifest.workspaces) workspaces_[HashName(it.id.Text())] = it.id;
+  WorkspaceWeights weights;
+  for (const Workspace& it : manifest.workspaces) {
+    workspaces_[HashName(it.id.Text())] = it.id;
+    weights.Add(it.id, it.rate);
+  }
+  balancer_.SetWorkspaceWeights(std::move(weights));
   std::map<ServiceId, WarmupRule> rules;
   for (const Service& it : manifest.services) {
     if (it.warmup_rate > 0) rules[it.id] = {it.warmup, it.warmup_rate};
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -117,6 +117,7 @@
   // Changes at servers of cells that this scheduler is the primary of.
   std::vector<WarmupChange> TakeWarmupChanges() { return std::exchange(warmup_changes_, {}); }
   size_t ServersInWarmup() const { return balancer_.ServersInWarmup(); }
+  uint64_t RequestsOverShare() const { return balancer_.RequestsOverShare(); }
   uint64_t AssignedInWarmup() const { return balancer_.AssignedInWarmup(); }
   // Number of cells with limits that this scheduler shares out.
   size_t CellsWithSharedLimits() const;
