--- a/src/schedule/schedule_message_test.cc
+++ b/src/schedule/schedule_message_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(End_Encoded_RoundTrips);
   CPPUNIT_TEST(CellUpdateAndSlowHost_Encoded_RoundTrip);
   CPPUNIT_TEST(LimitUpdate_Encoded_RoundTrips);
+  CPPUNIT_TEST(WarmupUpdate_Encoded_RoundTrips);
   CPPUNIT_TEST(ServerNotice_Encoded_RoundTrips);
   CPPUNIT_TEST(Decode_UnknownValues_ReturnsNullopt);
   CPPUNIT_TEST(Decode_CorruptedBytes_NeverThrows);
@@ -159,6 +160,21 @@
     CPPUNIT_ASSERT(!DecodeBroadcast(EncodeScheduleMessage(request)));
   }
 
+  void WarmupUpdate_Encoded_RoundTrips() {
+    WarmupUpdate update;
+    update.failure_domain = 8;
+    update.shares = true;
+    update.servers.push_back({7, milliseconds(86400000), milliseconds(900)});
+    update.servers.push_back({9, milliseconds(1), std::nullopt});
+    const auto decoded = RoundTrip(update);
+    CPPUNIT_ASSERT(decoded.shares && !decoded.reply);
+    CPPUNIT_ASSERT_EQUAL(NameHash{8}, decoded.failure_domain);
+    CPPUNIT_ASSERT_EQUAL(size_t{2}, decoded.servers.size());
+    CPPUNIT_ASSERT(decoded.servers[0].left == milliseconds(86400000));
+    CPPUNIT_ASSERT(decoded.servers[0].age == milliseconds(900));
+    CPPUNIT_ASSERT(!decoded.servers[1].age);
+  }
+
   void Decode_UnknownValues_ReturnsNullopt() {
     std::string end = EncodeScheduleMessage(ScheduleEnd{});
     end[5] = 99;  // Not an AttemptEnd.
--- a/tests/schedule_fleet.h
+++ b/tests/schedule_fleet.h
@@ -180,6 +180,8 @@
   std::vector<BackendServer>& Servers() { return servers_; }
 
   std::function<bool(const Outgoing&)> drop = [](const Outgoing&) { return false; };
+  std::function<bool(const Endpoint& from, const Endpoint& to)> drop_between =
+      [](const Endpoint&, const Endpoint&) { return false; };
   bool answers_probes = true;
   std::map<std::string, size_t> sent;  // Messages between different entry VMs, by type.
 
@@ -201,7 +203,7 @@
   void Send(const Vm& vm, Outgoing out) {
     if (out.to != vm.member.peer) {
       ++sent[std::to_string(out.message.index())];
-      if (drop(out)) return;
+      if (drop(out) || drop_between(vm.member.peer, out.to)) return;
     }
     queue_.push_back({now_, vm.member.peer, std::move(out)});
   }
