Explain where a request would be sent, without sending it

Operators could not ask an entry VM on the users' platform why a request goes where it goes; only log lines of requests that had ended told it.

`cowsliphill explain-route` asks /explain on the address of the metrics. The entry VM runs the code that decides on copies of its planner and its scheduler, so nothing of the originals changes, and the answer is the choice that the next request gets.

The set of evacuated failure domains is known after every update that carries it, so a check of that in CatalogFollower is removed.

One runs 1,500 requests beyond capacity, with limits, retries and hedges, with and without eight explanations before each, and compares all decisions and the number of messages. The two process tests of ExplainRouteTest pass. LostLinksTest:: Servers_ThatAreDown_AreNotTakenForLostLinks failed once and passed in three further runs.

--- a/src/balance/assignment.h
+++ b/src/balance/assignment.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <tuple>
 #include <variant>
 #include <vector>
@@ -97,6 +98,20 @@
   Cause cause = Cause::kReached;  // kReached: it answers again.
 };
 
+// What is known about a server, for an explanation of a decision.
+struct ServerExplanation {
+  BackendServerId server;
+  FailureDomainId failure_domain;
+  std::string state;     // "usable", or why it gets no request now.
+  bool in_cell = false;  // It belongs to the cell of the request.
+  uint32_t in_flight = 0;
+  uint32_t slots = 0;
+  double slowdown = 1.0;
+  Duration expected{};                 // Expected time to the answer.
+  std::optional<Duration> report_age;  // Unset: it has sent no report.
+  std::optional<double> limit;         // Requests per second that it names; unset: none.
+};
+
 // How soon a cell can serve a request.
 enum class Availability {
   kFreeSlot,     // A slot is free at which the request meets its target.
--- a/src/balance/balancer.cc
+++ b/src/balance/balancer.cc
@@ -65,6 +65,7 @@
 
 Balancer::Balancer(uint64_t seed) : random_(seed) {}
 Balancer::~Balancer() = default;
+Balancer::Balancer(const Balancer&) = default;
 
 Balancer::Cell& Balancer::FindOrCreateCell(const CellId& id) {
   auto& cell = cells_[id];
@@ -766,4 +767,63 @@
   return now + kQueuePollInterval;
 }
 
+// ---- Explanations ------------------------------------------------------------------------------
+
+void Balancer::Relink(const Balancer& original) {
+  std::unordered_map<const Cell*, Cell*> copies;
+  for (const auto& [id, cell] : original.cells_) copies[cell.get()] = cells_.at(id).get();
+  for (auto& [id, cell] : cells_) {
+    for (Server*& server : cell->servers) server = servers_.at(server->config.id).get();
+  }
+  for (auto& [id, server] : servers_) {
+    if (server->cell != nullptr) server->cell = copies.at(server->cell);
+  }
+  for (auto& [id, request] : requests_) {
+    if (request.cell != nullptr) request.cell = copies.at(request.cell);
+    if (request.server != nullptr) request.server = servers_.at(request.server->config.id).get();
+  }
+}
+
+std::string Balancer::StateOf(const Server& server, MonotonicTime now) const {
+  if (server.leaving) return "leaving";
+  if (server.evacuated) return "its failure domain is evacuated";
+  if (server.health.IsDown(now)) return "down";
+  if (server.load.InFlight(now) >= SlotsOf(server)) return "no free slot";
+  ServerLimit limit = server.limit;  // Asking it refills the bucket.
+  if (limit.Limit() && !server.cell->shares_limits) return "another scheduler shares out its limit";
+  if (!limit.Allows(now)) return "its limit is used up";
+  const bool known = server.load.IsHostSpeedKnown(now, host_interval_.Interval());
+  return known ? "usable" : "the speed of its host is not known";
+}
+
+std::vector<ServerExplanation> Balancer::Describe(const AssignmentRequest& request,
+                                                  MonotonicTime now) {
+  std::vector<ServerExplanation> servers;
+  const Duration service_time = ServiceTimeOf(FindOrCreateCell(request.cell), request, now).Mean();
+  for (const auto& [id, server] : servers_) {
+    if (!server->listed || server->config.service != request.cell.service) continue;
+    const Candidate candidate = Evaluate(*server, now);
+    ServerExplanation& it = servers.emplace_back();
+    it.server = id;
+    it.failure_domain = server->config.failure_domain;
+    it.state = StateOf(*server, now);
+    it.in_cell = server->cell == cells_.at(request.cell).get();
+    it.in_flight = candidate.in_flight;
+    it.slots = SlotsOf(*server);
+    it.slowdown =
+        server->load.Slowdown(server->cell->mean_slowdown, now, host_interval_.Interval());
+    it.expected = Times(service_time, candidate.expected_service_times);
+    if (server->load.HasReport()) it.report_age = now - server->load.ReceivedAt();
+    it.limit = server->limit.Limit();
+  }
+  std::sort(servers.begin(), servers.end(),
+            [](const auto& a, const auto& b) { return a.server < b.server; });
+  return servers;
+}
+
+size_t Balancer::QueuedIn(const CellId& cell) const {
+  const auto it = cells_.find(cell);
+  return it == cells_.end() ? 0 : it->second->queue.size();
+}
+
 }  // namespace cowsliphill
--- a/src/balance/balancer.h
+++ b/src/balance/balancer.h
@@ -48,6 +48,7 @@
 #include "src/balance/server_limit.h"
 #include "src/balance/server_load.h"
 #include "src/balance/service_time_estimate.h"
+#include "src/base/clone_ptr.h"
 #include "src/manifest/evacuated_domains.h"
 #include "src/manifest/manifest.h"
 
@@ -96,7 +97,6 @@
 
   explicit Balancer(uint64_t seed);
   ~Balancer();
-  Balancer(const Balancer&) = delete;
   Balancer& operator=(const Balancer&) = delete;
 
   void Apply(const ServerChanges& changes, const CellMap& cells, MonotonicTime now);
@@ -165,6 +165,11 @@
   MonotonicTime NextProbe(const BackendServerId& server, MonotonicTime probed) const;
   uint64_t NextProbeChanges() const { return next_probe_changes_; }
 
+  // What is known about the servers of the service, ordered by name. `request` is not assigned. As
+  // for Assign, it may create the cell and refill buckets of tokens.
+  std::vector<ServerExplanation> Describe(const AssignmentRequest& request, MonotonicTime now);
+  size_t QueuedIn(const CellId& cell) const;  // Number of queued requests in the cell.
+
   size_t Waiting() const;  // Number of queued requests in all cells.
   // When to call TakeQueueDecisions next; nullopt while no request is queued.
   std::optional<MonotonicTime> NextWake(MonotonicTime now) const;
@@ -172,8 +177,13 @@
   std::optional<Duration> HostInterval() const { return host_interval_.Interval(); }
 
  private:
+  friend class Scheduler;  // Copies it, for explanations.
   struct Server;
   struct Cell;
+  // The copy refers to the servers and cells of the original until Relink.
+  Balancer(const Balancer&);
+  void Relink(const Balancer& original);
+  std::string StateOf(const Server& server, MonotonicTime now) const;
   struct Request {
     AssignmentRequest spec;
     Cell* cell = nullptr;
@@ -229,8 +239,8 @@
 
   std::mt19937_64 random_;
   HostIntervalEstimate host_interval_;
-  std::map<CellId, std::unique_ptr<Cell>> cells_;
-  std::unordered_map<BackendServerId, std::unique_ptr<Server>> servers_;
+  std::map<CellId, ClonePtr<Cell>> cells_;
+  std::unordered_map<BackendServerId, ClonePtr<Server>> servers_;
   std::unordered_map<AssignmentId, Request> requests_;
   EvacuatedDomains evacuated_;
   std::vector<QueueDecision> decisions_;  // Decisions since the last TakeQueueDecisions.
--- a/src/catalog/catalog_follower.h
+++ b/src/catalog/catalog_follower.h
@@ -258,7 +258,7 @@
     // The manifest's table has other rows too, so its version may grow without a new manifest.
     const bool same = manifest_ != nullptr && update.revision <= manifest_->revision;
     TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
-    manifest.is_caught_up = same && HasEvacuatedOf(update);
+    manifest.is_caught_up = same;
     manifest_watch_.OnTableUpdate(manifest, now);
     const uint64_t before = servers_watch_.Version();
     const bool is_caught_up = update.servers_base_version <= before;
@@ -273,13 +273,6 @@
     Tick();
   }
 
-  // Whether the set of evacuated failure domains is known as of the update's version. A build
-  // before evacuations does not send the set; it then counts as known until this entry VM reads the
-  // store.
-  bool HasEvacuatedOf(const CatalogUpdate& update) const {
-    return !update.evacuated || evacuated_.IsKnownAt(update.manifest_version);
-  }
-
   void UseStaleSnapshot() {
     StaleSnapshot stale = std::move(*stale_snapshot_);
     stale_snapshot_.reset();
@@ -300,7 +293,7 @@
     const bool same =
         update.revision == manifest_->revision;  // Otherwise the newer manifest was not included.
     TableWatch::TableUpdate manifest = ManifestTableUpdate(update, from_predecessor, now);
-    manifest.is_snapshot = same && HasEvacuatedOf(update);
+    manifest.is_snapshot = same;
     manifest_watch_.OnTableUpdate(manifest, now);
     servers_watch_.NoteVersion(update.servers_version, now);
     if (newer) {
@@ -328,7 +321,7 @@
     if (step == Step::kNone) return;
     if (step == Step::kRequestFromPeer) return SendRequest();
     // The changes contain every revision since the last answer, the table only the newest.
-    // Builds before evacuations may have brought versions without the set of evacuated domains.
+    // Updates of builds before evacuations bring versions without the set of evacuated domains.
     const bool reads_table = step == Step::kReadTable || manifest_watch_.MayLackChanges() ||
                              !evacuated_.IsKnownAt(manifest_watch_.Version());
     if (!reads_table) return ReadManifestChanges(LongPollTimeout(step));
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -13,6 +13,7 @@
 
 #include "platform/adapter.h"
 #include "src/cli/entry_vm.h"
+#include "src/cli/explain_command.h"
 #include "src/cli/routed_entry.h"
 #include "src/manifest/manifest_format.h"
 #include "src/settings/settings.h"
@@ -304,6 +305,11 @@
          AddEntryOptions(options);
          options.add_options()("service", "Service", cxxopts::value<std::string>());
        }},
+      {"explain-route",
+       "--entry IP:PORT --host HOST --path PATH [--method METHOD] [--workspace NAME] "
+       "[--time-limit-ms N] [--id ID] [--json]",
+       "Print where a request would be sent now and why, without sending it", RunExplainRoute,
+       AddExplainRouteOptions},
       {"drain", "--entry IP:PORT --backend-server NAME",
        "Print whether a backend server is leaving and has no more requests of the entry VM",
        RunDrain,
@@ -315,6 +321,20 @@
   return commands;
 }
 
+// Prints the commands whose names begin with `word`, such as those of "manifest". Returns whether
+// there are any.
+bool PrintGroupHelp(const std::string& word) {
+  bool any = false;
+  for (const Command& command : Commands()) {
+    if (command.name.rfind(word + " ", 0) != 0) continue;
+    if (!any) std::cout << "Usage: cowsliphill " << word << " COMMAND [OPTIONS]\n\n";
+    any = true;
+    std::cout << "  " << command.name << " " << command.arguments << "\n      " << command.help
+              << "\n";
+  }
+  return any;
+}
+
 int PrintHelp() {
   std::cout << "cowsliphill decides which backend server takes a caller's next request.\n\n"
                "Usage: cowsliphill COMMAND [OPTIONS]\n\n";
@@ -373,6 +393,8 @@
     std::cout << "cowsliphill " << COWSLIPHILL_VERSION << "\n";
     return kExitSuccess;
   }
+  const bool asks_for_help = words.size() == 2 && (words[1] == "--help" || words[1] == "help");
+  if (asks_for_help && PrintGroupHelp(words[0])) return kExitSuccess;
   const auto [command, word_count] = FindCommand(words);
   if (command == nullptr) return UsageError("unknown command \"" + words[0] + "\"");
   return RunWithOptions(*command,
--- a/src/cli/routed_entry.cc
+++ b/src/cli/routed_entry.cc
@@ -504,6 +504,7 @@
 
 PlainResponse RoutedEntry::ServeMetrics(const PlainRequest& request) {
   if (request.path == "/v1/status") return {200, "application/json", StatusJson()};
+  if (request.path == "/explain") return ServeExplain(request.query);
   if (request.path != "/metrics") return {404, "text/plain", "not found\n"};
   SetGauges();
   return {200, "text/plain; version=0.0.4", metrics_.Serialize()};
--- a/src/cli/routed_entry.h
+++ b/src/cli/routed_entry.h
@@ -20,6 +20,7 @@
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <vector>
@@ -98,7 +99,6 @@
   PlainResponse ServeLookup(const PlainRequest& request);
   PlainResponse ServeReadiness(const std::string& path);
   PlainResponse ServeMetrics(const PlainRequest& request);
-  std::string StatusJson();
   void OnDatagram(const Endpoint& from, const std::string& payload);
   void OnMessage(const Endpoint& from, const std::string& payload);
 
@@ -117,6 +117,16 @@
   ProbeClient::ReadReport MakeReportReader() const;
   PoisonListener MakePoisonListener();
 
+  // Answers about this entry VM (routed_entry_explain.cc)
+  // Longest time limit of a request that is explained.
+  static constexpr std::chrono::milliseconds kMaxExplainedTime{3600000};
+  PlainResponse ServeExplain(const std::string& query);
+  nlohmann::json ExplainOwnRequest(const ChoiceRequest& request);
+  nlohmann::json ExplainAsScheduler(const std::string& peer, const std::string& failure_domain,
+                                    const ChoiceRequest& request);
+  nlohmann::json ScheduleJson(const ScheduleExplanation& explanation);
+  std::string StatusJson();
+
   // 4. Requests
   void LogBadInput(const std::string& kind, const std::string& detail, RateLimit& budget);
   void OnRequestEnded(const RequestEnd& end);
--- a/src/cli/routed_entry_servers.cc
+++ b/src/cli/routed_entry_servers.cc
@@ -2,7 +2,6 @@
 // requests that crash them.
 
 #include <asio/post.hpp>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "src/cli/routed_entry.h"
@@ -217,26 +216,6 @@
               {"manifest_age_ms", Millis(follower_.ManifestAge())}});
 }
 
-// For `cowsliphill status`.
-std::string RoutedEntry::StatusJson() {
-  nlohmann::json evacuated = nlohmann::json::array();
-  for (const EvacuationState& it : scheduling_.Evacuations()) {
-    evacuated.push_back({{"failure_domain", it.failure_domain.Text()},
-                         {"running_attempts", it.running},
-                         {"since_ms", Millis(it.since)}});
-  }
-  const nlohmann::json status = {{"entry_vm", id_.Text()},
-                                 {"failure_domain", settings_.failure_domain.Text()},
-                                 {"ready", Ready()},
-                                 {"revision", manifest_->revision},
-                                 {"manifest_age_ms", Millis(follower_.ManifestAge())},
-                                 {"servers_age_ms", Millis(follower_.ServersAge())},
-                                 {"backend_servers", follower_.ServerCount()},
-                                 {"members", members_->Live().size()},
-                                 {"evacuated", std::move(evacuated)}};
-  return status.dump(2) + "\n";
-}
-
 ProbeClient::ReadReport RoutedEntry::MakeReportReader() const {
   return [this](const HttpHead& response, const ProbeTarget& target) {
     std::optional<Report> report = adapter_.probe_report(response, target.server);
--- a/src/forward/exchange.cc
+++ b/src/forward/exchange.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "src/forward/choice_request.h"
 #include "src/forward/http_format.h"
 #include "xxhash.h"
 
@@ -133,8 +134,7 @@
       if (!self->ended_) self->Admit();
     });
   }
-  const bool has_limit = meta_.route_timeout.count() > 0;
-  deadline_ = started_ + (has_limit ? std::min(meta_.timeout, meta_.route_timeout) : meta_.timeout);
+  deadline_ = DeadlineOf(meta_, started_);
   if (!FitsIntoStop()) return OnRefused({0, RefusalCause::kStopping, kRetryAfterStop, {}});
   if (head_.content_length.value_or(0) > manifest_->entry.max_body_bytes) {
     return RespondWithError({413,
@@ -266,23 +266,9 @@
 }
 
 void Exchange::Choose() {
-  ChoiceRequest request;
-  request.ticket = ticket_;
-  request.service = meta_.service->id;
-  request.request_class = meta_.request_class;
-  request.tenant = meta_.tenant;
-  request.deadline = deadline_;
-  request.repeatable = meta_.idempotent && body_complete_ && !suspect_;
-  request.depth = meta_.depth;
-  if (meta_.route != nullptr) {
-    request.rank = meta_.route->rank;
-    request.target = started_ + meta_.route->target_latency;
-    request.target_latency = meta_.route->target_latency;
-    if (meta_.timeout.count() > 0) request.caller_deadline = started_ + meta_.timeout;
-    request.max_attempts = meta_.route->max_attempts;
-    request.bulk = meta_.route->bulk;
-  }
-  context_.dispatcher.Choose(request, ChoiceHandler());
+  const bool repeatable = meta_.idempotent && body_complete_ && !suspect_;
+  context_.dispatcher.Choose(MakeChoiceRequest(meta_, ticket_, started_, deadline_, repeatable),
+                             ChoiceHandler());
 }
 
 Dispatcher::ChoiceCallback Exchange::ChoiceHandler() {
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -60,6 +60,17 @@
   Flush();
 }
 
+Explanation ScheduleNode::Explain(const ChoiceRequest& request) const {
+  return ExplainRequest(planner_, scheduler_, self_, request, clock_.Now());
+}
+
+ScheduleExplanation ScheduleNode::ExplainFor(const Endpoint& entry_vm,
+                                             const FailureDomainId& failure_domain,
+                                             const ChoiceRequest& request) const {
+  return cowsliphill::ExplainFor(planner_, scheduler_, entry_vm, failure_domain, request,
+                                 clock_.Now());
+}
+
 std::optional<ProbeTarget> ScheduleNode::ProbeTargetOf(const BackendServerId& id) const {
   const BackendServer* server = planner_.FindServer(id);
   if (server == nullptr || planner_.IsEvacuated(id)) return std::nullopt;
--- a/src/schedule/schedule_node.h
+++ b/src/schedule/schedule_node.h
@@ -16,6 +16,7 @@
 #include "src/forward/dispatcher.h"
 #include "src/forward/probe_client.h"
 #include "src/schedule/request_planner.h"
+#include "src/schedule/schedule_explain.h"
 #include "src/schedule/scheduler.h"
 #include "src/settings/settings.h"
 
@@ -74,6 +75,12 @@
   size_t CellsScheduled() const { return scheduler_.CellsScheduled(); }
   uint64_t SchedulerTimeouts() const { return planner_.SchedulerTimeouts(); }
   std::vector<EvacuationState> Evacuations() const { return planner_.Evacuations(clock_.Now()); }
+  // Where the request would be sent now, and why. Changes nothing. The request's ticket is ignored.
+  Explanation Explain(const ChoiceRequest& request) const;
+  // What this entry VM's scheduler would decide for another entry VM, at the peer address
+  // `entry_vm`, in that failure domain. Changes nothing.
+  ScheduleExplanation ExplainFor(const Endpoint& entry_vm, const FailureDomainId& failure_domain,
+                                 const ChoiceRequest& request) const;
   // Where to probe a server; nullopt if it is unknown or evacuated.
   std::optional<ProbeTarget> ProbeTargetOf(const BackendServerId& server) const;
   const ProbeCounts& Probes() const { return probe_client_.Counts(); }
--- a/src/schedule/scheduler.h
+++ b/src/schedule/scheduler.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -20,6 +21,7 @@
 
 #include "src/balance/balancer.h"
 #include "src/members/peer.h"
+#include "src/schedule/explanation.h"
 #include "src/schedule/pause_list.h"
 #include "src/schedule/probe_queue.h"
 #include "src/schedule/schedule_message.h"
@@ -80,6 +82,9 @@
   void ApplyServers(const ServerChanges& changes, MonotonicTime now);
   // Takes over what the manifest says about services and workspaces.
   void ApplyManifest(const Manifest& manifest, MonotonicTime now);
+  // What OnScheduleRequest would do now. Changes nothing.
+  ScheduleExplanation Explain(const Endpoint& from, const ScheduleRequest& message,
+                              MonotonicTime now) const;
   // Replaces the set of evacuated failure domains. Their servers are neither probed nor assigned
   // requests, and requests that wait for them are passed on to other cells.
   void SetEvacuated(const EvacuatedDomains& domains, MonotonicTime now);
@@ -124,6 +129,9 @@
   uint64_t ProbeChecks() const { return probe_checks_; }
 
  private:
+  // For Copy(): pointers still refer to the original.
+  Scheduler(const Scheduler&) = default;
+  std::unique_ptr<Scheduler> Copy() const;
   struct Probe {
     MonotonicTime sent_at{};  // Time at which the last probe was sent.
     bool pending = false;     // The last probe has no result yet.
