Schedulers with few requests know when a workspace's limit is used up

The first owner now sends the level of such workspaces to all entry VMs every 200 ms. Buckets get a quarter of the overrun, and below 0.9 of the rate schedulers use all tokens freely, so that small bursts do not refuse load within the limit.

Two faults that the failure tests showed: a third owner's answers took the place of a better one while members disagree (2,363 in 5 s where 2,198 are allowed), so three are kept; an owner that was paused took the reports in its queue for a peak (52 of 1,756 refused at 0.6 of the limit), so its answers are incomplete for 1 s.

--- a/src/schedule/schedule_message.cc
+++ b/src/schedule/schedule_message.cc
@@ -42,6 +42,8 @@
 constexpr uint32_t kHasLimit = 32;
 constexpr uint32_t kLeaving = 1;
 constexpr uint32_t kPause = 2;
+constexpr uint32_t kComplete = 1;
+constexpr uint32_t kUnasked = 2;
 constexpr double kPercent = 100.0;
 constexpr double kMilli = 1000.0;  // Limits are encoded in requests per 1000 s.
 
@@ -152,11 +154,13 @@
 void Put(PackedWriter& out, const UsageAnswer& answer) {
   out.Number(static_cast<unsigned char>(kUsageAnswer), 1).Number(answer.lifetime, 4);
   const size_t n = std::min(answer.entries.size(), kMaxUsageEntries);
-  out.Number(answer.sent_at, 4).Number(answer.complete ? 1 : 0, 1).Number(n, 1);
+  out.Number(answer.sent_at, 4);
+  out.Number((answer.complete ? kComplete : 0) | (answer.unasked ? kUnasked : 0), 1).Number(n, 1);
   for (size_t i = 0; i < n; ++i) {
     const UsageAnswer::Entry& it = answer.entries[i];
     const int64_t level = std::llround((it.level - kLowestLevel) * kTokenParts);
-    out.Number(it.workspace, 4).Number(NonNegative(level), 4).Number(it.used, 4);
+    out.Number(it.workspace, 4).Number(it.known ? 1 : 0, 1).Number(NonNegative(level), 4);
+    out.Number(it.used, 4);
     out.Number(EncodeRate(it.others_use), 3).Number(EncodeRate(it.others_demand), 3);
   }
 }
@@ -296,12 +300,15 @@
   UsageAnswer answer;
   answer.lifetime = in.Number(4);
   answer.sent_at = in.Number(4);
-  answer.complete = in.Number(1) != 0;
+  const uint32_t flags = in.Number(1);
+  answer.complete = (flags & kComplete) != 0;
+  answer.unasked = (flags & kUnasked) != 0;
   const size_t n = in.Number(1);
   if (n > kMaxUsageEntries) return std::nullopt;
   for (size_t i = 0; i < n; ++i) {
     UsageAnswer::Entry it;
     it.workspace = in.Number(4);
+    it.known = in.Number(1) != 0;
     it.level = in.Number(4) / kTokenParts + kLowestLevel;
     it.used = in.Number(4);
     it.others_use = in.Number(3) / kRateParts;
--- a/src/workspace/limit_rules.h
+++ b/src/workspace/limit_rules.h
@@ -33,6 +33,9 @@
   // Share of the slack by which buckets are larger than the burst: requests that arrive at random
   // at six tenths of a limit of 1 per second with a burst of 1 would often find no token otherwise.
   static constexpr double kSlackInBucket = 0.4;
+  // The same of the overrun, for requests that are known late because callers turn to other entry
+  // VMs: with a small burst, a twentieth and more of those within the limit was refused.
+  static constexpr double kOverrunInBucket = 0.25;
   // Tokens that a bucket starts with at most: all entry VMs may start at once.
   static constexpr double kStartTokens = 2;
   // Requests, in seconds at `rate`, by which the use may exceed the refill before all schedulers
@@ -41,14 +44,14 @@
 
   LimitRules() = default;
   LimitRules(const WorkspaceLimit& from, const LimitBounds& bounds) : limit(from) {
-    capacity = limit.burst + kSlackInBucket * bounds.slack;
-    const double spare = bounds.overrun * (limit.rate * InSeconds(bounds.window) + limit.burst) +
-                         (1 - kSlackInBucket) * bounds.slack;
+    const double overrun = bounds.overrun * (limit.rate * InSeconds(bounds.window) + limit.burst);
+    capacity = limit.burst + kSlackInBucket * bounds.slack + kOverrunInBucket * overrun;
+    const double spare = (1 - kOverrunInBucket) * overrun + (1 - kSlackInBucket) * bounds.slack;
     guard = std::clamp(kUnseenSeconds * limit.rate - spare, 0.0, capacity);
     overdraft = guard > 0 ? spare / 2 : 0;
     use_time = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(std::clamp(10 / limit.rate, 0.3, 5.0)));
-    demand_time = std::max<Duration>(use_time, std::chrono::seconds(1));
+    demand_time = std::max<Duration>(use_time, std::chrono::milliseconds(500));
     min_level = -(limit.rate * InSeconds(bounds.window) / 2 + bounds.slack);
   }
   double StartLevel() const { return std::min(kStartTokens, capacity); }
--- a/src/workspace/usage_ledger.cc
+++ b/src/workspace/usage_ledger.cc
@@ -73,19 +73,71 @@
   share.demand = entry.demand;
   share.reserved = entry.reserved;
 
-  UsageAnswer::Entry answer;
-  answer.workspace = entry.workspace;
-  answer.level = bucket.level - (bucket.reserved - share.reserved);
-  answer.used = entry.used;
-  answer.others_use =
+  return EntryOf(entry.workspace, bucket, share, now);
+}
+
+UsageAnswer::Entry UsageLedger::EntryOf(WorkspaceHash workspace, const Bucket& bucket,
+                                        const Share& share, MonotonicTime now) {
+  const LimitRules& rules = bucket.rules;
+  UsageAnswer::Entry entry;
+  entry.workspace = workspace;
+  entry.level = bucket.level - (bucket.reserved - share.reserved);
+  entry.used = share.used;
+  entry.others_use =
       std::max(0.0, bucket.use.At(rules.use_time, now) - share.use.At(rules.use_time, now));
-  answer.others_demand = std::max(
+  entry.others_demand = std::max(
       0.0, bucket.demand.At(rules.demand_time, now) - share.demand_rate.At(rules.demand_time, now));
+  return entry;
+}
+
+std::vector<WorkspaceHash> UsageLedger::Exhausted(size_t group, MonotonicTime now) {
+  std::vector<WorkspaceHash> exhausted;
+  if (reporters_.empty()) return exhausted;
+  for (auto& [workspace, bucket] : buckets_) {
+    if (LimitOwners::GroupOf(workspace) != group) continue;
+    const LimitRules& rules = bucket.rules;
+    const double demand = bucket.demand.At(rules.demand_time, now);
+    // Buckets of owners that have just started are low, too.
+    const bool used = demand > rules.limit.rate / 10;
+    bucket.Refill(now);
+    if ((used && bucket.level < kLowLevel * rules.capacity) ||
+        demand > kHighDemand * rules.limit.rate) {
+      bucket.exhausted_at = now;
+    }
+    if (bucket.exhausted_at && now - *bucket.exhausted_at < kExhaustedTime) {
+      exhausted.push_back(workspace);
+    }
+  }
+  return exhausted;
+}
+
+UsageAnswer UsageLedger::Unasked(const Endpoint& to, const std::vector<WorkspaceHash>& workspaces,
+                                 MonotonicTime now) {
+  UsageAnswer answer;
+  answer.lifetime = lifetime_;
+  answer.unasked = true;
+  answer.complete = true;
+  const auto reporter = reporters_.find(to);
+  for (const WorkspaceHash workspace : workspaces) {
+    Bucket& bucket = buckets_.at(workspace);
+    bucket.Refill(now);
+    if (!bucket.since || now - *bucket.since < kCompleteTime) answer.complete = false;
+    Share share;
+    bool known = false;
+    if (reporter != reporters_.end()) {
+      const auto it = reporter->second.shares.find(workspace);
+      known = it != reporter->second.shares.end();
+      if (known) share = it->second;
+    }
+    answer.entries.push_back(EntryOf(workspace, bucket, share, now));
+    answer.entries.back().known = known;
+  }
   return answer;
 }
 
 std::optional<UsageAnswer> UsageLedger::OnReport(const Endpoint& from, const UsageReport& report,
                                                  MonotonicTime now) {
+  NoteActive(now);
   const auto [it, is_new] = reporters_.try_emplace(from);
   Reporter& reporter = it->second;
   if (!is_new && reporter.lifetime != report.lifetime) Forget(reporter);
@@ -111,6 +163,15 @@
   return answer;
 }
 
+void UsageLedger::NoteActive(MonotonicTime now) {
+  const bool was_paused = !reporters_.empty() && now - active_at_ > kMaxGap;
+  active_at_ = now;
+  if (!was_paused) return;
+  for (auto& [workspace, bucket] : buckets_) {
+    if (bucket.since) bucket.since = now;
+  }
+}
+
 void UsageLedger::EraseSilent(MonotonicTime now) {
   for (auto it = reporters_.begin(); it != reporters_.end();) {
     if (now - it->second.received_at < kForgetTime) {
--- a/src/workspace/usage_ledger.h
+++ b/src/workspace/usage_ledger.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "src/base/ids.h"
 #include "src/workspace/limit_owners.h"
@@ -27,6 +28,12 @@
   static constexpr std::chrono::milliseconds kForgetTime{5000};
   // Time after the first report to an owner from which its answers are complete.
   static constexpr std::chrono::milliseconds kCompleteTime{1000};
+  static constexpr std::chrono::milliseconds kMaxGap{600};
+  // A limit is being used up if its bucket is below this part of its capacity, or if the demand is
+  // above this part of the rate; and for kExhaustedTime after that.
+  static constexpr double kLowLevel = 0.5;
+  static constexpr double kHighDemand = 0.9;
+  static constexpr std::chrono::milliseconds kExhaustedTime{1000};
 
   explicit UsageLedger(uint32_t lifetime) : lifetime_(lifetime) {}
 
@@ -37,6 +44,14 @@
   // Returns the answer; nullopt if the report is outdated or names no workspace with a limit.
   std::optional<UsageAnswer> OnReport(const Endpoint& from, const UsageReport& report,
                                       MonotonicTime now);
+  // Workspaces of the group that use up their limits, or did so lately.
+  std::vector<WorkspaceHash> Exhausted(size_t group, MonotonicTime now);
+  // What the entry VM is to know about these workspaces although it has not asked.
+  UsageAnswer Unasked(const Endpoint& to, const std::vector<WorkspaceHash>& workspaces,
+                      MonotonicTime now);
+  // To be called at least every kMaxGap. After a longer pause the reports that have queued up look
+  // like a peak, so the answers are incomplete for kCompleteTime.
+  void NoteActive(MonotonicTime now);
   // Forgets schedulers that have sent nothing for kForgetTime.
   void EraseSilent(MonotonicTime now);
   bool Empty() const { return reporters_.empty(); }
@@ -49,6 +64,7 @@
     uint32_t reserved = 0;  // By all schedulers.
     EventRate use;          // Of all schedulers.
     EventRate demand;
+    std::optional<MonotonicTime> exhausted_at;
     std::optional<MonotonicTime> since;  // Time since which all reports come to this owner.
 
     void Refill(MonotonicTime now);
@@ -69,6 +85,8 @@
     std::unordered_map<WorkspaceHash, Share> shares;
   };
   void Forget(Reporter& reporter);
+  static UsageAnswer::Entry EntryOf(WorkspaceHash workspace, const Bucket& bucket,
+                                    const Share& share, MonotonicTime now);
   UsageAnswer::Entry Count(Reporter& reporter, const UsageReport::Entry& entry, Bucket& bucket,
                            MonotonicTime now);
 
@@ -76,6 +94,7 @@
   std::unordered_map<WorkspaceHash, Bucket> buckets_;
   std::map<Endpoint, Reporter> reporters_;
   std::array<bool, LimitOwners::kGroups> owned_{};
+  MonotonicTime active_at_{};
 };
 
 }  // namespace cowsliphill
--- a/src/workspace/workspace_limits.cc
+++ b/src/workspace/workspace_limits.cc
@@ -13,7 +13,8 @@
 // Mean age of the other schedulers' reports when the owner answers: half of the interval between
 // them.
 constexpr double kOthersAge = 0.05;
-constexpr milliseconds kMaxRoundTrip{2000};  // An older answer has no value.
+constexpr double kOneWay = 0.01;            // Time that an unasked answer takes, about.
+constexpr milliseconds kMaxRoundTrip{500};  // An older answer has no value.
 
 }  // namespace
 
@@ -72,14 +73,44 @@
   return std::min(capacity, view.level + RefillRate(workspace, bucket, view, now) * passed);
 }
 
+// Whether no other owner's answer is preferable: much newer, or complete while this one is not.
+bool WorkspaceLimits::Counts(const Bucket& bucket, const View& view) {
+  return std::none_of(bucket.views.begin(), bucket.views.end(), [&view](const auto& other) {
+    if (!other) return false;
+    if (view.answered_at + kMaxAnswerLag < other->answered_at) return true;
+    return other->complete && !view.complete &&
+           other->answered_at + kMaxAnswerLag >= view.answered_at;
+  });
+}
+
 // Returns the view with the lowest level at the time of its answer, of those that count.
 const WorkspaceLimits::View& WorkspaceLimits::LowestView(const Bucket& bucket) {
-  const auto& [a, b] = bucket.views;
-  if (!a || !b) return a ? *a : b ? *b : bucket.own;
-  if (a->answered_at + kMaxAnswerLag < b->answered_at) return *b;
-  if (b->answered_at + kMaxAnswerLag < a->answered_at) return *a;
-  if (a->complete != b->complete) return a->complete ? *a : *b;
-  return a->level <= b->level ? *a : *b;
+  const View* lowest = nullptr;
+  for (const auto& view : bucket.views) {
+    if (!view || !Counts(bucket, *view)) continue;
+    if (lowest == nullptr || view->level < lowest->level) lowest = &*view;
+  }
+  return lowest == nullptr ? bucket.own : *lowest;
+}
+
+double WorkspaceLimits::OthersDemand(const Bucket& bucket) {
+  double demand = 0;
+  for (const auto& view : bucket.views) {
+    if (view && Counts(bucket, *view)) demand = std::max(demand, view->others_demand);
+  }
+  return demand;
+}
+
+// Returns the view of the owner, else one without an owner, else the oldest.
+std::optional<WorkspaceLimits::View>& WorkspaceLimits::SlotFor(Bucket& bucket,
+                                                               const Endpoint& owner) {
+  for (auto& view : bucket.views) {
+    if (view && view->owner == owner) return view;
+  }
+  return *std::min_element(bucket.views.begin(), bucket.views.end(),
+                           [](const auto& a, const auto& b) {
+                             return a && b ? a->answered_at < b->answered_at : !a && b;
+                           });
 }
 
 WorkspaceLimits::Estimate WorkspaceLimits::EstimateOf(WorkspaceHash workspace, const Bucket& bucket,
@@ -94,7 +125,9 @@
   // One request more than were seen, so that a scheduler that gets few has a share, too.
   const double demand =
       bucket.demand_rate.At(rules.demand_time, now) + 1 / InSeconds(rules.demand_time);
-  estimate.share = demand / (demand + view.others_demand);
+  const double others_demand = OthersDemand(bucket);
+  estimate.share = demand / (demand + others_demand);
+  estimate.excess = demand + others_demand > kExcessShare * rules.limit.rate * rate_share_;
   const double target = std::min(rules.guard, rules.capacity) / 2;
   const double handed_out =
       rules.limit.rate * rate_share_ + (estimate.level - target) / InSeconds(Duration(kSpreadTime));
@@ -107,7 +140,7 @@
 
 bool WorkspaceLimits::Allows(const LimitRules& rules, const Estimate& estimate) {
   if (rules.guard == 0 || estimate.isolated) return estimate.level >= 1;
-  if (estimate.level >= 1 + rules.guard) return true;
+  if (estimate.level >= (estimate.excess ? 1 + rules.guard : 1 - rules.overdraft)) return true;
   return estimate.allowance >= 1 && estimate.level >= 1 - rules.overdraft;
 }
 
@@ -219,37 +252,41 @@
 
 void WorkspaceLimits::OnAnswer(const Endpoint& from, const UsageAnswer& answer, MonotonicTime now) {
   const milliseconds round_trip(TimeStamp(now) - answer.sent_at);
-  if (round_trip > kMaxRoundTrip) return;
-  const double passed = InSeconds(Duration(round_trip)) / 2;
+  if (!answer.unasked && round_trip > kMaxRoundTrip) return;
+  const double passed = answer.unasked ? kOneWay : InSeconds(Duration(round_trip)) / 2;
   for (const UsageAnswer::Entry& entry : answer.entries) {
     const auto it = buckets_.find(entry.workspace);
     if (it == buckets_.end()) continue;
     Bucket& bucket = it->second;
-    auto& [a, b] = bucket.views;
-    const bool b_is_older = a && (!b || b->answered_at < a->answered_at);
-    auto& slot = a && a->owner == from ? a : b && b->owner == from ? b : b_is_older ? b : a;
-    const bool is_old = slot && slot->owner == from && slot->lifetime == answer.lifetime &&
-                        static_cast<int32_t>(answer.sent_at - slot->sent_at) <= 0;
-    if (is_old) continue;
+    std::optional<View>& slot = SlotFor(bucket, from);
+    const bool is_same = slot && slot->owner == from && slot->lifetime == answer.lifetime;
+    const uint32_t last = !is_same ? 0 : answer.unasked ? slot->unasked_at : slot->sent_at;
+    if (is_same && last != 0 && static_cast<int32_t>(answer.sent_at - last) <= 0) continue;
     const double rate = bucket.rules.limit.rate * rate_share_;
     const double others = std::min(entry.others_use, rate);
     View view;
     view.owner = from;
     view.lifetime = answer.lifetime;
-    view.sent_at = answer.sent_at;
+    if (is_same) {
+      view.sent_at = slot->sent_at;
+      view.unasked_at = slot->unasked_at;
+    }
+    (answer.unasked ? view.unasked_at : view.sent_at) = answer.sent_at;
     view.complete = answer.complete;
     view.answered_at = now;
     view.level = std::min(bucket.rules.capacity,
                           entry.level + (rate - others) * passed - others * kOthersAge);
-    view.level -= static_cast<double>(bucket.used - entry.used);
+    // If the owner knows nothing of this scheduler, it has used nothing lately.
+    const uint32_t counted = entry.known ? entry.used : bucket.reported_used;
+    view.level -= static_cast<double>(bucket.used - counted);
     view.refilled_at = now;
     view.others_use = entry.others_use;
     view.others_demand = entry.others_demand;
     slot = view;
-    bucket.confirmed_used = entry.used;
+    if (!answer.unasked) bucket.confirmed_used = entry.used;
     Group& group = groups_[LimitOwners::GroupOf(entry.workspace)];
     group.answered = true;
-    group.unanswered_since.reset();
+    if (!answer.unasked) group.unanswered_since.reset();
     answered_at_ = now;
   }
 }
--- a/src/workspace/workspace_limits.h
+++ b/src/workspace/workspace_limits.h
@@ -51,6 +51,8 @@
   static constexpr std::chrono::milliseconds kRepeatTime{2000};
   // Time in which a level above the target is handed out, while schedulers take their shares.
   static constexpr std::chrono::milliseconds kSpreadTime{500};
+  // Part of the limit up to which a workspace's demand uses all tokens freely.
+  static constexpr double kExcessShare = 0.9;
   static constexpr double kMinAllowance = 3;  // Tokens of its share that a scheduler may save up.
   // Refusals of a workspace have ended when there were none for this long.
   static constexpr std::chrono::milliseconds kRefusalEndTime{5000};
@@ -94,7 +96,8 @@
   struct View {
     Endpoint owner;
     uint32_t lifetime = 0;
-    uint32_t sent_at = 0;  // UsageAnswer::sent_at.
+    uint32_t sent_at = 0;     // UsageAnswer::sent_at of the last answer to a report.
+    uint32_t unasked_at = 0;  // And of the last one that came unasked; 0: none.
     bool complete = false;
     MonotonicTime answered_at{};
     double level = 0;  // At `refilled_at`, without this scheduler's reservations.
@@ -104,8 +107,8 @@
   };
   struct Bucket {
     LimitRules rules;
-    std::array<std::optional<View>, 2> views;
-    View own;  // Used while there is no answer.
+    std::array<std::optional<View>, 3> views;  // A third owner answers if members disagree.
+    View own;                                  // Used while there is no answer.
     uint32_t used = 0;
     uint32_t demand = 0;
     uint32_t reserved = 0;
@@ -132,6 +135,7 @@
     double refill = 0;     // Tokens per second, less those that others use.
     double share = 1;      // This scheduler's part of the demand.
     double allowance = 0;  // Tokens of its share that it may use now.
+    bool excess = false;   // The demand at all schedulers is near the limit or above it.
     bool isolated = false;
   };
   void SetRules(WorkspaceHash workspace, Bucket& bucket, const LimitRules& rules,
@@ -144,7 +148,10 @@
                     MonotonicTime now) const;
   double LevelAt(WorkspaceHash workspace, const Bucket& bucket, const View& view,
                  MonotonicTime now) const;
+  static bool Counts(const Bucket& bucket, const View& view);
   static const View& LowestView(const Bucket& bucket);
+  static double OthersDemand(const Bucket& bucket);
+  static std::optional<View>& SlotFor(Bucket& bucket, const Endpoint& owner);
   Estimate EstimateOf(WorkspaceHash workspace, const Bucket& bucket, MonotonicTime now) const;
   static bool Allows(const LimitRules& rules, const Estimate& estimate);
   static bool MustReport(const Bucket& bucket, MonotonicTime now);
--- a/src/workspace/workspace_quota.cc
+++ b/src/workspace/workspace_quota.cc
@@ -43,6 +43,8 @@
     const LimitOwners::Pair& pair = owners_.OfGroup(group);
     ledger_.SetOwned(group, std::find(pair.begin(), pair.end(), self_) != pair.end(), now);
   }
+  entry_vms_.clear();
+  for (const Member& it : members) entry_vms_.push_back(it.peer);
   live_ = std::max<size_t>(members.size(), 1);
   UpdateRateShare(now);
 }
@@ -63,7 +65,9 @@
 
 void WorkspaceQuota::Tick(MonotonicTime now) {
   if (!Enabled()) return;
+  ledger_.NoteActive(now);
   SendReports(now);
+  if (now >= next_unasked_) SendUnasked(now);
   if (now < next_erase_) return;
   next_erase_ = now + std::chrono::seconds(1);
   ledger_.EraseSilent(now);
@@ -87,6 +91,30 @@
   }
 }
 
+void WorkspaceQuota::SendUnasked(MonotonicTime now) {
+  next_unasked_ = now + kUnaskedInterval;
+  std::vector<WorkspaceHash> exhausted;
+  for (size_t group = 0; group < LimitOwners::kGroups; ++group) {
+    const LimitOwners::Pair& pair = owners_.OfGroup(group);
+    if (pair.empty() || pair.front() != self_) continue;
+    for (const WorkspaceHash it : ledger_.Exhausted(group, now)) exhausted.push_back(it);
+  }
+  if (exhausted.empty()) return;
+  exhausted.resize(std::min(exhausted.size(), kMaxUsageEntries));
+  for (const Endpoint& to : entry_vms_) {
+    UsageAnswer answer = ledger_.Unasked(to, exhausted, now);
+    answer.sent_at = WorkspaceLimits::TimeStamp(now);
+    if (to != self_) ++answers_sent_;
+    outbox_.push_back({to, std::move(answer)});
+  }
+}
+
+std::optional<MonotonicTime> WorkspaceQuota::NextWake() const {
+  std::optional<MonotonicTime> wake = limits_.NextReport();
+  if (!ledger_.Empty()) wake = wake ? std::min(*wake, next_unasked_) : next_unasked_;
+  return wake;
+}
+
 std::vector<RefusalEvent> WorkspaceQuota::TakeRefusalEvents(MonotonicTime now) {
   std::vector<RefusalEvent> events;
   for (const RefusalChange& it : limits_.TakeRefusalChanges(now)) {
--- a/src/workspace/workspace_quota.h
+++ b/src/workspace/workspace_quota.h
@@ -39,6 +39,9 @@
   // from the others, and use only a part of each limit.
   static constexpr std::chrono::milliseconds kPartitionMemory{60000};
 
+  // Interval at which the first owner of a workspace that uses up its limit tells all entry VMs.
+  static constexpr std::chrono::milliseconds kUnaskedInterval{200};
+
   WorkspaceQuota(Endpoint self, uint64_t seed, MonotonicTime now);
 
   void SetBounds(const LimitBounds& bounds) { bounds_ = bounds; }
@@ -54,7 +57,7 @@
     limits_.OnAnswer(from, answer, now);
   }
   void Tick(MonotonicTime now);
-  std::optional<MonotonicTime> NextWake() const { return limits_.NextReport(); }
+  std::optional<MonotonicTime> NextWake() const;
   std::vector<OutgoingUsage> TakeOutbox() { return std::exchange(outbox_, {}); }
   std::vector<RefusalEvent> TakeRefusalEvents(MonotonicTime now);
   // Messages to other entry VMs.
@@ -63,6 +66,7 @@
 
  private:
   void SendReports(MonotonicTime now);
+  void SendUnasked(MonotonicTime now);
   void UpdateRateShare(MonotonicTime now);
 
   Endpoint self_;
@@ -76,6 +80,8 @@
   size_t most_live_ = 1;
   MonotonicTime most_live_at_{};
   MonotonicTime next_erase_{};
+  MonotonicTime next_unasked_{};
+  std::vector<Endpoint> entry_vms_;  // Live ones.
   std::vector<OutgoingUsage> outbox_;
   uint64_t reports_sent_ = 0;
   uint64_t answers_sent_ = 0;
