Responses with a status code outside 100 to 599 are no responses

Callers got status 600 and 999 as a server sent them; the store's client and the probes took such responses as answers; 101 and codes below 100 were skipped as interim responses.

HttpReader, which all readers of responses but the platform client share, now rejects status codes outside 100 to 599, and 101, since no upgrade is ever requested (RFC 9110 15). The attempt ends as one with a lost connection: it counts against the server, a request that may not be repeated gets 502, and its log line names the code. HttpCallError carries the cause for the store's log lines. HttpPlatform (cpp-httplib) checks the range itself.

--- a/src/forward/http_call.cc
+++ b/src/forward/http_call.cc
@@ -29,8 +29,9 @@
 }  // namespace
 
 std::string Describe(const HttpCallError& error) {
-  return fmt::format("{}: after {} ms, {} bytes of the body received", NameOf(error.kind),
-                     error.took.count(), error.body_bytes);
+  return fmt::format("{}{}{}: after {} ms, {} bytes of the body received", NameOf(error.kind),
+                     error.detail.empty() ? "" : ", ", error.detail, error.took.count(),
+                     error.body_bytes);
 }
 
 struct HttpClient::OpenCall {
@@ -73,16 +74,16 @@
   target.time_left = to.time_left;
   call->attempt = std::make_shared<Attempt>(pool_, clock_, target, RequestClass::kRoutine);
   Attempt::Events events;
-  events.on_failed = [this, call](AttemptEnd end, const std::string&) {
+  events.on_failed = [this, call](AttemptEnd end, const std::string& detail) {
     const bool sent = end != AttemptEnd::kConnectFailed;
-    Fail(call, sent ? HttpCallErrorKind::kConnectionLost : HttpCallErrorKind::kNotSent);
+    Fail(call, sent ? HttpCallErrorKind::kConnectionLost : HttpCallErrorKind::kNotSent, detail);
   };
   events.on_response = [this, call](const HttpEvent& event) {
     if (const auto* head = std::get_if<HttpHead>(&event)) call->response.head = *head;
     if (const auto* body = std::get_if<HttpBody>(&event)) call->response.body.append(body->bytes);
     if (std::holds_alternative<HttpEnd>(event)) return Finish(call, std::move(call->response));
-    if (std::holds_alternative<HttpError>(event)) {
-      return Fail(call, HttpCallErrorKind::kConnectionLost);
+    if (const auto* error = std::get_if<HttpError>(&event)) {
+      return Fail(call, HttpCallErrorKind::kConnectionLost, error->detail);
     }
     if (call->response.body.size() > max_body_bytes_) {
       return Fail(call, HttpCallErrorKind::kTooLarge);
@@ -103,10 +104,11 @@
   done(result);
 }
 
-void HttpClient::Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind) {
+void HttpClient::Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind,
+                      std::string detail) {
   const auto took =
       std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - call->started);
-  Finish(call, HttpCallError{kind, took, call->response.body.size()});
+  Finish(call, HttpCallError{kind, took, call->response.body.size(), std::move(detail)});
 }
 
 }  // namespace cowsliphill
--- a/src/forward/http_call.h
+++ b/src/forward/http_call.h
@@ -43,6 +43,7 @@
   HttpCallErrorKind kind = HttpCallErrorKind::kNotSent;
   std::chrono::milliseconds took{0};  // From the call to its failure.
   size_t body_bytes = 0;              // Bytes of the response's body that had arrived.
+  std::string detail = {};            // What was wrong with the response; may be empty.
 };
 
 // Returns one sentence for logs.
@@ -66,7 +67,7 @@
   struct OpenCall;
   void Finish(const std::shared_ptr<OpenCall>& call,
               Result<HttpCallResponse, HttpCallError> result);
-  void Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind);
+  void Fail(const std::shared_ptr<OpenCall>& call, HttpCallErrorKind kind, std::string detail = {});
   // Fails the call after `duration`, or earlier if its total time is over before.
   void ArmTimer(const std::shared_ptr<OpenCall>& call, std::chrono::milliseconds duration);
 
--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -100,6 +100,11 @@
       state.event = HttpError{HttpErrorKind::kMalformed, "header name is not a valid token"};
       return 0;
     }
+    if (state.type == HttpMessageType::kResponses && !IsResponseStatus(state.head.status)) {
+      state.event = HttpError{HttpErrorKind::kMalformed,
+                              "invalid status code " + std::to_string(state.head.status)};
+      return 0;
+    }
     const bool no_body = state.head.no_body;
     state.event = std::move(state.head);
     return no_body ? 1 : 0;  // Returning 1 tells http_parser that no body follows.
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -1,6 +1,7 @@
 #include "src/forward/http_reader.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 
 namespace cowsliphill {
 namespace {
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(Response_WithItsHeadCutAnywhere_IsAnError);
   CPPUNIT_TEST(Response_WithoutFraming_IsCloseDelimited);
   CPPUNIT_TEST(Response_ToHead_HasNoBody);
+  CPPUNIT_TEST(Response_WithInvalidStatusCode_IsRejected);
   CPPUNIT_TEST(Response_InManyChunksSentInParts_IsReadCompletely);
   CPPUNIT_TEST(Response_WithEndlessHead_IsRejectedAtTheLimit);
   CPPUNIT_TEST(Response_WithEndlessChunkExtension_IsRejectedAtTheLimit);
@@ -113,6 +115,21 @@
 
   // Regression: the framing of chunks counted as part of the head, so that a long response was
   // rejected if its chunk sizes arrived apart from the data.
+  // Regression: 600 and 999 were passed on to callers, and 101 and those below 100 were taken for
+  // interim responses.
+  void Response_WithInvalidStatusCode_IsRejected() {
+    const auto events_of = [](const char* status) {
+      HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
+      return Events(reader, fmt::format("HTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", status));
+    };
+    for (const char* status : {"000", "001", "099", "101", "600", "999"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::string("malformed "), events_of(status));
+    }
+    for (const char* status : {"100", "103", "199", "200", "204", "599"}) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, std::string("head end "), events_of(status));
+    }
+  }
+
   void Response_InManyChunksSentInParts_IsReadCompletely() {
     HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
     Events(reader, kChunkedHead);
--- a/src/storage/http_platform.cc
+++ b/src/storage/http_platform.cc
@@ -16,6 +16,9 @@
 using nlohmann::json;
 
 constexpr int kNoResponse = 0;  // Status of a call that got no HTTP response.
+// Status codes outside this range are invalid (RFC 9110 15).
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 constexpr std::string_view kMsgpackContentType = "application/msgpack";
 
 std::string ToMsgpack(const json& message) {
@@ -174,6 +177,12 @@
   if (call.method == "PUT") request.set_header("If-None-Match", "*");
   const httplib::Result result = worker.client.send(request);
   if (!result) return Deliver(call, kNoResponse, "", TransportError(result.error()));
+  if (result->status < kMinStatus || result->status > kMaxStatus) {
+    return Deliver(call, kNoResponse, "",
+                   {PlatformError::Kind::kUnknown,
+                    "platform sent bytes that are not a response, invalid status code " +
+                        std::to_string(result->status)});
+  }
   const bool not_applied = result->status == 503 && result->has_header("X-Not-Applied");
   PlatformError error = UnexpectedStatus(result->status);
   if (not_applied) error.kind = PlatformError::Kind::kUnavailable;
--- a/tests/faulty_answer_test.cc
+++ b/tests/faulty_answer_test.cc
@@ -4,8 +4,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <array>
 #include <map>
 
+#include "tests/cut_link.h"
 #include "tests/fleet_harness.h"
 #include "tests/scripted_server.h"
 
@@ -25,6 +27,8 @@
   CPPUNIT_TEST(Refusal_SentAgainForARequestWithTheSameId_IsNotTakenForItsAnswer);
   CPPUNIT_TEST(Refusal_SentAgainWithoutItsId_IsNotBelieved);
   CPPUNIT_TEST(Answer_WithItsHeadCut_IsNeverASuccess);
+  CPPUNIT_TEST(Answer_WithInvalidStatusCode_IsNoAnswer);
+  CPPUNIT_TEST(Answer_WithInvalidStatusCodeThroughATunnel_IsNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -98,7 +102,42 @@
     }
   }
 
+  // Regression: callers got status 600 and 999. The connection is a new one or a used one.
+  void Answer_WithInvalidStatusCode_IsNoAnswer() {
+    Start(InvalidStatus);
+    SendUntilItArrives("/a/x", "status-600");
+    CPPUNIT_ASSERT_EQUAL(200, status_);  // From the other server.
+    // Failures count against the server: it would get no requests beside the other one.
+    fleet_->Control("DELETE", "/control/row?table=servers&key=i-2");
+    for (const char* status : kInvalidStatus) {
+      SendUntilItArrives("/u/x", "whole");  // Its connection is used again.
+      CPPUNIT_ASSERT_EQUAL(200, status_);
+      const std::string id = SendUntilItArrives("/u/x", fmt::format("status-{}", status));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(id, 502, status_);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(id, size_t{0}, other_->Count(id));
+    }
+  }
+  void Answer_WithInvalidStatusCodeThroughATunnel_IsNoAnswer() {
+    faulty_ = std::make_unique<ScriptedServer>("i-1", ExceptChecks(InvalidStatus));
+    fleet_ = std::make_unique<Fleet>(2, FleetOptions{0, true});
+    const CutLink link(faulty_->Address());
+    fleet_->AddServer(faulty_->Name(), link.Address());
+    for (const char* status : kInvalidStatus) {
+      SendUntilItArrives("/u/x", fmt::format("status-{}", status));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 502, status_);
+    }
+    CPPUNIT_ASSERT(fleet_->Metric(0, "cowsliphill_tunnels_opened") > 0);
+  }
+
  private:
+  static constexpr std::array<const char*, 5> kInvalidStatus{"000", "099", "101", "600", "999"};
+  // Answers with the status that the request's id names.
+  static std::vector<ScriptedStep> InvalidStatus(const ScriptedRequest& it) {
+    std::string answer = ScriptedAnswer(it.id);
+    const size_t at = it.id.find("status-");
+    if (at != std::string::npos) answer.replace(answer.find("200"), 3, it.id.substr(at + 7, 3));
+    return {{answer}};
+  }
   static std::string HeadOf(const std::string& answer) {
     return answer.substr(0, answer.find("\r\n\r\n") + 4);
   }
