Operators limit hedges, and may start them at a quantile

Operators could not switch hedges off, limit them below the retry budget or keep them to urgent requests; their start was a fixed multiple of the expected latency. [hedging] has enabled, max_share, rank_limit and quantile; without it nothing changes.

Each entry VM counts its own requests and hedges, so max_share holds over all of them without messages. The quantile is taken of latency / expected latency of its own answers, so that kinds and servers can be compared, and is at most two medians.

--- a/src/schedule/request_planner.cc
+++ b/src/schedule/request_planner.cc
@@ -21,10 +21,11 @@
 }  // namespace
 
 RequestPlanner::RequestPlanner(FailureDomainId failure_domain, Endpoint self, uint64_t seed,
-                               RetrySettings retry_settings)
+                               RetrySettings retry_settings, HedgingSettings hedging)
     : failure_domain_(std::move(failure_domain)),
       self_(std::move(self)),
       retry_settings_(retry_settings),
+      hedge_policy_(hedging, retry_settings.window),
       next_request_id_(static_cast<ScheduleRequestId>(seed)) {}
 
 void RequestPlanner::ApplyServices(const std::vector<Service>& services) {
@@ -170,6 +171,7 @@
     return Refuse{params.ticket, RefusalCause::kUnknownService, kDefaultRetryAfter};
   }
   budget->second.OnRequest(now);
+  hedge_policy_.OnRequest(params.service, now);
   Request& request = requests_[params.ticket];
   request.params = params;
   StartAttempt(request, false, now);
@@ -350,14 +352,11 @@
   attempt.scheduler = from;
   attempt.server = id->second;
   attempt.server_started = server->second.config.started;
+  attempt.expected = reply.expected;
   const bool first = request.attempts.size() == 1;
   if (!first) budgets_.at(request.params.service).OnExtraAttempt(now);
   if (request.params.repeatable) {
-    const MonotonicTime target = request.params.target.value_or(request.params.deadline);
-    const Duration hedge_delay = std::clamp<Duration>(
-        target - Times(reply.service_time, kHedgeServiceTimeFactor) - now,
-        Times(reply.expected, kHedgeEarliestFactor), Times(reply.expected, kHedgeLatestFactor));
-    hedges_.emplace(now + std::max<Duration>(hedge_delay, kMinHedgeDelay), request.params.ticket);
+    hedges_.emplace(now + HedgeDelay(request.params, reply, now), request.params.ticket);
   }
   SendTo send;
   send.ticket = request.params.ticket;
@@ -369,6 +368,17 @@
   ready_.emplace_back(std::move(send));
 }
 
+Duration RequestPlanner::HedgeDelay(const ChoiceRequest& request, const ScheduleReply& reply,
+                                    MonotonicTime now) {
+  const auto measured = hedge_policy_.Delay(request.service, reply.expected, now);
+  if (measured) return std::max<Duration>(*measured, kMinHedgeDelay);
+  const MonotonicTime target = request.target.value_or(request.deadline);
+  const Duration delay = std::clamp<Duration>(
+      target - Times(reply.service_time, kHedgeServiceTimeFactor) - now,
+      Times(reply.expected, kHedgeEarliestFactor), Times(reply.expected, kHedgeLatestFactor));
+  return std::max<Duration>(delay, kMinHedgeDelay);
+}
+
 // The scheduler forgets the attempt, and its late replies are ignored.
 void RequestPlanner::WithdrawRequest(Request& request, Attempt& attempt) {
   outbox_.push_back(
@@ -389,6 +399,7 @@
   attempt.stage = Stage::kEnded;
   if (attempt.hedge) {
     // A refused hedge does not count as an attempt, and another one is started later.
+    hedge_policy_.Return(request.params.service);
     hedges_.emplace(now + kHedgeRetryInterval, request.params.ticket);
     const ScheduleRequestId request_id = attempt.request_id;
     std::erase_if(request.attempts,
@@ -422,11 +433,15 @@
 // ---- Attempts -----------------------------------------------------------------------------------
 
 void RequestPlanner::OnEnded(Ticket ticket, const BackendServerId& server,
-                             const AttemptResult& result, MonotonicTime) {
+                             const AttemptResult& result, MonotonicTime now) {
   const auto it = requests_.find(ticket);
   if (it == requests_.end()) return;
   for (Attempt& attempt : it->second.attempts) {
     if (attempt.stage != Stage::kSent || attempt.server != server) continue;
+    const bool outrun = result.end == AttemptEnd::kCancelled && it->second.attempts.size() > 1;
+    if (result.end == AttemptEnd::kAnswered || outrun) {
+      hedge_policy_.OnLatency(it->second.params.service, result.latency, attempt.expected, now);
+    }
     EndAttempt(attempt, result);
     break;
   }
@@ -471,10 +486,12 @@
       std::any_of(request.attempts.begin(), request.attempts.end(),
                   [](const Attempt& attempt) { return attempt.AwaitsAssignment(); });
   if (awaits_assignment || !request.params.repeatable ||
+      !hedge_policy_.Allows(request.params.rank) ||
       (max_attempts != 0 && request.attempts.size() >= max_attempts)) {
     return std::nullopt;
   }
-  if (!budgets_.at(request.params.service).Affordable(entry_vms_, now)) {
+  if (!budgets_.at(request.params.service).Affordable(entry_vms_, now) ||
+      !hedge_policy_.Reserve(request.params.service, now)) {
     hedges_.emplace(now + kHedgeRetryInterval, ticket);
     return std::nullopt;
   }
--- a/src/schedule/request_planner.h
+++ b/src/schedule/request_planner.h
@@ -23,6 +23,7 @@
 
 #include "src/balance/shared_retry_budget.h"
 #include "src/choose/chooser.h"
+#include "src/schedule/hedge_policy.h"
 #include "src/schedule/pause_list.h"
 #include "src/schedule/scheduler.h"
 
@@ -57,7 +58,7 @@
   //                             kHedgeEarliestFactor * expected latency,
   //                             kHedgeLatestFactor * expected latency))
   // The first argument of clamp is the latest start at which the hedge should still meet the
-  // target.
+  // target. HedgingSettings::quantile replaces the clamp.
   static constexpr double kHedgeLatestFactor = 2.0;
   static constexpr double kHedgeEarliestFactor = 1.4;
   static constexpr double kHedgeServiceTimeFactor = 1.3;
@@ -71,7 +72,7 @@
   static constexpr std::chrono::milliseconds kDefaultRetryAfter{50};
 
   RequestPlanner(FailureDomainId failure_domain, Endpoint self, uint64_t seed,
-                 RetrySettings retry_settings);
+                 RetrySettings retry_settings, HedgingSettings hedging = {});
 
   void ApplyServices(const std::vector<Service>& services);
   void ApplyServers(const ServerChanges& changes);
@@ -163,6 +164,7 @@
     MonotonicTime reply_deadline;  // Time of the next OnTimeout while an assignment is awaited.
     BackendServerId server;
     uint64_t server_started = 0;  // Lifetime of the server.
+    Duration expected{};          // Expected latency of the answer.
     bool AwaitsAssignment() const { return stage == Stage::kRequested || stage == Stage::kQueued; }
   };
   struct Request {
@@ -191,6 +193,7 @@
                   const ScheduleReply& reply, MonotonicTime now);
   void WithdrawRequest(Request& request, Attempt& attempt);
   void ChangeRequestId(Request& request, Attempt& attempt);
+  Duration HedgeDelay(const ChoiceRequest& request, const ScheduleReply& reply, MonotonicTime now);
   void EndAttempt(Attempt& attempt, const AttemptResult& result);
   void GiveUp(Request& request, Attempt& attempt, const Refuse& refuse, MonotonicTime now);
   Attempt* FindAttempt(ScheduleRequestId request_id, Request** request);
@@ -206,6 +209,7 @@
   // Unresponsive schedulers, each with the time from which it is used again.
   std::map<Endpoint, MonotonicTime> skipped_until_;
   std::map<ServiceId, SharedRetryBudget> budgets_;  // Retry budgets of the known services.
+  HedgePolicy hedge_policy_;
   std::unordered_map<BackendServerId, Server> servers_;
   std::unordered_map<NameHash, BackendServerId> server_ids_by_hash_;
   // Last lifetimes of servers that were known to be leaving when the list ceased to name them.
--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -22,7 +22,7 @@
     : clock_(clock),
       self_(settings.peer.advertise),
       listener_(std::move(listener)),
-      planner_(settings.failure_domain, self_, seed, settings.retries),
+      planner_(settings.failure_domain, self_, seed, settings.retries, settings.hedging),
       scheduler_(self_, seed, clock.Now()),
       probe_client_(io, clock, settings.backend, std::move(links), std::move(read_report),
                     [this](const ProbeTarget& target, const ProbeOutcome& outcome) {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,8 @@
 constexpr milliseconds kMaxTimeout{86400000};
 constexpr size_t kMinTokenLength = 16;
 constexpr int64_t kMaxCount = 1000000;
+// Above it the sketch of latencies would be mostly noise.
+constexpr double kMaxHedgingQuantile = 0.999;
 constexpr double kMinCapacity = 0.001;  // In cores.
 constexpr double kMaxCapacity = 60;
 
@@ -165,6 +168,17 @@
   return retries;
 }
 
+HedgingSettings ReadHedging(TomlReader reader) {
+  HedgingSettings hedging;
+  hedging.enabled = reader.Boolean("enabled", hedging.enabled);
+  hedging.max_share = reader.Number("max_share", hedging.max_share, 0.0, 1.0);
+  hedging.rank_limit = static_cast<uint32_t>(
+      reader.Number("rank_limit", hedging.rank_limit, 0.0, std::numeric_limits<uint32_t>::max()));
+  hedging.quantile = reader.Number("quantile", hedging.quantile, 0.0, kMaxHedgingQuantile);
+  reader.RejectUnknownKeys();
+  return hedging;
+}
+
 LogSettings ReadLog(TomlReader reader) {
   LogSettings log;
   log.level =
@@ -192,6 +206,7 @@
   settings.platform = ReadPlatform(root.Table("platform"));
   settings.backend = ReadBackend(root.Table("backend"));
   settings.retries = ReadRetries(root.Table("retries"));
+  settings.hedging = ReadHedging(root.Table("hedging"));
   settings.log = ReadLog(root.Table("log"));
   if (!settings.manifest_file.empty() && settings.platform.kind != PlatformKind::kMemory) {
     root.Reject("manifest_file", "\"" + settings.manifest_file + "\"",
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -5,6 +5,7 @@
 #define COWSLIPHILL_SETTINGS_SETTINGS_H_
 
 #include <chrono>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,18 @@
   std::chrono::milliseconds window{10000};
 };
 
+// Hedges: second, concurrent attempts of requests that may be repeated. The retry budget limits
+// them too.
+struct HedgingSettings {
+  bool enabled = true;
+  double max_share = 1.0;  // Hedges per request, of each service and in any RetrySettings::window.
+  uint32_t rank_limit = std::numeric_limits<uint32_t>::max();  // Least urgent rank that is hedged.
+  // A hedge starts when the first attempt has taken longer than this share of the service's answers
+  // of the last seconds, relative to their expected latency. 0: at fixed multiples of the expected
+  // latency, see RequestPlanner.
+  double quantile = 0.0;
+};
+
 // Connections to backend servers.
 struct BackendSettings {
   std::string source;  // IP address that connections are opened from; empty: the operating system
@@ -118,6 +131,7 @@
   PlatformSettings platform;
   BackendSettings backend;
   RetrySettings retries;
+  HedgingSettings hedging;
   LogSettings log;
 };
 
