Bounds on the limits of workspaces are settings

What operators lacked: the window, overrun and slack within which a workspace's limit holds over all entry VMs were constants, so a deployment with other bounds would have been held to the wrong ones. Cause: nothing called WorkspaceQuota::SetBounds.

--- a/src/schedule/schedule_node.cc
+++ b/src/schedule/schedule_node.cc
@@ -31,7 +31,10 @@
                       }
                       Flush();
                     }),
-      timer_(io) {}
+      timer_(io) {
+  const WorkspaceLimitSettings& limits = settings.workspace_limits;
+  scheduler_.Quota().SetBounds({limits.window, limits.overrun, limits.slack});
+}
 
 void ScheduleNode::Attach(Dispatcher& dispatcher) {
   dispatcher_ = &dispatcher;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -179,6 +179,15 @@
   return hedging;
 }
 
+WorkspaceLimitSettings ReadWorkspaceLimits(TomlReader reader) {
+  WorkspaceLimitSettings limits;
+  limits.window = ReadTimeout(reader, "window_ms", limits.window);
+  limits.overrun = reader.Number("overrun", limits.overrun, 0.0, 10.0);
+  limits.slack = reader.Number("slack", limits.slack, 0.0, kMaxCount);
+  reader.RejectUnknownKeys();
+  return limits;
+}
+
 LogSettings ReadLog(TomlReader reader) {
   LogSettings log;
   log.level =
@@ -207,6 +216,7 @@
   settings.backend = ReadBackend(root.Table("backend"));
   settings.retries = ReadRetries(root.Table("retries"));
   settings.hedging = ReadHedging(root.Table("hedging"));
+  settings.workspace_limits = ReadWorkspaceLimits(root.Table("workspace_limits"));
   settings.log = ReadLog(root.Table("log"));
   if (!settings.manifest_file.empty() && settings.platform.kind != PlatformKind::kMemory) {
     root.Reject("manifest_file", "\"" + settings.manifest_file + "\"",
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -98,6 +98,14 @@
   double quantile = 0.0;
 };
 
+// Bounds on the requests of a workspace that all entry VMs together send in any window:
+// (rate x window + burst) x (1 + overrun) + slack. The limits themselves are in the manifest.
+struct WorkspaceLimitSettings {
+  std::chrono::milliseconds window{5000};
+  double overrun = 0.1;
+  double slack = 20;  // Requests.
+};
+
 // Connections to backend servers.
 struct BackendSettings {
   std::string source;  // IP address that connections are opened from; empty: the operating system
@@ -132,6 +140,7 @@
   BackendSettings backend;
   RetrySettings retries;
   HedgingSettings hedging;
+  WorkspaceLimitSettings workspace_limits;
   LogSettings log;
 };
 
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(SettingsTest);
   CPPUNIT_TEST(Settings_WithOnlyAFailureDomain_HaveDefaults);
   CPPUNIT_TEST(Settings_OfThePlatformWithFractionalBounds_AreRead);
+  CPPUNIT_TEST(Settings_WithBoundsOfWorkspaceLimits_AreRead);
   CPPUNIT_TEST(Settings_WithUnknownKey_NameFileLineAndKey);
   CPPUNIT_TEST(Settings_WithPortOutOfRange_NameFoundAndAllowed);
   CPPUNIT_TEST(Settings_WithSyntaxError_NameTheLine);
@@ -57,6 +58,19 @@
     }
   }
 
+  // Guards against bounds on the limits of workspaces that are read but not applied, or rejected.
+  void Settings_WithBoundsOfWorkspaceLimits_AreRead() {
+    const auto result = ParseSettings(
+        "place = \"a\"\n[workspace_limits]\nwindow_ms = 2.5e3\noverrun = 0.25\nslack = 7\n",
+        "s.toml");
+    CPPUNIT_ASSERT(Ok(result));
+    CPPUNIT_ASSERT(ValueOf(result).workspace_limits.window == milliseconds(2500));
+    CPPUNIT_ASSERT_EQUAL(0.25, ValueOf(result).workspace_limits.overrun);
+    CPPUNIT_ASSERT_EQUAL(7.0, ValueOf(result).workspace_limits.slack);
+    const Issue issue = OnlyIssue("place = \"a\"\n[workspace_limits]\noverrun = -1\n");
+    CPPUNIT_ASSERT_EQUAL(std::string("workspace_limits.overrun"), issue.key);
+  }
+
   void Settings_WithUnknownKey_NameFileLineAndKey() {
     const Issue issue = OnlyIssue("place = \"a\"\n[edge]\nlisten_on = \"127.0.0.1:1\"\n");
     CPPUNIT_ASSERT_EQUAL(std::string("s.toml"), issue.file);
