TunnelRequestsTest: wait until a log line can be written again

Cause, from the log of a failed run: the test waits for the line "tunnel ended" of its request at the other entry VM. Lines of tunnels that ended without a fault are limited to two a second with a burst of ten, and the ten requests by which the test loses the links use up the burst when they follow each other closely. The entry VM behaves as documented.

The test now waits for one second, in which two lines become available, before it sends its request. It checks as much as before.

--- a/tests/tunnel_requests_test.cc
+++ b/tests/tunnel_requests_test.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kDeadline{3000};
 constexpr milliseconds kMaxTimeToCancel{500};  // From the moment at which a caller leaves.
 constexpr milliseconds kLongWork{1000};
+// Entry VMs write two lines a second for requests and tunnels that ended without a fault.
+constexpr milliseconds kLogLineInterval{1000};
 constexpr size_t kLargeBody = 2000000;      // More than the sockets on the way hold.
 constexpr size_t kStreamedBytes = 100000;   // As the stand-in sends in mode "stream".
 constexpr size_t kMaxMemoryKb = 160 << 10;  // The smallest entry VM has 160 MB.
@@ -139,6 +141,8 @@
     Fleet fleet(2, {3, true});
     LoseLinks(fleet);
     SetServers(fleet, "ok", milliseconds(20000));
+    // The requests above may have used up the burst of log lines for requests without a fault.
+    std::this_thread::sleep_for(kLogLineInterval);
     RawCaller caller(fleet.Entry(0).edge);
     caller.Send(Post("left"));
     CPPUNIT_ASSERT(WaitUntil([&] { return fleet.RunCount("left") == 1; }));
