review: the stand-ins choose free ports

The ports of an entry VM were fixed, and a case could not run where one of them was in use at all addresses.

--- a/review/harness-2/stand.cc
+++ b/review/harness-2/stand.cc
@@ -24,10 +24,7 @@
 namespace {
 
 constexpr size_t kReadBytes = 65536;
-constexpr uint16_t kControlPort = 8382;
-constexpr uint16_t kDirectoryPort = 8383;
-constexpr uint16_t kStorePort = 8384;
-constexpr uint16_t kReadyPort = 8388;
+constexpr uint16_t kPortStep = 20;  // Between two sets of ports that are tried.
 constexpr milliseconds kReadyTimeout{20000};
 constexpr milliseconds kServerTimeout{110000};  // Longer than a case runs.
 
@@ -425,25 +422,40 @@
 // ---- Fleet --------------------------------------------------------------------------------------
 
 Fleet::Fleet(const FleetOptions& options, Record& record) : options_(options), record_(record) {
-  // Addresses of which none of the ports is in use.
-  for (int n = 0; n < 200 && base_.empty(); ++n) {
-    const std::string base = "127." + std::to_string(20 + (getpid() + n) % 200) + ".";
-    bool free = CanBind(base + "3.1", kStorePort, SOCK_STREAM);
-    for (size_t i = 0; i < options_.entries; ++i) {
-      const std::string ip = base + "1." + std::to_string(i + 1);
-      for (const uint16_t port : {kFrontPort, kControlPort, kDirectoryPort, kReadyPort}) {
-        free = free && CanBind(ip, port, SOCK_STREAM) && CanBind(ip, port, SOCK_DGRAM);
-      }
-      free = free && CanBind(ip, 9100, SOCK_STREAM);
+  ChooseAddresses();
+  std::string pattern = std::filesystem::temp_directory_path().string() + "/cowsliphill-XXXXXX";
+  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
+  folder_ = pattern;
+  store_ = std::make_unique<Store>(base_ + "3.1", ports_.store);
+}
+
+bool Fleet::AreFree(const std::string& base, const Ports& ports) const {
+  bool free = CanBind(base + "3.1", ports.store, SOCK_STREAM);
+  for (size_t i = 0; i < options_.entries; ++i) {
+    const std::string ip = base + "1." + std::to_string(i + 1);
+    for (const uint16_t port :
+         {ports.front, ports.control, ports.directory, ports.ready, ports.metrics}) {
+      free = free && CanBind(ip, port, SOCK_STREAM) && CanBind(ip, port, SOCK_DGRAM);
     }
-    if (free) base_ = base;
   }
-  std::string pattern = std::filesystem::temp_directory_path().string() + "/cowsliphill-XXXXXX";
-  if (base_.empty() || mkdtemp(pattern.data()) == nullptr) {
-    throw std::runtime_error("no free addresses, or no temporary folder");
+  return free;
+}
+
+void Fleet::ChooseAddresses() {
+  for (int n = 0; n < 200; ++n) {
+    const std::string base = "127." + std::to_string(20 + (getpid() + n) % 200) + ".";
+    const auto step = static_cast<uint16_t>(n % 10 * kPortStep);
+    Ports ports;
+    for (uint16_t* it : {&ports.front, &ports.control, &ports.directory, &ports.store, &ports.ready,
+                         &ports.metrics}) {
+      *it = static_cast<uint16_t>(*it + step);
+    }
+    if (!AreFree(base, ports)) continue;
+    base_ = base;
+    ports_ = ports;
+    return;
   }
-  folder_ = pattern;
-  store_ = std::make_unique<Store>(base_ + "3.1", kStorePort);
+  throw std::runtime_error("no free addresses");
 }
 
 Fleet::~Fleet() {
@@ -459,18 +471,19 @@
 std::string Fleet::Settings(size_t i) const {
   std::string seeds;
   for (size_t n = 0; n < std::min<size_t>(options_.entries, 3); ++n) {
-    seeds += (n > 0 ? ",\"" : "\"") + EntryIp(n) + ":" + std::to_string(kControlPort) + "\"";
+    seeds += (n > 0 ? ",\"" : "\"") + EntryIp(n) + ":" + std::to_string(ports_.control) + "\"";
   }
   const auto at = [&](uint16_t port) { return "\"" + EntryIp(i) + ":" + std::to_string(port); };
-  const std::string store = base_ + "3.1:" + std::to_string(kStorePort);
+  const std::string store = base_ + "3.1:" + std::to_string(ports_.store);
   std::ostringstream out;
   out << "place = \"" << Zone(i) << "\"\nregion = \"region-a\"\ncapacity = 0.2\n"
-      << "stop_timeout_ms = " << options_.grace_s << "e3\n[edge]\nlisten = " << at(kFrontPort)
-      << "\"\n[peer]\nlisten = " << at(kControlPort) << "\"\nkey = \"cowsliphill " << store
+      << "stop_timeout_ms = " << options_.grace_s << "e3\n[edge]\nlisten = " << at(ports_.front)
+      << "\"\n[peer]\nlisten = " << at(ports_.control) << "\"\nkey = \"cowsliphill " << store
       << " zone-0 zone-1 zone-2\"\nseeds = [" << seeds << "]\n[platform]\nkind = \"store\"\n"
-      << "endpoint = \"" << store << "\"\nlookup_listen = " << at(kDirectoryPort)
-      << "\"\nreadiness_listen = " << at(kReadyPort) << "\"\nmetrics_listen = \"" << EntryIp(i)
-      << ":9100\"\npeer_patience_ms = 500\nsilent_patience_ms = 200\n[workspace_limits]\n"
+      << "endpoint = \"" << store << "\"\nlookup_listen = " << at(ports_.directory)
+      << "\"\nreadiness_listen = " << at(ports_.ready)
+      << "\"\nmetrics_listen = " << at(ports_.metrics)
+      << "\"\npeer_patience_ms = 500\nsilent_patience_ms = 200\n[workspace_limits]\n"
       << "[retries]\nratio = 0.2\nslack = 64\nwindow_ms = 10e3\n";
   return out.str();
 }
@@ -503,7 +516,7 @@
 }
 
 bool Fleet::IsReady(size_t i) const {
-  const auto connection = ConnectTo(EntryIp(i), kReadyPort);
+  const auto connection = ConnectTo(EntryIp(i), ports_.ready);
   Message answer;
   return connection && connection->Send("GET /-/readiness HTTP/1.1\r\nHost: ready\r\n\r\n") &&
          connection->Read(answer, milliseconds(1000)) && answer.Status() == 200;
--- a/review/harness-2/stand.h
+++ b/review/harness-2/stand.h
@@ -176,8 +176,6 @@
 // Entry VMs, each at a loopback address of its own, started as the deploy file says.
 class Fleet {
  public:
-  static constexpr uint16_t kFrontPort = 8381;
-
   // Runs from the repository's root.
   Fleet(const FleetOptions& options, Record& record);
   ~Fleet();
@@ -185,6 +183,9 @@
   Store& GetStore() { return *store_; }
   std::string EntryIp(size_t i) const { return base_ + "1." + std::to_string(i + 1); }
   std::string ServerIp(size_t i) const { return base_ + "2." + std::to_string(i + 1); }
+  // The same ports at all entry VMs.
+  uint16_t FrontPort() const { return ports_.front; }
+  uint16_t MetricsPort() const { return ports_.metrics; }
   static std::string Zone(size_t i) { return "zone-" + std::to_string(i % 3); }
   // Writes the first desired state, and starts the entry VMs. Returns false if they don't get
   // ready.
@@ -194,13 +195,26 @@
   bool Runs(size_t entry);
 
  private:
+  struct Ports {
+    uint16_t front = 8381;
+    uint16_t control = 8382;
+    uint16_t directory = 8383;
+    uint16_t store = 8384;
+    uint16_t ready = 8388;
+    uint16_t metrics = 9100;
+  };
+
+  // Whether none of the ports is in use at the addresses that begin so.
+  bool AreFree(const std::string& base, const Ports& ports) const;
+  void ChooseAddresses();
   std::string Settings(size_t i) const;
   void StartEntry(size_t i);
   bool IsReady(size_t i) const;
 
   FleetOptions options_;
   Record& record_;
-  std::string base_;    // Start of all addresses, such as "127.41.".
+  std::string base_;  // Start of all addresses, such as "127.41.".
+  Ports ports_;
   std::string folder_;  // Temporary.
   std::unique_ptr<Store> store_;
   std::vector<pid_t> pids_;
