A response that is reset while its request is written is not complete

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer, buffered with a Content-Length or streamed with a last chunk. A client of one whole answer (probes, the platform's store) took such a part for the whole too.

Cause: a socket reports the error of a reset once. The pending write of the upload took it (ECONNRESET), and the read that came after it found the end of the input without an error, which ends a response without a length. The failed write was ignored on purpose, so that an answer that came before it is still read. asio::async_write made it worse: it takes the error inside the reactor or at the call, and tells of it only in a later handler, behind a read that is due.

Ruled out: the parser and the buffering. Both do what they should with the end that they are told. Through another entry VM the case was handled: there a failed write breaks the tunnel, and its handler runs before that of the read.

Change: ByteStream writes to the socket itself, so that it knows of the error at once, and a read that then finds the end returns connection_reset. If FIN came before the reset, Linux reports EPIPE to the write and the end of the input to reads for ever; this remains an orderly end.

--- a/src/forward/byte_stream.cc
+++ b/src/forward/byte_stream.cc
@@ -1,7 +1,7 @@
 #include "src/forward/byte_stream.h"
 
 #include <asio/buffer.hpp>
-#include <asio/write.hpp>
+#include <asio/post.hpp>
 #include <utility>
 
 namespace cowsliphill {
@@ -40,7 +40,9 @@
 
 size_t ByteStream::ReadSome(char* buf, size_t size, std::error_code& ec) {
   if (auto* socket = std::get_if<Socket>(&transport_)) {
-    return socket->read_some(asio::buffer(buf, size), ec);
+    const size_t n = socket->read_some(asio::buffer(buf, size), ec);
+    if (ec == asio::error::eof && was_reset_) ec = asio::error::connection_reset;
+    return n;
   }
   Http2Tunnel& tunnel = *std::get<Tunnel>(transport_).tunnel;
   const size_t n = tunnel.ReadSome(buf, size);
@@ -56,15 +58,31 @@
 
 void ByteStream::Write(const std::string& bytes, Done done) {
   if (auto* socket = std::get_if<Socket>(&transport_)) {
-    asio::async_write(*socket, asio::buffer(bytes),
-                      [done = std::move(done)](std::error_code ec, size_t) { done(ec); });
-    return;
+    return WriteToSocket(*socket, bytes, std::move(done));
   }
   std::get<Tunnel>(transport_).tunnel->Write(bytes, [done = std::move(done)](bool ok) {
     done(ok ? std::error_code() : make_error_code(asio::error::connection_reset));
   });
 }
 
+// Not asio::async_write: it would deliver the error of a reset after reads that no longer see it.
+void ByteStream::WriteToSocket(Socket& socket, std::string_view bytes, Done done) {
+  std::error_code ec;
+  while (!bytes.empty() && !ec) {
+    bytes.remove_prefix(socket.write_some(asio::buffer(bytes), ec));
+  }
+  if (ec == asio::error::would_block || ec == asio::error::try_again) {
+    return socket.async_wait(Socket::wait_write, [this, &socket, bytes, done = std::move(done)](
+                                                     std::error_code failed) mutable {
+      if (failed) return done(failed);
+      WriteToSocket(socket, bytes, std::move(done));
+    });
+  }
+  // If FIN came before the reset, the error is EPIPE and the end was orderly.
+  if (ec && ec != asio::error::broken_pipe) was_reset_ = true;
+  asio::post(socket.get_executor(), [done = std::move(done), ec] { done(ec); });
+}
+
 void ByteStream::FinishWriting() {
   std::error_code ignored;
   if (auto* socket = std::get_if<Socket>(&transport_)) {
--- a/src/forward/byte_stream.h
+++ b/src/forward/byte_stream.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <variant>
 
@@ -41,7 +42,8 @@
   // Returns the number of bytes read. `ec` is would_block if there are none yet, eof after an
   // orderly end.
   size_t ReadSome(char* buf, size_t size, std::error_code& ec);
-  // Sends all of `bytes`, which must stay as they are until `done` runs.
+  // Sends all of `bytes`. They and this object must stay as they are until `done` runs, which is
+  // never inside the call.
   void Write(const std::string& bytes, Done done);
   // Tells the other end that no more bytes follow.
   void FinishWriting();
@@ -53,7 +55,13 @@
     std::shared_ptr<Http2Tunnel> tunnel;
     asio::any_io_executor executor;
   };
+
+  void WriteToSocket(Socket& socket, std::string_view bytes, Done done);
+
   std::variant<Socket, Tunnel> transport_;
+  // A write has met the reset of a TCP connection. The socket reports an error only once, so that
+  // later reads would find what looks like an orderly end.
+  bool was_reset_ = false;
 };
 
 }  // namespace cowsliphill
