Responses whose status line is not HTTP/1.1 are rejected

What callers saw: a server in trouble answered with "HTTP/1.1 0200 OK", "HTTP/2.0 200 OK" or a reason phrase with control bytes, and the caller got status 200. With a CR in the reason phrase ("200 O<CR>K") all headers of the answer were taken for its body. Status 000 itself was refused already (FaultyAnswerTest::Answer_WithInvalidStatusCode_IsNoAnswer and ...ThroughATunnel..., InvalidStatusTest, StoreClientTest::ReadManifest_InvalidStatusCode_IsNoResponse).

Cause: http_parser reads the code as a number of any length, any major version and any byte of a reason phrase, and takes a single CR for a line end; only the number was checked here. What it read can't be told from its callbacks, so the line itself is kept and checked against RFC 9112 4. What that section leaves to recipients (several spaces before the code) and the missing space behind it are accepted as before, and so are HTTP/1.0 and 1.x.

Evidence, on the code before: HttpReaderTest::Response_WithAnInvalidStatusLine_IsRejected failed ("HTTP/1.1 0200 OK" was read as "head body end"); so did, at the processes, FaultyAnswerTest::Answer_Broken_IsNoAnswer and Answer_BrokenThroughATunnel_IsNoAnswer, which follow with the other readers.

IsResponseStatus moves to src/base/http_syntax.h with the other rules of a head.

--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -7,6 +7,8 @@
 #include <limits>
 #include <utility>
 
+#include "src/base/http_syntax.h"
+
 namespace cowsliphill {
 
 namespace {
@@ -14,16 +16,6 @@
 // http_parser's value for an unknown length.
 constexpr uint64_t kNoLength = std::numeric_limits<uint64_t>::max();
 
-// Debian's http_parser is built without strict mode and accepts a space as part of a header name.
-// The parser then ignores the header, but the next server may honour it (request smuggling).
-bool IsHeaderName(std::string_view name) {
-  constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-  return !name.empty() && std::all_of(name.begin(), name.end(), [others](char c) {
-    return std::isalnum(static_cast<unsigned char>(c)) != 0 ||
-           others.find(c) != std::string_view::npos;
-  });
-}
-
 char Lower(char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); }
 
 }  // namespace
@@ -35,7 +27,7 @@
 }
 
 std::optional<std::string> HttpHead::Find(std::string_view name) const {
-  for (const HttpHeader& header : headers) {
+  for (const HttpHeader &header : headers) {
     if (HeaderNameIs(header.name, name)) return header.value;
   }
   return std::nullopt;
@@ -44,29 +36,32 @@
 size_t HttpHead::Count(std::string_view name) const {
   return static_cast<size_t>(
       std::count_if(headers.begin(), headers.end(),
-                    [name](const HttpHeader& header) { return HeaderNameIs(header.name, name); }));
+                    [name](const HttpHeader &header) { return HeaderNameIs(header.name, name); }));
 }
 
 struct HttpReader::State {
   http_parser parser;
   HttpMessageType type = HttpMessageType::kRequests;
   size_t max_header_bytes = 0;
-  // Bytes of the head being read, or of a body's framing and trailers since its last data.
+  // Bytes of the head being read, or of a body's framing and trailers since its
+  // last data.
   size_t header_bytes = 0;
-  bool in_message = false;     // Set from the first byte of a message to its end.
-  bool reading_value = false;  // http_parser last delivered part of a header value.
-  bool answers_head = false;   // The responses belong to a HEAD request.
-  bool until_close = false;    // The body being read is close-delimited.
-  HttpHead head;               // Head being read.
-  HttpEvent event;             // Event produced by the last callback.
-
-  static State& Of(http_parser* parser) { return *static_cast<State*>(parser->data); }
-  static int Pause(http_parser* parser) {
+  bool in_message = false;       // Set from the first byte of a message to its end.
+  bool reading_value = false;    // http_parser last delivered part of a header value.
+  bool answers_head = false;     // The responses belong to a HEAD request.
+  bool until_close = false;      // The body being read is close-delimited.
+  HttpHead head;                 // Head being read.
+  std::string status_line;       // Of the response being read, without its line end.
+  bool has_status_line = false;  // status_line is complete.
+  HttpEvent event;               // Event produced by the last callback.
+
+  static State &Of(http_parser *parser) { return *static_cast<State *>(parser->data); }
+  static int Pause(http_parser *parser) {
     http_parser_pause(parser, 1);
     return 0;
   }
-  static int OnBegin(http_parser* parser) {
-    State& state = Of(parser);
+  static int OnBegin(http_parser *parser) {
+    State &state = Of(parser);
     state.head = HttpHead();
     state.header_bytes = 0;
     state.in_message = true;
@@ -74,62 +69,94 @@
     state.reading_value = false;
     return 0;
   }
-  static int OnUrl(http_parser* parser, const char* at, size_t n) {
+  static int OnUrl(http_parser *parser, const char *at, size_t n) {
     Of(parser).head.target.append(at, n);
     return 0;
   }
-  static int OnField(http_parser* parser, const char* at, size_t n) {
-    State& state = Of(parser);
+  static int OnField(http_parser *parser, const char *at, size_t n) {
+    State &state = Of(parser);
     if (state.head.headers.empty() || state.reading_value) state.head.headers.emplace_back();
     state.reading_value = false;
     state.head.headers.back().name.append(at, n);
     return 0;
   }
-  static int OnValue(http_parser* parser, const char* at, size_t n) {
-    State& state = Of(parser);
+  static int OnValue(http_parser *parser, const char *at, size_t n) {
+    State &state = Of(parser);
     state.reading_value = true;
     state.head.headers.back().value.append(at, n);
     return 0;
   }
-  static int OnHeaders(http_parser* parser) {
-    State& state = Of(parser);
+  static int OnHeaders(http_parser *parser) {
+    State &state = Of(parser);
     state.FinishHead();
     Pause(parser);
-    for (const HttpHeader& header : state.head.headers) {
-      if (IsHeaderName(header.name)) continue;
-      state.event = HttpError{HttpErrorKind::kMalformed, "header name is not a valid token"};
-      return 0;
-    }
-    if (state.type == HttpMessageType::kResponses && !IsResponseStatus(state.head.status)) {
-      state.event = HttpError{HttpErrorKind::kMalformed,
-                              "invalid status code " + std::to_string(state.head.status)};
+    const std::string fault = state.FaultOfHead();
+    if (!fault.empty()) {
+      state.event = HttpError{HttpErrorKind::kMalformed, fault};
       return 0;
     }
     const bool no_body = state.head.no_body;
     state.event = std::move(state.head);
     return no_body ? 1 : 0;  // Returning 1 tells http_parser that no body follows.
   }
-  static int OnBody(http_parser* parser, const char* at, size_t n) {
-    State& state = Of(parser);
+  static int OnBody(http_parser *parser, const char *at, size_t n) {
+    State &state = Of(parser);
     state.header_bytes = 0;
     state.event = HttpBody{std::string_view(at, n)};
     return Pause(parser);
   }
-  static int OnComplete(http_parser* parser) {
-    State& state = Of(parser);
+  static int OnComplete(http_parser *parser) {
+    State &state = Of(parser);
     state.in_message = false;
+    state.status_line.clear();
+    state.has_status_line = false;
     state.event = HttpEnd{};
     return Pause(parser);
   }
 
   // http_parser removes the white space before a value, but not that after it.
   void TrimValues() {
-    for (HttpHeader& header : head.headers) {
+    for (HttpHeader &header : head.headers) {
       const size_t end = header.value.find_last_not_of(" \t");
       header.value.resize(end == std::string::npos ? 0 : end + 1);
     }
   }
 
+  // Keeps the status line of a response, because http_parser accepts others
+  // than IsStatusLine.
+  void KeepStatusLine(std::string_view data) {
+    if (has_status_line) return;
+    // http_parser ignores empty lines before the status line.
+    const bool at_begin = status_line.empty();
+    if (at_begin) data.remove_prefix(std::min(data.find_first_not_of("\r\n"), data.size()));
+    const size_t end = data.find('\n');
+    status_line.append(data.substr(0, end));
+    has_status_line = end != std::string_view::npos;
+    if (has_status_line && status_line.ends_with('\r')) status_line.pop_back();
+  }
+
+  // Returns what is wrong with the head or, if nothing is, "".
+  std::string FaultOfHead() const {
+    const std::string fault = type == HttpMessageType::kResponses ? FaultOfResponse() : "";
+    return fault.empty() ? FaultOfFields() : fault;
+  }
+  std::string FaultOfResponse() const {
+    if (!IsResponseStatus(head.status)) {
+      return "invalid status code " + std::to_string(head.status);
+    }
+    if (!IsStatusLine(status_line)) return "invalid status line";
+    return "";
+  }
+  // Debian's http_parser is built without strict mode and accepts a space as
+  // part of a header name. The parser then ignores the header, but the next
+  // reader may honour it (smuggling).
+  std::string FaultOfFields() const {
+    for (const HttpHeader &header : head.headers) {
+      if (!IsFieldName(header.name)) return "header name is not a valid token";
+    }
+    return "";
+  }
+
   void FinishHead() {
     TrimValues();
     head.chunked = (parser.flags & F_CHUNKED) != 0;
@@ -150,7 +177,7 @@
     until_close = head.close_delimited;
   }
 
-  static const http_parser_settings& Callbacks() {
+  static const http_parser_settings &Callbacks() {
     static const http_parser_settings callbacks = [] {
       http_parser_settings settings;
       http_parser_settings_init(&settings);
@@ -177,13 +204,14 @@
 }
 
 HttpReader::~HttpReader() = default;
-HttpReader::HttpReader(HttpReader&&) noexcept = default;
-HttpReader& HttpReader::operator=(HttpReader&&) noexcept = default;
+HttpReader::HttpReader(HttpReader &&) noexcept = default;
+HttpReader &HttpReader::operator=(HttpReader &&) noexcept = default;
 
 HttpReader::Step HttpReader::Read(std::string_view data) {
-  State& state = *state_;
+  State &state = *state_;
   state.event = HttpNeedBytes{};
   http_parser_pause(&state.parser, 0);
+  if (state.type == HttpMessageType::kResponses) state.KeepStatusLine(data);
   const size_t n =
       http_parser_execute(&state.parser, &State::Callbacks(), data.data(), data.size());
   const http_errno error = HTTP_PARSER_ERRNO(&state.parser);
--- a/src/forward/http_reader.h
+++ b/src/forward/http_reader.h
@@ -1,6 +1,6 @@
 // Incremental HTTP/1.1 parser that produces one event at a time. Wraps http_parser, which rejects
 // conflicting lengths and malformed chunks; in addition it rejects header names that are not
-// tokens, and responses with an invalid status code.
+// tokens, and responses with an invalid status line.
 
 #ifndef COWSLIPHILL_FORWARD_HTTP_READER_H_
 #define COWSLIPHILL_FORWARD_HTTP_READER_H_
@@ -40,12 +40,6 @@
   size_t Count(std::string_view name) const;
 };
 
-// Whether a response may have this status code: 100 to 599 (RFC 9110 15). 101 answers an upgrade
-// request only, and none is ever sent.
-constexpr bool IsResponseStatus(int status) {
-  return status >= 100 && status <= 599 && status != 101;
-}
-
 // Compares header names, ignoring case.
 bool HeaderNameIs(std::string_view name, std::string_view wanted);
 
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -3,6 +3,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include "tests/broken_answers.h"
+
 namespace cowsliphill {
 namespace {
 
@@ -24,6 +26,7 @@
   CPPUNIT_TEST(Response_WithoutFraming_IsCloseDelimited);
   CPPUNIT_TEST(Response_ToHead_HasNoBody);
   CPPUNIT_TEST(Response_WithInvalidStatusCode_IsRejected);
+  CPPUNIT_TEST(Response_WithAnInvalidStatusLine_IsRejected);
   CPPUNIT_TEST(Response_InManyChunksSentInParts_IsReadCompletely);
   CPPUNIT_TEST(Response_WithEndlessHead_IsRejectedAtTheLimit);
   CPPUNIT_TEST(Response_WithEndlessChunkExtension_IsRejectedAtTheLimit);
@@ -130,6 +133,10 @@
     }
   }
 
+  // Regression: status codes of more digits, other major versions and control characters were
+  // accepted, and a single CR hid all headers.
+  void Response_WithAnInvalidStatusLine_IsRejected() { AssertBrokenAnswersRejected("status line"); }
+
   void Response_InManyChunksSentInParts_IsReadCompletely() {
     HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
     Events(reader, kChunkedHead);
@@ -154,6 +161,29 @@
   }
 
  private:
+  // Events of a response whose server closes the connection behind it, read whole or byte by byte.
+  static std::string EventsToTheEnd(const std::string& text, bool in_parts) {
+    HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
+    std::string events;
+    for (size_t at = 0; at < text.size(); at += in_parts ? 1 : text.size()) {
+      events += Events(reader, in_parts ? text.substr(at, 1) : text);
+      if (events.find("malformed") != std::string::npos) return events;
+    }
+    return events + NameOfEvent(reader.OnConnectionClosed(true));
+  }
+  static void AssertResponseRejected(const std::string& text) {
+    for (const bool in_parts : {false, true}) {
+      const std::string events = EventsToTheEnd(text, in_parts);
+      CPPUNIT_ASSERT_MESSAGE(text + events, events.find("malformed") != std::string::npos);
+    }
+  }
+  static void AssertBrokenAnswersRejected(const std::string& kind) {
+    for (const WireAnswer& it : BrokenAnswers(kParts)) {
+      if (it.kind.rfind(kind, 0) == 0) AssertResponseRejected(it.bytes);
+    }
+  }
+
+  static inline const AnswerParts kParts{"", "body"};
   static constexpr const char* kChunkedHead =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
