Responses with an invalid header name in their trailers are rejected

What callers saw: a server in trouble sent a chunked answer behind whose body a line like "X Note: v" stood, and the caller got it as a whole one. Heads, final and interim, with such names were refused already.

Cause: Debian's http_parser, built without strict mode, accepts a space in a name. Names were checked when the head was complete, but http_parser delivers trailers after that.

Change: the fields that came since the head are checked at the end of the response, before it counts as complete. A response that is buffered becomes a 502, a streamed one is cut off before its last chunk.

--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -50,7 +50,7 @@
   bool reading_value = false;    // http_parser last delivered part of a header value.
   bool answers_head = false;     // The responses belong to a HEAD request.
   bool until_close = false;      // The body being read is close-delimited.
-  HttpHead head;                 // Head being read.
+  HttpHead head;                 // Head being read; its headers are the trailers after the body.
   std::string status_line;       // Of the response being read, without its line end.
   bool has_status_line = false;  // status_line is complete.
   HttpEvent event;               // Event produced by the last callback.
@@ -111,6 +111,9 @@
     state.status_line.clear();
     state.has_status_line = false;
     state.event = HttpEnd{};
+    const std::string fault =
+        state.type == HttpMessageType::kResponses ? state.FaultOfFields() : "";
+    if (!fault.empty()) state.event = HttpError{HttpErrorKind::kMalformed, "trailers: " + fault};
     return Pause(parser);
   }
 
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -3,6 +3,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
+#include <cctype>
+#include <cstring>
+
 #include "tests/broken_answers.h"
 
 namespace cowsliphill {
@@ -27,6 +30,7 @@
   CPPUNIT_TEST(Response_ToHead_HasNoBody);
   CPPUNIT_TEST(Response_WithInvalidStatusCode_IsRejected);
   CPPUNIT_TEST(Response_WithAnInvalidStatusLine_IsRejected);
+  CPPUNIT_TEST(Response_WithAnInvalidFieldName_IsRejected);
   CPPUNIT_TEST(Response_InManyChunksSentInParts_IsReadCompletely);
   CPPUNIT_TEST(Response_WithEndlessHead_IsRejectedAtTheLimit);
   CPPUNIT_TEST(Response_WithEndlessChunkExtension_IsRejectedAtTheLimit);
@@ -137,6 +141,20 @@
   // accepted, and a single CR hid all headers.
   void Response_WithAnInvalidStatusLine_IsRejected() { AssertBrokenAnswersRejected("status line"); }
 
+  // Regression: names in trailers were not checked.
+  void Response_WithAnInvalidFieldName_IsRejected() {
+    AssertBrokenAnswersRejected("name");
+    for (int c = 0; c < 256; ++c) {
+      const auto it = static_cast<char>(c);
+      const bool is_token = std::isalnum(c) != 0 || std::strchr("!#$%&'*+-.^_`|~", c) != nullptr;
+      if ((c != 0 && is_token) || it == ':') continue;
+      for (const std::string& name : {std::string("X") + it + "Y", std::string("X") + it}) {
+        AssertResponseRejected(kParts.WithLine(name + ": v\r\n"));
+        AssertResponseRejected(kParts.WithTrailer(name + ": v\r\n"));
+      }
+    }
+  }
+
   void Response_InManyChunksSentInParts_IsReadCompletely() {
     HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
     Events(reader, kChunkedHead);
