Responses with a control character at the begin of a header value are rejected

What callers saw: a server in trouble sent a header like "X-Note: <01>v", and the caller got the answer with that line passed on. With "Transfer-Encoding: <01>chunked" it got the chunk sizes as part of the body. Trailers had the same fault.

Cause: http_parser checks every character of a value but the first.

Change: values of responses are checked here too: no control character but the tab (RFC 9110 5.5). Requests are left as they were.

All control characters are tried at the begin of a value and inside, in heads and trailers.

--- a/src/forward/http_reader.cc
+++ b/src/forward/http_reader.cc
@@ -156,6 +156,10 @@
   std::string FaultOfFields() const {
     for (const HttpHeader &header : head.headers) {
       if (!IsFieldName(header.name)) return "header name is not a valid token";
+      // http_parser checks all characters of a value but the first.
+      if (type == HttpMessageType::kResponses && !IsFieldValue(header.value)) {
+        return "header value contains a control character";
+      }
     }
     return "";
   }
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(Response_WithInvalidStatusCode_IsRejected);
   CPPUNIT_TEST(Response_WithAnInvalidStatusLine_IsRejected);
   CPPUNIT_TEST(Response_WithAnInvalidFieldName_IsRejected);
+  CPPUNIT_TEST(Response_WithAnInvalidFieldValue_IsRejected);
   CPPUNIT_TEST(Response_InManyChunksSentInParts_IsReadCompletely);
   CPPUNIT_TEST(Response_WithEndlessHead_IsRejectedAtTheLimit);
   CPPUNIT_TEST(Response_WithEndlessChunkExtension_IsRejectedAtTheLimit);
@@ -155,6 +156,20 @@
     }
   }
 
+  // Regression: a control character was accepted at the beginning of a value.
+  void Response_WithAnInvalidFieldValue_IsRejected() {
+    AssertBrokenAnswersRejected("value");
+    for (int c = 0; c < 256; ++c) {
+      const auto it = static_cast<char>(c);
+      const bool is_control = (c < 0x20 && it != '\t' && it != '\n' && it != '\r') || c == 0x7f;
+      if (!is_control) continue;
+      for (const std::string& value : {std::string(1, it) + "v", std::string("v") + it + "w"}) {
+        AssertResponseRejected(kParts.WithLine("X: " + value + "\r\n"));
+        AssertResponseRejected(kParts.WithTrailer("X: " + value + "\r\n"));
+      }
+    }
+  }
+
   void Response_InManyChunksSentInParts_IsReadCompletely() {
     HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
     Events(reader, kChunkedHead);
