Bodies in another transfer coding than chunked are rejected, "chunked" before a tab is read

What callers saw: with "Transfer-Encoding: gzip, chunked", "chunked, gzip" or "xchunked" the caller got the coded bytes as the body, without the header that names the coding. With a tab behind "chunked", which the protocol allows, it got the chunk sizes as part of the body, or no answer until the deadline.

Cause: http_parser decodes chunks if they are named last, reads to the end of the connection otherwise, and does not strip tabs; the header concerns one connection only and is not passed on.

Change: the list of codings is read here. "chunked" alone is decoded, also before a tab; a response with a body in another coding is rejected, which no request here asks for by TE.

--- a/src/forward/http_reader.h
+++ b/src/forward/http_reader.h
@@ -1,7 +1,7 @@
 // Incremental HTTP/1.1 parser that produces one event at a time. Wraps http_parser, which rejects
 // conflicting lengths and malformed chunks; in addition it rejects header names that are not
-// tokens, and responses with an invalid status line or with control characters in a header or
-// trailer value.
+// tokens, and responses with an invalid status line, with control characters in a header or trailer
+// value, or with another transfer coding than chunked.
 
 #ifndef COWSLIPHILL_FORWARD_HTTP_READER_H_
 #define COWSLIPHILL_FORWARD_HTTP_READER_H_
--- a/src/forward/http_reader_test.cc
+++ b/src/forward/http_reader_test.cc
@@ -32,6 +32,8 @@
   CPPUNIT_TEST(Response_WithAnInvalidStatusLine_IsRejected);
   CPPUNIT_TEST(Response_WithAnInvalidFieldName_IsRejected);
   CPPUNIT_TEST(Response_WithAnInvalidFieldValue_IsRejected);
+  CPPUNIT_TEST(Response_WithAnUnknownTransferCoding_IsRejected);
+  CPPUNIT_TEST(Response_OfUnusualForm_IsReadCompletely);
   CPPUNIT_TEST(Response_InManyChunksSentInParts_IsReadCompletely);
   CPPUNIT_TEST(Response_WithEndlessHead_IsRejectedAtTheLimit);
   CPPUNIT_TEST(Response_WithEndlessChunkExtension_IsRejectedAtTheLimit);
@@ -170,6 +172,20 @@
     }
   }
 
+  // Regression: the coded bytes were taken for the body, without the header that names the coding.
+  void Response_WithAnUnknownTransferCoding_IsRejected() { AssertBrokenAnswersRejected("coding"); }
+
+  void Response_OfUnusualForm_IsReadCompletely() {
+    for (const WireAnswer& it : UnusualAnswers(kParts)) {
+      for (const bool in_parts : {false, true}) {
+        const std::string events = EventsToTheEnd(it.bytes, in_parts);
+        CPPUNIT_ASSERT_MESSAGE(it.bytes + events, events.find("malformed") == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(it.bytes + events, events.ends_with("end "));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(it.bytes + events, std::string("body"), BodyIn(events));
+      }
+    }
+  }
+
   void Response_InManyChunksSentInParts_IsReadCompletely() {
     HttpReader reader(HttpMessageType::kResponses, kMaxHeaderBytes);
     Events(reader, kChunkedHead);
@@ -204,6 +220,15 @@
     }
     return events + NameOfEvent(reader.OnConnectionClosed(true));
   }
+  static std::string BodyIn(const std::string& events) {
+    constexpr std::string_view label = "body:";
+    std::string body;
+    for (size_t at = events.find(label); at != std::string::npos; at = events.find(label, at + 1)) {
+      const size_t begin = at + label.size();
+      body += events.substr(begin, events.find(' ', begin) - begin);
+    }
+    return body;
+  }
   static void AssertResponseRejected(const std::string& text) {
     for (const bool in_parts : {false, true}) {
       const std::string events = EventsToTheEnd(text, in_parts);
