The client of the own store checks the heads that cpp-httplib leaves unchecked

What was seen: with "Content-Length : 1" or "Transfer-Encoding: <01>chunked" an object that was read had a body that is not the store's, and answers with control bytes in the reason phrase or blanks in the names of headers were results.

Cause: src/storage reads with cpp-httplib, not with HttpReader. It checks neither names nor the values that frame the body, and takes a header that it does not know by its name as absent. Only the status code was checked here.

Change: FaultOfResponse (src/base) checks status code, reason phrase, names of headers and the values of Transfer-Encoding and Content-Length. Such an answer is a call with unknown outcome, as one with an invalid status code was.

Limit: cpp-httplib shows neither interim responses nor trailers, and decodes %-sequences, so that control characters in other values can't be told; none of these is used. It reads neither 103 nor trailers at all, before and after this change.

--- a/src/forward/broken_response_test.cc
+++ b/src/forward/broken_response_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "src/forward/http_call.h"
+#include "src/forward/probe_client.h"
 #include "src/storage/http_platform.h"
 #include "tests/broken_server.h"
 
@@ -23,12 +24,25 @@
 
 class BrokenResponseTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BrokenResponseTest);
+  CPPUNIT_TEST(Call_BrokenAnswer_Fails);
+  CPPUNIT_TEST(Call_UnusualAnswer_ArrivesWhole);
   CPPUNIT_TEST(Call_AnswerResetWhileTheRequestIsWritten_Fails);
   CPPUNIT_TEST(Call_AnswerEndedInOrderWhileTheRequestIsWritten_ArrivesWhole);
+  CPPUNIT_TEST(Probe_BrokenAnswer_IsNotAnswered);
+  CPPUNIT_TEST(PlatformCall_BrokenAnswer_HasUnknownOutcome);
+  CPPUNIT_TEST(PlatformCall_UnusualAnswer_ArrivesWhole);
   CPPUNIT_TEST(PlatformCall_AnswerResetWhileTheRequestIsWritten_HasUnknownOutcome);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void Call_BrokenAnswer_Fails() {
+    for (const WireAnswer& it : BrokenAnswers(parts_)) {
+      CPPUNIT_ASSERT_MESSAGE(TextOf(it), !Ok(CallWith(it)));
+    }
+  }
+  void Call_UnusualAnswer_ArrivesWhole() {
+    for (const WireAnswer& it : UnusualAnswers(parts_)) AssertArrives(it, CallWith(it));
+  }
   // Regression: the part that had arrived was taken for the whole body.
   void Call_AnswerResetWhileTheRequestIsWritten_Fails() {
     const WireAnswer cut{"cut", parts_.Framed(""), AnswerEnd::kReset};
@@ -41,6 +55,53 @@
     }
   }
 
+  void Probe_BrokenAnswer_IsNotAnswered() {
+    for (const WireAnswer& it : BrokenAnswers(parts_)) {
+      const BrokenServer server([&it](const std::string&) { return it; });
+      std::optional<ProbeOutcome> outcome;
+      ProbeClient probes(
+          io_, clock_, BackendSettings(), {},
+          [](const HttpHead&, const ProbeTarget&) { return Report(); },
+          [&outcome](const ProbeTarget&, const ProbeOutcome& end) { outcome = end; });
+      ProbeTarget target;
+      target.endpoint = server.Address();
+      target.path = "/health";
+      target.timeout = kTimeout;
+      probes.Send(target);
+      RunUntil([&outcome] { return outcome.has_value(); });
+      CPPUNIT_ASSERT_MESSAGE(TextOf(it), !outcome->answered && !outcome->report);
+      probes.CloseAll();
+    }
+  }
+
+  void PlatformCall_BrokenAnswer_HasUnknownOutcome() {
+    for (const WireAnswer& it : BrokenAnswers(parts_)) {
+      // cpp-httplib shows neither interim responses nor trailers nor the bytes of a value, and
+      // nothing of these is used.
+      const bool is_ignored = it.kind.find(" in ") != std::string::npos || it.kind == "value";
+      if (is_ignored) continue;
+      const BrokenServer server([&it](const std::string&) { return it; });
+      const auto platform = Platform(server);
+      std::optional<ObjectResult> result;
+      platform->GetObject("o", [&result](const ObjectResult& object) { result = object; });
+      RunUntil([&result] { return result.has_value(); });
+      CPPUNIT_ASSERT_MESSAGE(TextOf(it), std::holds_alternative<PlatformError>(*result));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(TextOf(it), uint64_t{1}, platform->Counts().unknown);
+    }
+  }
+  void PlatformCall_UnusualAnswer_ArrivesWhole() {
+    for (const WireAnswer& it : UnusualAnswers(parts_)) {
+      // cpp-httplib reads neither interim responses but 100 nor trailers.
+      if (it.kind.find(" in ") != std::string::npos) continue;
+      const BrokenServer server([&it](const std::string&) { return it; });
+      const auto platform = Platform(server);
+      std::optional<ObjectResult> result;
+      platform->GetObject("o", [&result](const ObjectResult& object) { result = object; });
+      RunUntil([&result] { return result.has_value(); });
+      const auto* object = std::get_if<std::optional<std::string>>(&*result);
+      CPPUNIT_ASSERT_MESSAGE(TextOf(it), object != nullptr && *object == kBody);
+    }
+  }
   void PlatformCall_AnswerResetWhileTheRequestIsWritten_HasUnknownOutcome() {
     const BrokenServer server([](const std::string&) {
       return WireAnswer{"cut", "HTTP/1.1 201 Created\r\n\r\n", AnswerEnd::kReset};
--- a/src/storage/http_platform.cc
+++ b/src/storage/http_platform.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/base/httplib_response.h"
 #include "src/base/msgpack.h"
 #include "src/base/toml_reader.h"
 
@@ -16,9 +17,6 @@
 using nlohmann::json;
 
 constexpr int kNoResponse = 0;  // Status of a call that got no HTTP response.
-// Status codes outside this range are invalid (RFC 9110 15).
-constexpr int kMinStatus = 100;
-constexpr int kMaxStatus = 599;
 constexpr std::string_view kMsgpackContentType = "application/msgpack";
 
 std::string ToMsgpack(const json& message) {
@@ -177,11 +175,11 @@
   if (call.method == "PUT") request.set_header("If-None-Match", "*");
   const httplib::Result result = worker.client.send(request);
   if (!result) return Deliver(call, kNoResponse, "", TransportError(result.error()));
-  if (result->status < kMinStatus || result->status > kMaxStatus) {
-    return Deliver(call, kNoResponse, "",
-                   {PlatformError::Kind::kUnknown,
-                    "platform sent bytes that are not a response, invalid status code " +
-                        std::to_string(result->status)});
+  const std::string fault = FaultOfResponse(*result);
+  if (!fault.empty()) {
+    return Deliver(
+        call, kNoResponse, "",
+        {PlatformError::Kind::kUnknown, "platform sent bytes that are not a response, " + fault});
   }
   const bool not_applied = result->status == 503 && result->has_header("X-Not-Applied");
   PlatformError error = UnexpectedStatus(result->status);
