Commands fail if an entry VM's answer is not an HTTP response

What operators saw: `cowsliphill status` (and the other commands that ask an entry VM) printed an answer with status 000 to standard output and exited with 0.

Cause: any status below 400 was a success, and cpp-httplib checks neither the status nor the names of headers. explain-route takes status 200 only, but did not check the rest.

Change: both check the response with FaultOfResponse and exit with 1.

Evidence, on the code before: ExplainRouteTest::Commands_BrokenAnswerOfAnEntryVm_Fail failed at "HTTP/1.1 000 OK". Commands_UnusualAnswerOfAnEntryVm_Succeed failed too, at an interim response, which cpp-httplib does not read; the test leaves interim responses and trailers out. Now: ExplainRouteTest 4 passed, 0 failed.

--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -12,6 +12,7 @@
 #include <random>
 
 #include "platform/adapter.h"
+#include "src/base/httplib_response.h"
 #include "src/cli/entry_vm.h"
 #include "src/cli/explain_command.h"
 #include "src/cli/routed_entry.h"
@@ -150,6 +151,12 @@
     std::cerr << "cowsliphill: " << text << ": " << httplib::to_string(result.error()) << "\n";
     return kExitFailure;
   }
+  const std::string fault = FaultOfResponse(*result);
+  if (!fault.empty()) {
+    std::cerr << "cowsliphill: " << text << ": the answer is not an HTTP response, " << fault
+              << "\n";
+    return kExitFailure;
+  }
   (result->status < 400 ? std::cout : std::cerr) << result->body;
   if (result->status < 400) return kExitSuccess;
   return result->status == 400 || result->status == 422 ? kExitUsage : kExitFailure;
--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "src/base/httplib_response.h"
 #include "src/base/ids.h"
 #include "src/base/toml_reader.h"
 #include "src/cli/commands.h"
@@ -42,6 +43,11 @@
     error = httplib::to_string(result.error());
     return std::nullopt;
   }
+  const std::string fault = FaultOfResponse(*result);
+  if (!fault.empty()) {
+    error = "the answer is not an HTTP response, " + fault;
+    return std::nullopt;
+  }
   json answer = json::parse(result->body, nullptr, false);
   if (result->status == 200 && answer.is_object()) return answer;
   error = fmt::format("status {}: {}", result->status, result->body);
--- a/tests/explain_route_test.cc
+++ b/tests/explain_route_test.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <sstream>
 
+#include "tests/broken_server.h"
 #include "tests/fleet_harness.h"
 
 namespace cowsliphill {
@@ -14,6 +15,8 @@
   CPPUNIT_TEST_SUITE(ExplainRouteTest);
   CPPUNIT_TEST(ExplainRoute_OfARunningEntryVm_SendsNothing);
   CPPUNIT_TEST(Help_OfCommandsAndGroups_ExitsWithZero);
+  CPPUNIT_TEST(Commands_BrokenAnswerOfAnEntryVm_Fail);
+  CPPUNIT_TEST(Commands_UnusualAnswerOfAnEntryVm_Succeed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -63,7 +66,33 @@
     CPPUNIT_ASSERT_EQUAL(2, Run("settings").first);
   }
 
+  // Regression: status 000 and headers with a blank in their name were a success.
+  void Commands_BrokenAnswerOfAnEntryVm_Fail() {
+    for (const WireAnswer& it : BrokenAnswers(kAnswer)) {
+      // cpp-httplib shows neither interim responses nor trailers nor the bytes of a value, and
+      // nothing of these is used.
+      const bool is_ignored = it.kind.find(" in ") != std::string::npos || it.kind == "value";
+      if (!is_ignored) ExpectExitCode(1, it);
+    }
+  }
+  void Commands_UnusualAnswerOfAnEntryVm_Succeed() {
+    for (const WireAnswer& it : UnusualAnswers(kAnswer)) {
+      // cpp-httplib reads neither interim responses but 100 nor trailers.
+      if (it.kind.find(" in ") == std::string::npos) ExpectExitCode(0, it);
+    }
+  }
+
  private:
+  static inline const AnswerParts kAnswer{"Content-Type: application/json\r\n", "{}"};
+
+  static void ExpectExitCode(int code, const WireAnswer& answer) {
+    const BrokenServer server([&answer](const std::string&) { return answer; });
+    const std::string entry = " --entry " + server.Address().ToString();
+    for (const char* command : {"status", "explain-route --host h --path / --json"}) {
+      const auto [exit_code, text] = Run(command + entry);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.kind + ": " + answer.bytes + text, code, exit_code);
+    }
+  }
   // Returns the exit code and the output. The words of the command line are separated by spaces.
   static std::pair<int, std::string> Run(const std::string& arguments) {
     const std::string folder = MakeTempFolder();
