Tests of broken answers at every place that reads answers

Each sends answers that are not HTTP/1.1 or are cut off (status line, names and values, codings, interim responses, trailers, a reset without a length) and whole answers of unusual form over real sockets. Product code is unchanged.

--- a/tests/faulty_answer_test.cc
+++ b/tests/faulty_answer_test.cc
@@ -1,5 +1,5 @@
 // A backend server whose answers are wrong on the wire, beside one without faults: earlier refusals
-// sent again, and heads that break off.
+// sent again, heads that break off, and answers that are not HTTP/1.1.
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -7,6 +7,7 @@
 #include <array>
 #include <map>
 
+#include "tests/broken_answers.h"
 #include "tests/cut_link.h"
 #include "tests/fleet_harness.h"
 #include "tests/scripted_server.h"
@@ -29,6 +30,9 @@
   CPPUNIT_TEST(Answer_WithItsHeadCut_IsNeverASuccess);
   CPPUNIT_TEST(Answer_WithInvalidStatusCode_IsNoAnswer);
   CPPUNIT_TEST(Answer_WithInvalidStatusCodeThroughATunnel_IsNoAnswer);
+  CPPUNIT_TEST(Answer_Broken_IsNoAnswer);
+  CPPUNIT_TEST(Answer_BrokenThroughATunnel_IsNoAnswer);
+  CPPUNIT_TEST(StreamedAnswer_WithAnInvalidTrailer_IsCutOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -129,7 +133,58 @@
     CPPUNIT_ASSERT(fleet_->Metric(0, "cowsliphill_tunnels_opened") > 0);
   }
 
+  // Regression: callers got such answers, or bytes in place of their bodies, with status 200.
+  void Answer_Broken_IsNoAnswer() {
+    const std::vector<WireAnswer> answers = BrokenAnswers(AnswerParts("", ""));
+    Start(Broken);
+    fleet_->Control("DELETE", "/control/row?table=servers&key=i-2");
+    for (size_t n = 0; n < answers.size(); ++n) {
+      SendUntilItArrives("/u/x", "whole");
+      CPPUNIT_ASSERT_EQUAL(200, status_);
+      ExpectBadGateway(n, answers[n]);
+    }
+  }
+  void Answer_BrokenThroughATunnel_IsNoAnswer() {
+    const std::vector<WireAnswer> answers = BrokenAnswers(AnswerParts("", ""));
+    faulty_ = std::make_unique<ScriptedServer>("i-1", ExceptChecks(Broken));
+    fleet_ = std::make_unique<Fleet>(2, FleetOptions{0, true});
+    const CutLink link(faulty_->Address());
+    fleet_->AddServer(faulty_->Name(), link.Address());
+    for (size_t n = 0; n < answers.size(); ++n) ExpectBadGateway(n, answers[n]);
+    CPPUNIT_ASSERT(fleet_->Metric(0, "cowsliphill_tunnels_opened") > 0);
+    fleet_.reset();  // Before the link.
+  }
+  // A body of this size is streamed to the caller while it is read.
+  void StreamedAnswer_WithAnInvalidTrailer_IsCutOff() {
+    Start([](const ScriptedRequest& it) -> std::vector<ScriptedStep> {
+      const AnswerParts parts(FieldsFor(it.id), std::string(1500000, 'x'));
+      const bool is_valid = it.id.find("valid") != std::string::npos;
+      return {{parts.WithTrailer(is_valid ? "X-Note: v\r\n" : "X Note: v\r\n")}};
+    });
+    fleet_->Control("DELETE", "/control/row?table=servers&key=i-2");
+    SendUntilItArrives("/u/x", "valid");
+    CPPUNIT_ASSERT_EQUAL(200, status_);
+    SendUntilItArrives("/u/x", "broken");
+    CPPUNIT_ASSERT_EQUAL(0, status_);
+  }
+
  private:
+  static std::string FieldsFor(const std::string& id) {
+    return "X-Request-Id: " + id + "\r\nX-Response-Signature: signed." + id + "\r\n";
+  }
+  // Answers with the broken answer whose number the request's id names.
+  static std::vector<ScriptedStep> Broken(const ScriptedRequest& it) {
+    const size_t at = it.id.find("broken-");
+    if (at == std::string::npos) return {{ScriptedAnswer(it.id)}};
+    const WireAnswer answer =
+        BrokenAnswers(AnswerParts(FieldsFor(it.id), "body")).at(std::stoul(it.id.substr(at + 7)));
+    const bool resets = answer.end == AnswerEnd::kReset;
+    return {{answer.bytes, milliseconds(0), answer.end != AnswerEnd::kNone, resets}};
+  }
+  void ExpectBadGateway(size_t n, const WireAnswer& answer) {
+    SendUntilItArrives("/u/x", fmt::format("broken-{}", n));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.kind + ": " + answer.bytes, 502, status_);
+  }
   static constexpr std::array<const char*, 5> kInvalidStatus{"000", "099", "101", "600", "999"};
   // Answers with the status that the request's id names.
   static std::vector<ScriptedStep> InvalidStatus(const ScriptedRequest& it) {
--- a/tests/scripted_server.h
+++ b/tests/scripted_server.h
@@ -40,6 +40,7 @@
   std::string bytes;
   std::chrono::milliseconds delay{0};  // Before the bytes are sent.
   bool close = false;                  // Close the connection afterwards.
+  bool reset = false;                  // By a reset. Needs `close`.
 };
 
 // A successful answer. `headers`: further header lines, each with its line end.
@@ -159,6 +160,7 @@
       asio::async_write(it->socket, asio::buffer(it->steps[it->step].bytes),
                         [this, it](std::error_code ec, size_t) {
                           if (ec) return;
+                          if (it->steps[it->step].reset) return Reset(it);
                           if (it->steps[it->step].close) {
                             it->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
                             return;
@@ -168,6 +170,14 @@
                         });
     });
   }
+  // Resets the connection once the bytes before have arrived.
+  static void Reset(const std::shared_ptr<Connection>& it) {
+    it->timer.expires_after(std::chrono::milliseconds(20));
+    it->timer.async_wait([it](std::error_code) {
+      it->socket.set_option(asio::socket_base::linger(true, 0));
+      it->socket.close();
+    });
+  }
   size_t CountLocked(const std::string& id) const {
     size_t n = 0;
     for (const ScriptedRequest& it : requests_) n += it.id == id ? 1 : 0;
