A failed write of an upload no longer ends a tunnel before the answer is read

What callers saw: a server answered a long upload early with a response without a length, ended it in order (FIN) and reset the connection at once because bytes of the upload still came. Read directly, that response is whole. Through another entry VM it was cut, and the caller got a 502.

Cause: in the entry VM between, the failed write to the server broke the tunnel although the response, and its end, were still to be read.

Change: after such a failure further bytes for the server are discarded, and reading from it goes on. It finds the orderly end or the reset, which ends the tunnel as before; the reset is told from the end by ByteStream. Bytes for the server are still taken, so that a caller's leaving is seen.

--- a/src/links/server_connector_test.cc
+++ b/src/links/server_connector_test.cc
@@ -42,6 +42,10 @@
       it.close();
     }
   }
+  void FinishAll() {
+    std::error_code ignored;
+    for (tcp::socket& it : connections) it.shutdown(tcp::socket::shutdown_send, ignored);
+  }
   // Whether the other end of the newest connection has closed it.
   bool SeesClose() {
     tcp::socket& socket = connections.back();
@@ -83,6 +87,8 @@
   CPPUNIT_TEST(Answer_ThroughATunnel_IsWhole);
   CPPUNIT_TEST(Answer_ServerClosesInOrder_EndsWithTheConnection);
   CPPUNIT_TEST(Answer_ServerResets_NeverLooksWhole);
+  CPPUNIT_TEST(Answer_ServerFinishesAndResetsDuringAnUpload_IsWhole);
+  CPPUNIT_TEST(Answer_ServerResetsDuringAnUpload_NeverLooksWhole);
   CPPUNIT_TEST(Answer_EntryVmBetweenDies_NeverLooksWhole);
   CPPUNIT_TEST(Caller_Leaves_ServerSeesIt);
   CPPUNIT_TEST(Tunnels_BeyondTheRoom_AreRefused);
@@ -218,6 +224,27 @@
     server_->CloseAll(true);
     CPPUNIT_ASSERT_EQUAL(std::string("200 half error"), ReadAnswer());
   }
+  // Regression: the failed write of the upload broke the tunnel before the answer had been read.
+  void Answer_ServerFinishesAndResetsDuringAnUpload_IsWhole() {
+    Ask();
+    Upload();
+    server_->AnswerAll(kUnframedAnswer);
+    server_->FinishAll();
+    server_->CloseAll(true);
+    CPPUNIT_ASSERT_EQUAL(std::string("200 half end"), ReadAnswer());
+    stream_->Close();
+    CPPUNIT_ASSERT(RunUntil([this] {
+      return relays_[0]->tunnels.OpenTunnels() + relays_[1]->tunnels.OpenTunnels() == 0;
+    }));
+  }
+  void Answer_ServerResetsDuringAnUpload_NeverLooksWhole() {
+    Ask();
+    Upload();
+    server_->AnswerAll(kUnframedAnswer);
+    server_->CloseAll(true);
+    const std::string answer = ReadAnswer();
+    CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("error"));
+  }
   void Answer_EntryVmBetweenDies_NeverLooksWhole() {
     Ask();
     server_->AnswerAll(kUnframedAnswer);
@@ -377,6 +404,11 @@
   }
   void ConnectOrFail(const std::string& server = "s0") { CPPUNIT_ASSERT(!Connect(server)); }
   // Sends a request through a tunnel; it has arrived at the server afterwards.
+  // More than the sockets on the way hold; the server reads nothing.
+  void Upload() {
+    stream_->Write(std::string(20000000, 'u'), [](bool) {});
+    loop_.run_for(milliseconds(200));
+  }
   void Ask() {
     ConnectOrFail();
     CPPUNIT_ASSERT(through_.port != 0);
--- a/src/links/tunnel_server.cc
+++ b/src/links/tunnel_server.cc
@@ -62,15 +62,18 @@
       end_.server_reset = &side == &down_;
       return Finish();
     }
+    if (upload_failed_ && &side == &up_) return Read(side, other, count);
     count += n;
     ArmTimer();
     side.outgoing.assign(side.buffer.data(), n);
     other.from.Write(side.outgoing,
                      [self = shared_from_this(), &side, &other, &count](std::error_code failed) {
                        if (self->finished_) return;
-                       if (!failed) return self->Read(side, other, count);
-                       self->end_.server_reset = &other == &self->down_;
-                       self->Finish();
+                       if (failed && &other == &self->up_) return self->Finish();
+                       // The server may have sent a whole response before: reading on from it
+                       // shows how the tunnel ends.
+                       if (failed) self->upload_failed_ = true;
+                       self->Read(side, other, count);
                      });
   }
   void OnEnd(Side& side, Side& other) {
@@ -94,6 +97,7 @@
   MonotonicTime started_;
   Duration max_silence_;
   asio::steady_timer silence_timer_;
+  bool upload_failed_ = false;  // Further bytes for the server are discarded.
   bool finished_ = false;
 };
 
