ServerConnectorTest: the size of its upload has a name

The linter takes the literal for a mistake. The comment of Ask is at Ask again. ServerConnectorTest 22 passed, 0 failed; linter clean on the file.

--- a/src/links/server_connector_test.cc
+++ b/src/links/server_connector_test.cc
@@ -22,6 +22,7 @@
 using std::chrono::seconds;
 
 constexpr const char* kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+constexpr size_t kUpload = 20000000;  // More than the sockets on the way hold.
 constexpr const char* kUnframedAnswer = "HTTP/1.1 200 OK\r\n\r\nhalf";
 
 // Accepts connections and does with each what the test wants.
@@ -403,12 +404,12 @@
     return std::nullopt;
   }
   void ConnectOrFail(const std::string& server = "s0") { CPPUNIT_ASSERT(!Connect(server)); }
-  // Sends a request through a tunnel; it has arrived at the server afterwards.
-  // More than the sockets on the way hold; the server reads nothing.
+  // Sends more bytes, of which the server reads nothing.
   void Upload() {
-    stream_->Write(std::string(20000000, 'u'), [](bool) {});
+    stream_->Write(std::string(kUpload, 'u'), [](bool) {});
     loop_.run_for(milliseconds(200));
   }
+  // Sends a request through a tunnel; it has arrived at the server afterwards.
   void Ask() {
     ConnectOrFail();
     CPPUNIT_ASSERT(through_.port != 0);
