--- a/review/harness-3/net.cc
+++ b/review/harness-3/net.cc
@@ -178,6 +178,13 @@
 
 void Connection::Break() const { shutdown(fd_, SHUT_RDWR); }
 
+uint16_t Connection::LocalPort() const {
+  sockaddr_in at{};
+  socklen_t size = sizeof(at);
+  getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+  return ntohs(at.sin_port);
+}
+
 Listener::Listener(const Address& address, Serve serve)
     : address_(address), serve_(std::move(serve)) {
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/review/harness-3/net.h
+++ b/review/harness-3/net.h
@@ -71,6 +71,7 @@
   bool AtEnd() const { return at_end_; }  // The other side has closed or reset it.
   void Break() const;                     // Ends blocking calls of other threads.
   int Descriptor() const { return fd_; }
+  uint16_t LocalPort() const;
 
  private:
   bool Fill(int64_t until);
